--- /dev/null
+++ b/packages/connection/backend-connection/src/answerAuthentication.ts
@@ -0,0 +1,52 @@
+import { PomeloturnError } from "@pomeloturn/errors/PomeloturnError";
+import { ResultCode } from "@pomeloturn/errors/ResultCode";
+import { BackendType, HEADER_SIZE_BYTES } from "@pomeloturn/wire-messages/messageTypes";
+import { createHash } from "node:crypto";
+import { serialize } from "pg-protocol";
+
+/** Name and password of the proxies at a backend server. */
+export interface BackendCredentials {
+    readonly user: string;
+    readonly password: string;
+}
+
+const AuthenticationKind = {
+    Ok: 0,
+    CleartextPassword: 3,
+    Md5Password: 5,
+} as const;
+
+type AuthenticationHandler = (message: Buffer, credentials: BackendCredentials) => Buffer | undefined;
+
+const md5 = (input: string | Buffer): string => createHash("md5").update(input).digest("hex");
+
+const handlers: Readonly<Record<number, AuthenticationHandler>> = {
+    [AuthenticationKind.Ok]: () => undefined,
+    [AuthenticationKind.CleartextPassword]: (_message, { password }) => serialize.password(password),
+    [AuthenticationKind.Md5Password]: (message, { user, password }) => {
+        const salt = message.subarray(HEADER_SIZE_BYTES + 4, HEADER_SIZE_BYTES + 8);
+        const inner = Buffer.from(md5(password + user));
+        return serialize.password(`md5${md5(Buffer.concat([inner, salt]))}`);
+    },
+};
+
+/**
+ * Decides what to send for a message of the start-up phase.
+ *
+ * @returns undefined when nothing has to be sent
+ * @throws PomeloturnError with `BackendUnreachable` on an error or an unknown way of authentication
+ */
+export const answerAuthentication = (message: Buffer, credentials: BackendCredentials): Buffer | undefined => {
+    if (message[0] === BackendType.ErrorResponse) {
+        throw PomeloturnError.create(ResultCode.BackendUnreachable, message.toString("latin1", HEADER_SIZE_BYTES).replaceAll("\0", " "));
+    }
+    if (message[0] !== BackendType.Authentication) {
+        return undefined;
+    }
+    const kind = message.readInt32BE(HEADER_SIZE_BYTES);
+    const handler = handlers[kind];
+    if (handler === undefined) {
+        throw PomeloturnError.create(ResultCode.BackendUnreachable, `authentication kind ${kind}`);
+    }
+    return handler(message, credentials);
+};
--- /dev/null
+++ b/packages/connection/session-token/src/encodeToken.ts
@@ -0,0 +1,16 @@
+import { createHmac } from "node:crypto";
+import type { SessionToken } from "./SessionToken.ts";
+
+const SIGNATURE_SIZE_BYTES = 16;
+
+/** Signs a token's body under the service's key. */
+export const signToken = (service: string, body: string, tokenKey: string): string =>
+    createHmac("sha256", tokenKey).update(`${service}\n${body}`).digest().subarray(0, SIGNATURE_SIZE_BYTES).toString("base64url");
+
+/** Encodes a token as text: service, positions and signature, separated by periods. */
+export const encodeToken = (token: SessionToken, service: string, tokenKey: string): string => {
+    const positions = [...token].map(([group, { term, position }]) => [group, term, position]);
+    const body = Buffer.from(JSON.stringify(positions)).toString("base64url");
+    const name = Buffer.from(service).toString("base64url");
+    return `${name}.${body}.${signToken(service, body, tokenKey)}`;
+};
--- /dev/null
+++ b/packages/connection/session/src/sessionMessages.ts
@@ -0,0 +1,64 @@
+import type { ResultCode } from "@pomeloturn/errors/ResultCode";
+import type { ControlView } from "@pomeloturn/types/ControlView";
+import type { InstanceStatus } from "@pomeloturn/types/InstanceStatus";
+import type { AnswerPart, ForwardRequest } from "@pomeloturn/types/Request";
+import type { StatementClass } from "@pomeloturn/types/StatementClass";
+
+/** Constants for `SessionEvent.kind`. */
+export const SessionEventKind = {
+    Messages: "messages",
+    Answer: "answer",
+    CallerClosed: "callerClosed",
+} as const;
+
+/** What happens to a session. */
+export type SessionEvent =
+    | { readonly kind: typeof SessionEventKind.Messages; readonly messages: readonly Buffer[]; }
+    | { readonly kind: typeof SessionEventKind.Answer; readonly part: AnswerPart; }
+    | { readonly kind: typeof SessionEventKind.CallerClosed; };
+
+/** Constants for `SessionAction.kind`. */
+export const SessionActionKind = {
+    Reply: "reply",
+    Forward: "forward",
+    Cancel: "cancel",
+    EndTransaction: "endTransaction",
+    Close: "close",
+    Record: "record",
+} as const;
+
+/** What the shell of a session is to do. */
+export type SessionAction =
+    | { readonly kind: typeof SessionActionKind.Reply; readonly messages: readonly Uint8Array[]; }
+    | { readonly kind: typeof SessionActionKind.Forward; readonly vm: string; readonly request: ForwardRequest; }
+    | { readonly kind: typeof SessionActionKind.Cancel; readonly vm: string; readonly requestId: number; }
+    | {
+        readonly kind: typeof SessionActionKind.EndTransaction;
+        readonly vm: string;
+        readonly group: string;
+        readonly instance: string;
+        readonly transactionId: string;
+    }
+    | { readonly kind: typeof SessionActionKind.Close; }
+    | {
+        readonly kind: typeof SessionActionKind.Record;
+        readonly service: string;
+        readonly rank: number;
+        readonly latencyMs: number;
+        readonly code: ResultCode;
+        readonly isReplica: boolean;
+    };
+
+/** What a session decides by, besides its own state. */
+export interface SessionContext {
+    readonly view: ControlView;
+    /** Name and failure domain of this VM. */
+    readonly vm: string;
+    readonly failureDomain: string;
+    readonly statuses: ReadonlyMap<string, InstanceStatus>;
+    classify(text: string): StatementClass;
+    /** Next request id of the process. */
+    takeRequestId(): number;
+    /** Seeded or system random number, 0 to 1. */
+    random(): number;
+}
--- /dev/null
+++ b/packages/connection/wire-messages/src/buildMessage.ts
@@ -0,0 +1,48 @@
+import { formatResult } from "@pomeloturn/errors/PomeloturnError";
+import { Effect, type ResultCode } from "@pomeloturn/errors/ResultCode";
+import { resultTable } from "@pomeloturn/errors/resultTable";
+import { Writer } from "pg-protocol/dist/buffer-writer.js";
+import { BackendType } from "./messageTypes.ts";
+
+const INTERNAL_ERROR_SQL_STATE = "XX000";
+
+/** Constants for the severity field of an ErrorResponse. */
+export const Severity = {
+    Error: "ERROR",
+    Fatal: "FATAL",
+} as const;
+export type Severity = typeof Severity[keyof typeof Severity];
+
+const writer = new Writer();
+
+/** Builds the ErrorResponse of a numbered result. */
+export const buildErrorResponse = (code: ResultCode, detail: string, severity: Severity = Severity.Error): Buffer => {
+    const description = resultTable.get(code);
+    writer.addString("S").addCString(severity);
+    writer.addString("V").addCString(severity);
+    writer.addString("C").addCString(description?.sqlState ?? INTERNAL_ERROR_SQL_STATE);
+    writer.addString("M").addCString(formatResult(code, detail));
+    writer.addString("D").addCString(`result=${code} effect=${description?.effect ?? Effect.OutcomeUnknown}`);
+    writer.addCString("");
+    return Buffer.from(writer.flush(BackendType.ErrorResponse));
+};
+
+/** Builds a ReadyForQuery. @param status "I", "T" or "E" */
+export const buildReadyForQuery = (status: string): Buffer => Buffer.from(writer.addString(status).flush(BackendType.ReadyForQuery));
+
+/** Builds a ParameterStatus, which tells the caller a setting's present value. */
+export const buildParameterStatus = (name: string, value: string): Buffer =>
+    Buffer.from(writer.addCString(name).addCString(value).flush(BackendType.ParameterStatus));
+
+/** Builds the BackendKeyData that a caller presents to cancel a statement. */
+export const buildBackendKeyData = (processId: number, secretKey: number): Buffer =>
+    Buffer.from(writer.addInt32(processId).addInt32(secretKey).flush(BackendType.BackendKeyData));
+
+/** Builds a CommandComplete. @param tag for example "SET" */
+export const buildCommandComplete = (tag: string): Buffer => Buffer.from(writer.addCString(tag).flush(BackendType.CommandComplete));
+
+/** Builds AuthenticationOk. */
+export const buildAuthenticationOk = (): Buffer => Buffer.from(writer.addInt32(0).flush(BackendType.Authentication));
+
+/** Builds a message without a body, such as ParseComplete. */
+export const buildEmptyMessage = (type: number): Buffer => Buffer.from(writer.flush(type));
--- /dev/null
+++ b/packages/process/instance-holder/src/checkRequest.ts
@@ -0,0 +1,29 @@
+import { ResultCode } from "@pomeloturn/errors/ResultCode";
+import type { GroupView } from "@pomeloturn/types/ControlView";
+import { type ForwardRequest, RequestMode } from "@pomeloturn/types/Request";
+
+/**
+ * Decides whether a request may be sent to the instance.
+ *
+ * @param isPinned whether the request's transaction has a connection here
+ * @param nowMs monotonic time in milliseconds
+ * @returns `ResultCode.Ok`, or the reason why the request was not run
+ */
+export const checkRequest = (request: ForwardRequest, view: GroupView | undefined, isPinned: boolean, nowMs: number): ResultCode => {
+    if (view === undefined) {
+        return ResultCode.NotHolder;
+    }
+    if (request.mode === RequestMode.ReplicaRead) {
+        return ResultCode.Ok;
+    }
+    if (view.primary !== request.instance) {
+        return ResultCode.TermChanged;
+    }
+    if (!isPinned && request.term !== 0 && request.term !== view.term) {
+        return ResultCode.TermChanged;
+    }
+    return checkLease(view, nowMs) ? ResultCode.Ok : ResultCode.LeaseLapsedBeforeSend;
+};
+
+/** Whether this VM may acknowledge writes of the group at `nowMs`. */
+export const checkLease = (view: GroupView, nowMs: number): boolean => view.leaseExpiresAtMs !== undefined && nowMs < view.leaseExpiresAtMs;
--- /dev/null
+++ b/packages/process/settings/src/loadSettings.ts
@@ -0,0 +1,31 @@
+import { PomeloturnError } from "@pomeloturn/errors/PomeloturnError";
+import { ResultCode } from "@pomeloturn/errors/ResultCode";
+import { Ajv, type ErrorObject } from "ajv";
+import { readFileSync } from "node:fs";
+
+/**
+ * Reads a JSON settings file and checks it against a JSON schema.
+ *
+ * @throws PomeloturnError with `SettingsUnreadable` or `SettingsInvalid`, naming file, path and rule
+ */
+export const loadSettings = <Settings>(file: string, schema: object): Settings => {
+    const value = parseFile(file);
+    const ajv = new Ajv({ allErrors: true, useDefaults: true, allowUnionTypes: true });
+    const validate = ajv.compile<Settings>(schema);
+    if (!validate(value)) {
+        throw PomeloturnError.create(ResultCode.SettingsInvalid, formatErrors(file, validate.errors ?? []));
+    }
+    return value;
+};
+
+const parseFile = (file: string): unknown => {
+    try {
+        return JSON.parse(readFileSync(file, "utf8"));
+    }
+    catch (error) {
+        throw PomeloturnError.create(ResultCode.SettingsUnreadable, file, error as Error);
+    }
+};
+
+const formatErrors = (file: string, errors: readonly ErrorObject[]): string =>
+    errors.map(error => `${file} at ${error.instancePath || "/"}: ${error.message ?? error.keyword} (${error.schemaPath})`).join("; ");
--- /dev/null
+++ b/packages/shared/types/src/Request.ts
@@ -0,0 +1,73 @@
+/** A request as it travels from the entry proxy to the holder of an instance, and its answer. */
+
+import type { LogPosition } from "./LogPosition.ts";
+
+/** Constants for what the holder must prove before it relays an answer. */
+export const RequestMode = {
+    /** A read on a replica: the replayed position must cover `requiredPosition`. */
+    ReplicaRead: 0,
+    /** A read that relies on being at the primary: the lease must hold. */
+    PrimaryRead: 1,
+    /** A write or a step of a transaction: the lease must hold and the term must match. */
+    PrimaryWrite: 2,
+} as const;
+export type RequestMode = typeof RequestMode[keyof typeof RequestMode];
+
+/** Frontend messages that end in a Query, Sync or Flush, with what the holder needs to run them. */
+export interface ForwardRequest {
+    /** Unique within the entry proxy's process. */
+    readonly requestId: number;
+    readonly attempt: number;
+    readonly service: string;
+    readonly group: string;
+    readonly instance: string;
+    /** Index into the service's ranks; 0 is the most urgent. */
+    readonly rank: number;
+    readonly mode: RequestMode;
+    /** Time left until the caller's deadline, in milliseconds from the moment of sending. */
+    readonly deadlineLeftMs: number;
+    /** Term that the entry believes in; 0 when any term will do. */
+    readonly term: number;
+    /** Position that the data must cover; term 0 when any will do. */
+    readonly requiredPosition: LogPosition;
+    /** Largest provable age of the data in milliseconds; 0 when any will do. */
+    readonly maximumAgeMs: number;
+    /** Non-empty inside a transaction: the same value for all its requests. */
+    readonly transactionId: string;
+    /** Non-empty when the write is recorded under the caller's request id and may be repeated. */
+    readonly idempotencyKey: string;
+    readonly messages: Uint8Array;
+}
+
+/** Constants for the state of a backend connection after an answer, from ReadyForQuery. */
+export const TransactionStatus = {
+    Idle: "I",
+    Open: "T",
+    Failed: "E",
+} as const;
+export type TransactionStatus = typeof TransactionStatus[keyof typeof TransactionStatus];
+
+/** A part of an answer. The last part carries the outcome. */
+export interface AnswerPart {
+    readonly requestId: number;
+    readonly attempt: number;
+    /** Backend messages to relay, without the closing ReadyForQuery. */
+    readonly messages: Uint8Array;
+    readonly isLast: boolean;
+    /** Number of the result; 0 is success. Meaningful in the last part. */
+    readonly resultCode: number;
+    readonly transactionStatus: TransactionStatus;
+    /** Position that a session must see from now on; term 0 when the request wrote nothing. */
+    readonly position: LogPosition;
+    /** Time spent at the backend server, in microseconds. */
+    readonly serviceTimeUs: number;
+}
+
+/** Where requests go: the local holder or a peer's. */
+export interface RequestTarget {
+    send(request: ForwardRequest, onPart: (part: AnswerPart) => void): void;
+    /** Asks the backend server to cancel the request if it is still running. */
+    cancel(requestId: number): void;
+    /** Closes the backend connection of a transaction whose caller has gone. */
+    endTransaction(group: string, instance: string, transactionId: string): void;
+}
--- /dev/null
+++ b/packages/shared/types/src/StatementClass.ts
@@ -0,0 +1,12 @@
+/** Constants for what a statement may do. Text that is not understood is a write. */
+export const StatementClass = {
+    Read: "read",
+    Write: "write",
+    Begin: "begin",
+    BeginReadOnly: "beginReadOnly",
+    Commit: "commit",
+    Rollback: "rollback",
+    SessionSetting: "sessionSetting",
+    Unsupported: "unsupported",
+} as const;
+export type StatementClass = typeof StatementClass[keyof typeof StatementClass];
--- /dev/null
+++ b/programs/proxy/src/Proxy.ts
@@ -0,0 +1,112 @@
+import { StatementClassifier } from "@pomeloturn/classify-statement/StatementClassifier";
+import { monotonicNowMs } from "@pomeloturn/clock/monotonicNowMs";
+import { LatencyHistograms } from "@pomeloturn/histograms/LatencyHistograms";
+import { Counters } from "@pomeloturn/logger/Counters";
+import { createLogger, type ProcessLogger } from "@pomeloturn/logger/createLogger";
+import { PeerServer } from "@pomeloturn/peer-link/PeerServer";
+import type { SessionAction, SessionContext } from "@pomeloturn/session/sessionMessages";
+import type { ControlView } from "@pomeloturn/types/ControlView";
+import type { InstanceStatus } from "@pomeloturn/types/InstanceStatus";
+import { type ActorSystemRef, start, stop } from "nact";
+import { CallerListener } from "./CallerListener.ts";
+import { LocalHolders } from "./LocalHolders.ts";
+import type { ProxySettings } from "./ProxySettings.ts";
+import { RequestRouter } from "./RequestRouter.ts";
+import type { SessionEnvironment } from "./SessionActor.ts";
+
+const EMPTY_VIEW: ControlView = {
+    configVersion: 0,
+    configuration: {
+        failureDomains: {},
+        latency: { betweenFailureDomainsMs: 0, betweenRegionsMs: 0 },
+        services: {},
+        groups: {},
+        links: [],
+    },
+    vms: {},
+    groups: {},
+};
+
+/** A whole proxy: the shell around the decisions, in one process or embedded. */
+export class Proxy {
+    readonly counters = Counters.create();
+    readonly histograms = LatencyHistograms.create();
+    private readonly logger: ProcessLogger;
+    private readonly system: ActorSystemRef = start();
+    private readonly local: LocalHolders;
+    private readonly router: RequestRouter;
+    private readonly peerServer: PeerServer;
+    private readonly callers: CallerListener;
+    private readonly statuses = new Map<string, InstanceStatus>();
+    private view: ControlView;
+    private nextRequestId = 1;
+
+    private constructor(private readonly settings: ProxySettings, private readonly classifier: StatementClassifier) {
+        const view = (): ControlView => this.view;
+        this.logger = createLogger("pomeloturn-proxy", settings.vm);
+        this.view = settings.view ?? EMPTY_VIEW;
+        this.local = LocalHolders.create(settings.vm, view, monotonicNowMs);
+        this.router = RequestRouter.create(settings.vm, this.local, view);
+        this.peerServer = PeerServer.create(this.local);
+        this.callers = CallerListener.create({
+            vm: settings.vm,
+            callerLimit: settings.callerLimit,
+            view,
+            environment: onClosed => this.sessionEnvironment(onClosed),
+        });
+    }
+
+    /** Starts listening for callers and peers. */
+    static async create(settings: ProxySettings): Promise<Proxy> {
+        const proxy = new Proxy(settings, await StatementClassifier.create());
+        await proxy.peerServer.listen(settings.peerHost, settings.peerPort);
+        await proxy.callers.listen(settings.callerHost, settings.callerPort);
+        proxy.logger.info({ event: "listening", callerPort: settings.callerPort, peerPort: settings.peerPort });
+        return proxy;
+    }
+
+    /** Replaces what the proxy knows of the system. */
+    setView(view: ControlView): void {
+        this.view = view;
+    }
+
+    close(): void {
+        this.callers.close();
+        this.router.close();
+        this.peerServer.close();
+        this.local.close();
+        stop(this.system);
+    }
+
+    private sessionEnvironment(onClosed: () => void): SessionEnvironment {
+        return {
+            system: this.system,
+            router: this.router,
+            context: () => this.sessionContext(),
+            nowMs: monotonicNowMs,
+            onRecord: action => this.record(action),
+            onClosed,
+        };
+    }
+
+    private sessionContext(): SessionContext {
+        return {
+            view: this.view,
+            vm: this.settings.vm,
+            failureDomain: this.settings.failureDomain,
+            statuses: this.statuses,
+            classify: text => this.classifier.classify(text),
+            takeRequestId: () => this.nextRequestId++,
+            random: Math.random,
+        };
+    }
+
+    private record(action: Extract<SessionAction, { kind: "record"; }>): void {
+        const rank = this.view.configuration.services[action.service]?.ranks[action.rank]?.name ?? String(action.rank);
+        this.histograms.record(action.service, rank, action.latencyMs);
+        this.counters.add(action.isReplica ? "requests_replica" : "requests_primary");
+        if (action.code !== 0) {
+            this.counters.add(`result_${action.code}`);
+        }
+    }
+}
--- /dev/null
+++ b/programs/proxy/src/SessionActor.ts
@@ -0,0 +1,72 @@
+import { CallerConnection } from "@pomeloturn/caller-connection/CallerConnection";
+import { type SessionAction, type SessionContext, type SessionEvent, SessionEventKind } from "@pomeloturn/session/sessionMessages";
+import type { SessionState } from "@pomeloturn/session/SessionState";
+import { stepSession } from "@pomeloturn/session/stepSession";
+import { type ActorSystemRef, dispatch, type Ref, spawnStateless, stop } from "nact";
+import type { Socket } from "node:net";
+import type { RequestRouter } from "./RequestRouter.ts";
+
+type RecordAction = Extract<SessionAction, { kind: "record"; }>;
+
+/** What a session's actor works with. */
+export interface SessionEnvironment {
+    readonly system: ActorSystemRef;
+    readonly router: RequestRouter;
+    context(): SessionContext;
+    nowMs(): number;
+    onRecord(record: RecordAction): void;
+    onClosed(): void;
+}
+
+type ActionHandlers = { readonly [Kind in SessionAction["kind"]]: (action: Extract<SessionAction, { kind: Kind; }>) => void; };
+
+/** The actor of one caller session: carries out what `stepSession` decides. */
+export class SessionActor {
+    private readonly reference: Ref<SessionEvent>;
+    private readonly connection: CallerConnection;
+    private readonly handlers: ActionHandlers;
+
+    private constructor(private readonly state: SessionState, socket: Socket, private readonly environment: SessionEnvironment) {
+        this.reference = spawnStateless(environment.system, (event: SessionEvent) => this.step(event), state.sessionId);
+        this.connection = CallerConnection.create(socket, {
+            onMessages: messages => this.dispatch({ kind: SessionEventKind.Messages, messages }),
+            onClosed: () => this.dispatch({ kind: SessionEventKind.CallerClosed }),
+        });
+        this.handlers = this.createHandlers();
+    }
+
+    /** Starts the session; the socket's bytes are now its own. */
+    static create(state: SessionState, socket: Socket, environment: SessionEnvironment): SessionActor {
+        return new SessionActor(state, socket, environment);
+    }
+
+    private dispatch(event: SessionEvent): void {
+        dispatch(this.reference, event);
+    }
+
+    private step(event: SessionEvent): void {
+        const actions = stepSession(this.state, event, this.environment.context(), this.environment.nowMs());
+        for (const action of actions) {
+            const handler = this.handlers[action.kind] as (action: SessionAction) => void;
+            handler(action);
+        }
+        if (event.kind === SessionEventKind.CallerClosed) {
+            stop(this.reference);
+            this.environment.onClosed();
+        }
+    }
+
+    private createHandlers(): ActionHandlers {
+        const { router } = this.environment;
+        return {
+            reply: action => {
+                this.connection.write(action.messages);
+            },
+            forward: action => router.send(action.vm, action.request, part => this.dispatch({ kind: SessionEventKind.Answer, part })),
+            cancel: action => router.cancel(action.vm, action.requestId),
+            endTransaction: action => router.endTransaction(action.vm, action.group, action.instance, action.transactionId),
+            close: () => this.connection.end(),
+            record: action => this.environment.onRecord(action),
+        };
+    }
+}
--- /dev/null
+++ b/programs/standin/src/StandinSettings.ts
@@ -0,0 +1,43 @@
+import type { ListedVm } from "@pomeloturn/types/Platform";
+import type { DatabaseGroupSettings } from "./database/DatabaseGroup.ts";
+
+/** Settings of the stand-in process. */
+export interface StandinSettings {
+    readonly platformHost: string;
+    readonly platformPort: number;
+    readonly groups: readonly DatabaseGroupSettings[];
+    readonly vms: readonly ListedVm[];
+}
+
+const port = { type: "integer", minimum: 1, maximum: 65_535 } as const;
+const name = { type: "string", minLength: 1 } as const;
+const amount = { type: "number", minimum: 0 } as const;
+
+/** JSON schema of `StandinSettings`. */
+export const standinSettingsSchema = {
+    type: "object",
+    additionalProperties: false,
+    required: ["platformHost", "platformPort", "groups"],
+    properties: {
+        platformHost: name,
+        platformPort: port,
+        groups: {
+            type: "array",
+            items: {
+                type: "object",
+                additionalProperties: false,
+                required: ["name", "host", "primary", "instances"],
+                properties: {
+                    name,
+                    host: name,
+                    primary: name,
+                    instances: { type: "object", additionalProperties: port },
+                    replicationLagMs: { ...amount, default: 5 },
+                    statementTimeMs: { ...amount, default: 0 },
+                    slots: { type: "integer", minimum: 1, default: 2 },
+                },
+            },
+        },
+        vms: { type: "array", default: [], items: { type: "object" } },
+    },
+} as const;
--- /dev/null
+++ b/programs/standin/src/database/statements.ts
@@ -0,0 +1,198 @@
+import { formatLogSequenceNumber } from "@pomeloturn/wire-messages/logSequenceNumber";
+import { DatabaseError, type DatabaseSession } from "./DatabaseSession.ts";
+
+/** Rows and tag of a statement's answer. */
+export interface StatementResult {
+    readonly rows: readonly (readonly (string | undefined)[])[];
+    readonly tag: string;
+}
+
+/** A form of statement that the stand-in knows. Tables have the columns `key` and `value`. */
+export interface StatementForm {
+    readonly pattern: RegExp;
+    /** Names of the answer's columns; undefined when it has no rows. */
+    readonly columns: ((match: RegExpMatchArray) => readonly string[]) | undefined;
+    /** Whether the statement takes one of the instance's slots. */
+    readonly isWork: boolean;
+    run(session: DatabaseSession, match: RegExpMatchArray): Promise<StatementResult> | StatementResult;
+}
+
+const TEXT = "'((?:[^']|'')*)'";
+const TABLE = "([a-z_][a-z0-9_.]*)";
+
+const unquote = (text: string): string => text.replaceAll("''", "'");
+const pattern = (source: string): RegExp => new RegExp(`^${source}$`, "is");
+const oneRow = (...values: (string | undefined)[]): StatementResult => ({ rows: [values], tag: "SELECT 1" });
+const done = (tag: string): StatementResult => ({ rows: [], tag });
+
+const query = (name: string, read: (session: DatabaseSession) => string): StatementForm => ({
+    pattern: pattern(`select ${name}\\(\\)`),
+    columns: () => [name],
+    isWork: false,
+    run: session => oneRow(read(session)),
+});
+
+const command = (source: string, run: (session: DatabaseSession, match: RegExpMatchArray) => string): StatementForm => ({
+    pattern: pattern(source),
+    columns: undefined,
+    isWork: false,
+    run: (session, match) => done(run(session, match)),
+});
+
+const insert: StatementForm = {
+    pattern: pattern(
+        `insert into ${TABLE} ?\\(key, value\\) values \\(${TEXT}, ${TEXT}\\)( on conflict (?:\\(key\\) )?do nothing| on conflict \\(key\\) do update set value = excluded\\.value)?( returning (?:key, )?value)?`,
+    ),
+    columns: match => match[5] === undefined ? [] : ["value"],
+    isWork: true,
+    run: async (session, match) => {
+        const [, table, key, value, conflict] = match as unknown as string[];
+        await session.lock(table!, unquote(key!));
+        const isPresent = session.read(table!, unquote(key!)) !== undefined;
+        if (isPresent && conflict === undefined) {
+            throw DatabaseError.create("23505", "duplicate key value violates unique constraint");
+        }
+        if (isPresent && conflict!.toLowerCase().includes("nothing")) {
+            return done("INSERT 0 0");
+        }
+        session.change({ table: table!, key: unquote(key!), value: unquote(value!) });
+        return { rows: match[5] === undefined ? [] : [[unquote(value!)]], tag: "INSERT 0 1" };
+    },
+};
+
+const update: StatementForm = {
+    pattern: pattern(`update ${TABLE} set value = (value \\|\\| )?${TEXT} where key = ${TEXT}`),
+    columns: undefined,
+    isWork: true,
+    run: async (session, match) => {
+        const [, table, append, value, key] = match as unknown as string[];
+        await session.lock(table!, unquote(key!));
+        const before = session.read(table!, unquote(key!));
+        if (before === undefined) {
+            return done("UPDATE 0");
+        }
+        session.change({ table: table!, key: unquote(key!), value: (append === undefined ? "" : before) + unquote(value!) });
+        return done("UPDATE 1");
+    },
+};
+
+const remove: StatementForm = {
+    pattern: pattern(`delete from ${TABLE} where key = ${TEXT}`),
+    columns: undefined,
+    isWork: true,
+    run: async (session, match) => {
+        const [, table, key] = match as unknown as string[];
+        await session.lock(table!, unquote(key!));
+        const isPresent = session.read(table!, unquote(key!)) !== undefined;
+        if (isPresent) {
+            session.change({ table: table!, key: unquote(key!), value: undefined });
+        }
+        return done(isPresent ? "DELETE 1" : "DELETE 0");
+    },
+};
+
+const select: StatementForm = {
+    pattern: pattern(`select value from ${TABLE} where key = ${TEXT}( for update)?`),
+    columns: () => ["value"],
+    isWork: true,
+    run: async (session, match) => {
+        const [, table, key, lock] = match as unknown as string[];
+        if (lock !== undefined) {
+            await session.lock(table!, unquote(key!));
+        }
+        const value = session.read(table!, unquote(key!));
+        return value === undefined ? done("SELECT 0") : oneRow(value);
+    },
+};
+
+const selectAll: StatementForm = {
+    pattern: pattern(`select key, value from ${TABLE}`),
+    columns: () => ["key", "value"],
+    isWork: true,
+    run: (session, match) => {
+        const rows = [...session.readAll(match[1]!)];
+        return { rows, tag: `SELECT ${rows.length}` };
+    },
+};
+
+const count: StatementForm = {
+    pattern: pattern(`select count\\(\\*\\) from ${TABLE}(?: where key like ${TEXT})?`),
+    columns: () => ["count"],
+    isWork: true,
+    run: (session, match) => {
+        const prefix = unquote(match[2] ?? "%").replace(/%$/, "");
+        const keys = [...session.readAll(match[1]!).keys()];
+        return oneRow(String(keys.filter(key => key.startsWith(prefix)).length));
+    },
+};
+
+const sleep: StatementForm = {
+    pattern: pattern("select pg_sleep\\(([0-9.]+)\\)"),
+    columns: () => ["pg_sleep"],
+    isWork: true,
+    run: async (_session, match) => {
+        await new Promise(resolve => setTimeout(resolve, Number(match[1]) * 1_000));
+        return oneRow("");
+    },
+};
+
+const repeat: StatementForm = {
+    pattern: pattern(`select (?:repeat\\(${TEXT}, (\\d+)\\) from generate_series\\(1, (\\d+)\\)|length\\(${TEXT}\\))`),
+    columns: match => [match[2] === undefined ? "length" : "repeat"],
+    isWork: true,
+    run: (_session, match) => {
+        if (match[2] === undefined) {
+            return oneRow(String(unquote(match[4]!).length));
+        }
+        const row = [unquote(match[1]!).repeat(Number(match[2]))];
+        return { rows: Array.from({ length: Number(match[3]) }, () => row), tag: `SELECT ${match[3]}` };
+    },
+};
+
+const literal: StatementForm = {
+    pattern: pattern("select (\\d+)(?: as ([a-z]+))?"),
+    columns: match => [match[2] ?? "?column?"],
+    isWork: false,
+    run: (_session, match) => oneRow(match[1]),
+};
+
+/** The statements of the stand-in, tried in order. */
+export const statementForms: readonly StatementForm[] = [
+    select,
+    insert,
+    update,
+    query("pg_current_wal_insert_lsn", session => formatLogSequenceNumber(session.instance.store.position)),
+    query("pg_last_wal_replay_lsn", session => formatLogSequenceNumber(session.instance.store.position)),
+    query("pg_is_in_recovery", session => session.instance.isReplica ? "t" : "f"),
+    query("pg_promote", session => {
+        session.instance.promote();
+        return "t";
+    }),
+    query("pg_current_timeline", session => String(session.instance.timeline)),
+    query("pg_reload_conf", () => "t"),
+    command("(?:begin|start transaction)(?: .*)?", session => {
+        session.begin();
+        return "BEGIN";
+    }),
+    command("(?:commit|end)(?: .*)?", session => session.commit() ? "COMMIT" : "ROLLBACK"),
+    command("(?:rollback|abort)(?: .*)?", session => {
+        session.rollback();
+        return "ROLLBACK";
+    }),
+    command(`alter system set primary_conninfo = ${TEXT}`, (session, match) => {
+        session.instance.upstream = /application_name=(\S+)/.exec(match[1]!)?.[1] ?? "";
+        return "ALTER SYSTEM";
+    }),
+    command("set .*", () => "SET"),
+    command("discard all", session => {
+        session.rollback();
+        return "DISCARD ALL";
+    }),
+    command("create (?:table|schema) .*", () => "CREATE TABLE"),
+    remove,
+    count,
+    selectAll,
+    sleep,
+    repeat,
+    literal,
+];
--- /dev/null
+++ b/programs/standin/src/platform/PlatformState.ts
@@ -0,0 +1,61 @@
+import type { ListedVm, TableResult, TableRow, TableWrite } from "@pomeloturn/types/Platform";
+
+/** Faults of the platform that a test can set. */
+export interface PlatformFaults {
+    /** Requests get no answer at all. */
+    isDown: boolean;
+    /** Added to each answer. */
+    delayMs: number;
+    /** Number of changes that take effect but whose answer is lost. */
+    lostAnswers: number;
+    /** Names of VMs that cannot reach the platform. */
+    cutVms: readonly string[];
+}
+
+/** Table service, object store and VM list of the stand-in, in memory. */
+export class PlatformState {
+    readonly faults: PlatformFaults = { isDown: false, delayMs: 0, lostAnswers: 0, cutVms: [] };
+    vms: readonly ListedVm[] = [];
+    readCount = 0;
+    writeCount = 0;
+    private readonly rows = new Map<string, TableRow>();
+    private readonly operations = new Map<string, TableResult>();
+    private readonly objects = new Map<string, string>();
+
+    private constructor() {}
+
+    static create(): PlatformState {
+        return new PlatformState();
+    }
+
+    read(keys: readonly string[]): TableRow[] {
+        this.readCount++;
+        return keys.map(key => this.rows.get(key) ?? { key, version: 0, value: "" });
+    }
+
+    /** Applies all writes or none; an operation id that was seen returns its first outcome. */
+    transact(operationId: string, writes: readonly TableWrite[]): TableResult {
+        this.writeCount++;
+        const known = this.operations.get(operationId);
+        if (known !== undefined) {
+            return known;
+        }
+        const isApplied = writes.every(({ key, expectedVersion }) => (this.rows.get(key)?.version ?? 0) === expectedVersion);
+        if (isApplied) {
+            for (const { key, expectedVersion, value } of writes) {
+                this.rows.set(key, { key, version: expectedVersion + 1, value });
+            }
+        }
+        const result = { isApplied, rows: this.read(writes.map(({ key }) => key)) };
+        this.operations.set(operationId, result);
+        return result;
+    }
+
+    putObject(name: string, body: string): void {
+        this.objects.set(name, body);
+    }
+
+    getObject(name: string): string | undefined {
+        return this.objects.get(name);
+    }
+}
