--- a/packages/request/classify-statement/src/StatementClassifier.ts
+++ b/packages/request/classify-statement/src/StatementClassifier.ts
@@ -1,6 +1,6 @@
 import { StatementClass } from "@pomeloturn/types/StatementClass";
 import { loadModule, parseSync } from "libpg-query";
-import { classifyParseTree, type ParseTree } from "./classifyParseTree.ts";
+import { classifyParseTree } from "./classifyParseTree.ts";
 
 const CACHE_LIMIT_ENTRIES = 10_000;
 
--- /dev/null
+++ b/scripts/format.js
@@ -0,0 +1,30 @@
+// Formats the tracked and new sources with dprint's TypeScript plugin, by the settings of dprint.json.
+// The plugin runs in Node.js, so that no platform's binary has to be installed. With --check it only reports.
+import { createFromBuffer } from "@dprint/formatter";
+import { getPath } from "@dprint/typescript";
+import { readdirSync, readFileSync, writeFileSync } from "node:fs";
+
+const EXIT_FAILURE = 1;
+
+const settings = JSON.parse(readFileSync("dprint.json", "utf8"));
+const { lineWidth, indentWidth, newLineKind, typescript } = settings;
+const formatter = createFromBuffer(readFileSync(getPath()));
+formatter.setConfig({ lineWidth, indentWidth, newLineKind }, typescript);
+
+const isCheck = process.argv.includes("--check");
+const isSource = file => /\.(?:ts|js)$/.test(file) && !/(?:^|\/)(?:node_modules|dist|generated)\//.test(file);
+const folders = ["packages", "programs", "scripts", "tests"];
+const nested = folders.flatMap(folder => readdirSync(folder, { recursive: true }).map(file => `${folder}/${file}`));
+const files = [...readdirSync("."), ...nested].filter(isSource);
+const changed = files.filter(file => {
+    const before = readFileSync(file, "utf8");
+    const after = formatter.formatText({ filePath: file, fileText: before });
+    if (after !== before && !isCheck) {
+        writeFileSync(file, after);
+    }
+    return after !== before;
+});
+for (const file of changed) {
+    console.log(`${isCheck ? "not formatted" : "formatted"}: ${file}`);
+}
+process.exit(isCheck && changed.length > 0 ? EXIT_FAILURE : 0);
