Measure the path of a statement: direct, one proxy, two

Cause: the cost of a proxy was not known. Change: npm run bench drives the stand-in directly and through one and two proxies over real sockets, and holds idle callers.

--- a/scripts/build.js
+++ b/scripts/build.js
@@ -8,6 +8,10 @@
         .filter(([, file]) => existsSync(file)),
 );
 
+for (const [name, file] of [["benchPath", "tests/bench/main.ts"], ["loadWorker", "tests/bench/loadWorker.ts"]]) {
+    entryPoints[name] = file;
+}
+
 mkdirSync("dist", { recursive: true });
 writeFileSync("dist/package.json", "{ \"type\": \"commonjs\" }\n");
 
--- a/tests/support/ProgramProcess.ts
+++ b/tests/support/ProgramProcess.ts
@@ -21,6 +21,10 @@
         return started;
     }
 
+    get pid(): number {
+        return this.child.pid!;
+    }
+
     signal(name: NodeJS.Signals): void {
         this.child.kill(name);
     }
