--- /dev/null
+++ b/packages/process/replay-trace/src/EventQueue.ts
@@ -0,0 +1,31 @@
+import TinyQueue from "tinyqueue";
+
+interface TimedEvent {
+    readonly atMs: number;
+    readonly sequence: number;
+    run(nowMs: number): void;
+}
+
+/** Events in virtual time; equal times keep the order in which they were added. */
+export class EventQueue {
+    private readonly queue = new TinyQueue<TimedEvent>([], (left, right) => left.atMs - right.atMs || left.sequence - right.sequence);
+    private nextSequence = 0;
+
+    private constructor() {}
+
+    static create(): EventQueue {
+        return new EventQueue();
+    }
+
+    at(atMs: number, run: (nowMs: number) => void): void {
+        this.queue.push({ atMs, sequence: this.nextSequence++, run });
+    }
+
+    /** Runs events in order until none is left or the next is later than `untilMs`. */
+    run(untilMs: number): void {
+        for (let event = this.queue.peek(); event !== undefined && event.atMs <= untilMs; event = this.queue.peek()) {
+            this.queue.pop();
+            event.run(event.atMs);
+        }
+    }
+}
--- /dev/null
+++ b/packages/process/replay-trace/src/InstanceModel.ts
@@ -0,0 +1,69 @@
+import { AdmissionActionKind, AdmissionEventKind, type AdmissionState, createAdmission, stepAdmission } from "@pomeloturn/admit-request/admission";
+import type { EventQueue } from "./EventQueue.ts";
+import type { ReplayDeployment } from "./ReplayDeployment.ts";
+
+const QUEUE_LIMIT_REQUESTS = 1_000;
+
+/** A request at the holder of an instance. */
+export interface HeldRequest {
+    readonly rank: number;
+    readonly deadlineAtMs: number;
+    readonly serviceTimeMs: number;
+    onFinished(nowMs: number): void;
+    onRefused(nowMs: number): void;
+}
+
+/** An instance with its holder: the real admission decisions, and statements that take their time. */
+export class InstanceModel {
+    /** Slot time that each rank used, as (end, length) pairs. */
+    readonly slotTimes: { readonly rank: number; readonly endMs: number; readonly lengthMs: number; }[] = [];
+    private readonly admission: AdmissionState;
+    private readonly requests = new Map<number, HeldRequest>();
+    private nextId = 1;
+
+    private constructor(deployment: ReplayDeployment, private readonly events: EventQueue) {
+        this.admission = createAdmission(deployment.slots, deployment.ranks.length, QUEUE_LIMIT_REQUESTS);
+    }
+
+    static create(deployment: ReplayDeployment, events: EventQueue): InstanceModel {
+        return new InstanceModel(deployment, events);
+    }
+
+    /** Statements running or waiting. */
+    get outstanding(): number {
+        return this.requests.size;
+    }
+
+    submit(request: HeldRequest, nowMs: number): void {
+        const id = this.nextId++;
+        this.requests.set(id, request);
+        const { rank, deadlineAtMs } = request;
+        this.apply(stepAdmission(this.admission, { kind: AdmissionEventKind.Arrived, item: { id, rank, deadlineAtMs } }, nowMs), nowMs);
+    }
+
+    private apply(actions: ReturnType<typeof stepAdmission>, nowMs: number): void {
+        for (const action of actions) {
+            if (action.kind === AdmissionActionKind.Start) {
+                this.start(action.id, nowMs);
+            }
+            else if (action.kind === AdmissionActionKind.Refuse) {
+                this.take(action.id).onRefused(nowMs);
+            }
+        }
+    }
+
+    private start(id: number, startedAtMs: number): void {
+        const { rank, serviceTimeMs } = this.requests.get(id)!;
+        this.events.at(startedAtMs + serviceTimeMs, nowMs => {
+            this.slotTimes.push({ rank, endMs: nowMs, lengthMs: serviceTimeMs });
+            this.take(id).onFinished(nowMs);
+            this.apply(stepAdmission(this.admission, { kind: AdmissionEventKind.Finished, id }, nowMs), nowMs);
+        });
+    }
+
+    private take(id: number): HeldRequest {
+        const request = this.requests.get(id)!;
+        this.requests.delete(id);
+        return request;
+    }
+}
--- /dev/null
+++ b/packages/process/replay-trace/src/ReplayReport.ts
@@ -0,0 +1,73 @@
+/** What a rank got in a replay. */
+export interface RankReport {
+    readonly name: string;
+    readonly arrivedCount: number;
+    readonly servedCount: number;
+    /** Requests refused as not run. */
+    readonly refusedCount: number;
+    readonly p50Ms: number;
+    readonly p99Ms: number;
+    /** Share of the served requests within the rank's target latency, 0 to 1. */
+    readonly withinTargetShare: number;
+}
+
+/** Outcome of a replay. */
+export interface ReplayReport {
+    readonly ranks: readonly RankReport[];
+    /** Share of all reads that a replica served, 0 to 1. */
+    readonly replicaShare: number;
+    /** Share of the reads that some replica could provably serve which a replica served, 0 to 1. */
+    readonly provableReplicaShare: number;
+    /** Bytes over paid links, both directions. */
+    readonly linkBytes: number;
+    /** Largest sum over paid links within a second, in one direction. */
+    readonly peakLinkBytesPerSecond: number;
+    /** Reads that returned data older than their session's writes or than the accepted age. */
+    readonly staleCount: number;
+    /** Requests that were neither answered nor refused. */
+    readonly lostCount: number;
+}
+
+/** One finished request. */
+export interface FinishedRequest {
+    readonly rank: number;
+    readonly latencyMs: number;
+    readonly isServed: boolean;
+    readonly isRead: boolean;
+    readonly isProvable: boolean;
+    readonly isReplica: boolean;
+    readonly isStale: boolean;
+}
+
+const percentile = (sorted: readonly number[], share: number): number =>
+    sorted.length === 0 ? 0 : sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * share))]!;
+
+const ratio = (part: number, whole: number): number => whole === 0 ? 1 : part / whole;
+
+/** Reports one rank. */
+export const reportRank = (
+    rank: { readonly name: string; readonly targetLatencyMs: number; },
+    arrivedCount: number,
+    finished: readonly FinishedRequest[],
+): RankReport => {
+    const latencies = finished.filter(({ isServed }) => isServed).map(({ latencyMs }) => latencyMs).sort((left, right) => left - right);
+    return {
+        name: rank.name,
+        arrivedCount,
+        servedCount: latencies.length,
+        refusedCount: finished.length - latencies.length,
+        p50Ms: percentile(latencies, 0.5),
+        p99Ms: percentile(latencies, 0.99),
+        withinTargetShare: ratio(latencies.filter(each => each <= rank.targetLatencyMs).length, latencies.length),
+    };
+};
+
+/** Shares of the reads that replicas served: of all, and of those that a replica could provably serve. */
+export const reportReplicaShares = (finished: readonly FinishedRequest[]): { readonly all: number; readonly provable: number; } => {
+    const reads = finished.filter(({ isRead, isServed }) => isRead && isServed);
+    const provable = reads.filter(({ isProvable }) => isProvable);
+    return {
+        all: ratio(reads.filter(({ isReplica }) => isReplica).length, reads.length),
+        provable: ratio(provable.filter(({ isReplica }) => isReplica).length, provable.length),
+    };
+};
--- /dev/null
+++ b/packages/process/replay-trace/src/replayTrace.ts
@@ -0,0 +1,219 @@
+import type { RoutingPolicy } from "@pomeloturn/choose-instance/routingPolicies";
+import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import { EntryModel } from "./EntryModel.ts";
+import { EventQueue } from "./EventQueue.ts";
+import { InstanceModel } from "./InstanceModel.ts";
+import { LinkMeter } from "./LinkMeter.ts";
+import { oneWayMs, type ReplayDeployment } from "./ReplayDeployment.ts";
+import { type FinishedRequest, type ReplayReport, reportRank, reportReplicaShares } from "./ReplayReport.ts";
+import { ReplicationModel } from "./ReplicationModel.ts";
+import { type FaultLine, type RequestLine, type TraceLine, TraceLineKind } from "./TraceLine.ts";
+
+const STATUS_INTERVAL_MS = 200;
+const REQUEST_SIZE_BYTES = 300;
+const RETRY_DELAY_MS = 50;
+const DRAIN_TIME_MS = 20_000;
+const SECOND_MS = 1_000;
+
+interface Attempt {
+    readonly line: RequestLine;
+    readonly arrivedAtMs: number;
+    readonly entry: EntryModel;
+    readonly sessionPosition: number;
+    readonly isProvable: boolean;
+}
+
+/** Drives the decisions with a trace in virtual time. */
+class Replay {
+    private readonly events = EventQueue.create();
+    private readonly link = LinkMeter.create();
+    private readonly replication: ReplicationModel;
+    private readonly instances = new Map<string, InstanceModel>();
+    private readonly entries = new Map<string, EntryModel>();
+    private readonly sessionPositions = new Map<number, number>();
+    private readonly finished: FinishedRequest[] = [];
+    private readonly arrivedCounts: number[];
+
+    constructor(private readonly deployment: ReplayDeployment, private readonly trace: readonly TraceLine[], policy: RoutingPolicy, seed: number) {
+        const generator = xoroshiro128plus(seed);
+        const random = (): number => uniformFloat64(generator);
+        const faults = trace.filter((line): line is FaultLine => line.kind !== TraceLineKind.Request);
+        this.replication = ReplicationModel.create(deployment, faults);
+        this.arrivedCounts = deployment.ranks.map(() => 0);
+        for (const name of Object.keys(deployment.instances)) {
+            this.instances.set(name, InstanceModel.create(deployment, this.events));
+        }
+        for (const vm of Object.keys(deployment.vms)) {
+            const linkUse = (target: string, nowMs: number): number => this.linkUse(target, vm, nowMs);
+            this.entries.set(vm, EntryModel.create(deployment, vm, policy, random, linkUse));
+        }
+    }
+
+    run(): ReplayReport {
+        const endMs = (this.trace.at(-1)?.atMs ?? 0) + DRAIN_TIME_MS;
+        for (const line of this.trace) {
+            if (line.kind === TraceLineKind.Request) {
+                this.schedule(line);
+            }
+        }
+        for (let atMs = 0; atMs < endMs; atMs += STATUS_INTERVAL_MS) {
+            this.events.at(atMs, nowMs => this.reportStatuses(nowMs));
+        }
+        this.events.run(endMs);
+        return this.report();
+    }
+
+    private schedule(line: RequestLine): void {
+        const count = line.count ?? 1;
+        for (let index = 0; index < count; index++) {
+            this.events.at(line.atMs + index * (line.overMs ?? 0) / count, nowMs => this.arrive(line, nowMs));
+        }
+    }
+
+    private arrive(line: RequestLine, nowMs: number): void {
+        this.arrivedCounts[line.rank]!++;
+        const sessionPosition = this.sessionPositions.get(line.session) ?? 0;
+        const isProvable = !line.isWrite && this.isProvable(line, sessionPosition, nowMs);
+        this.attempt({ line, arrivedAtMs: nowMs, entry: this.entries.get(line.vm)!, sessionPosition, isProvable }, new Set(), nowMs);
+    }
+
+    /** Whether some replica holds what the read needs at this moment. */
+    private isProvable(line: RequestLine, sessionPosition: number, nowMs: number): boolean {
+        return Object.keys(this.deployment.instances).some(name => {
+            const isOld = line.maximumAgeMs !== undefined && this.replication.position(name, nowMs) < this.replication.position(this.replication.primary, nowMs - line.maximumAgeMs);
+            return name !== this.replication.primary && !isOld && this.replication.position(name, nowMs) >= sessionPosition;
+        });
+    }
+
+    private attempt(attempt: Attempt, excluded: Set<string>, nowMs: number): void {
+        const { line, entry, sessionPosition } = attempt;
+        const { primary } = this.replication;
+        const read = { sessionPosition, maximumAgeMs: line.maximumAgeMs, answerBytes: line.answerBytes };
+        const instance = line.isWrite ? primary : entry.chooseReplica(read, primary, excluded, nowMs) ?? primary;
+        if (instance === primary && this.replication.isPrimaryDown(nowMs)) {
+            this.retryLater(attempt, nowMs);
+            return;
+        }
+        this.send(attempt, instance, excluded, nowMs);
+    }
+
+    private retryLater(attempt: Attempt, nowMs: number): void {
+        if (nowMs + RETRY_DELAY_MS > this.deadlineAtMs(attempt)) {
+            this.finish(attempt, undefined, nowMs, false);
+            return;
+        }
+        this.events.at(nowMs + RETRY_DELAY_MS, laterMs => this.attempt(attempt, new Set(), laterMs));
+    }
+
+    private send(attempt: Attempt, instance: string, excluded: Set<string>, nowMs: number): void {
+        const { line, entry } = attempt;
+        const target = this.deployment.instances[instance]!;
+        const delayMs = oneWayMs(this.deployment, entry.failureDomain, target);
+        entry.ownOutstanding.set(instance, (entry.ownOutstanding.get(instance) ?? 0) + 1);
+        this.meter(entry.failureDomain, target, REQUEST_SIZE_BYTES, nowMs);
+        this.events.at(nowMs + delayMs, arrivedMs => {
+            if (!line.isWrite && instance !== this.replication.primary && this.replication.position(instance, arrivedMs) < attempt.sessionPosition) {
+                this.returnBehind(attempt, instance, excluded, delayMs, arrivedMs);
+                return;
+            }
+            this.instances.get(instance)!.submit({
+                rank: line.rank,
+                deadlineAtMs: this.deadlineAtMs(attempt),
+                serviceTimeMs: line.serviceTimeMs,
+                onFinished: finishedMs => this.answer(attempt, instance, delayMs, finishedMs),
+                onRefused: refusedMs => this.events.at(refusedMs + delayMs, laterMs => this.finish(attempt, undefined, laterMs, false, instance)),
+            }, arrivedMs);
+        });
+    }
+
+    /** The replica's own check found it behind: the entry tries elsewhere. */
+    private returnBehind(attempt: Attempt, instance: string, excluded: Set<string>, delayMs: number, nowMs: number): void {
+        this.events.at(nowMs + delayMs, laterMs => {
+            this.settle(attempt.entry, instance);
+            this.attempt(attempt, new Set([...excluded, instance]), laterMs);
+        });
+    }
+
+    private answer(attempt: Attempt, instance: string, delayMs: number, finishedMs: number): void {
+        const { line, entry } = attempt;
+        const position = line.isWrite ? this.replication.commit(finishedMs) : this.replication.position(instance, finishedMs);
+        this.meter(this.deployment.instances[instance]!, entry.failureDomain, line.answerBytes, finishedMs);
+        this.events.at(finishedMs + delayMs, nowMs => {
+            if (line.isWrite) {
+                this.sessionPositions.set(line.session, Math.max(position, this.sessionPositions.get(line.session) ?? 0));
+            }
+            const isStale = !line.isWrite && position < attempt.sessionPosition;
+            this.finish(attempt, instance, nowMs, isStale, instance);
+        });
+    }
+
+    private finish(attempt: Attempt, servedBy: string | undefined, nowMs: number, isStale: boolean, sentTo?: string): void {
+        if (sentTo !== undefined) {
+            this.settle(attempt.entry, sentTo);
+        }
+        this.finished.push({
+            rank: attempt.line.rank,
+            latencyMs: nowMs - attempt.arrivedAtMs,
+            isServed: servedBy !== undefined,
+            isRead: !attempt.line.isWrite,
+            isProvable: attempt.isProvable,
+            isReplica: servedBy !== undefined && servedBy !== this.replication.primary,
+            isStale,
+        });
+    }
+
+    private settle(entry: EntryModel, instance: string): void {
+        entry.ownOutstanding.set(instance, entry.ownOutstanding.get(instance)! - 1);
+    }
+
+    private deadlineAtMs({ line, arrivedAtMs }: Attempt): number {
+        return arrivedAtMs + this.deployment.ranks[line.rank]!.deadlineMs;
+    }
+
+    private meter(fromDomain: string, toDomain: string, sizeBytes: number, nowMs: number): void {
+        this.link.add(this.deployment.regions[fromDomain]!, this.deployment.regions[toDomain]!, sizeBytes, nowMs);
+    }
+
+    /** Use of the link from the instance's region to the entry's, smoothed over the present second. */
+    private linkUse(targetDomain: string, vm: string, nowMs: number): number {
+        const { regions, vms, approvedBytesPerSecond } = this.deployment;
+        const elapsedMs = Math.max(STATUS_INTERVAL_MS, nowMs % SECOND_MS);
+        return this.link.current(regions[targetDomain]!, regions[vms[vm]!]!, nowMs) / (approvedBytesPerSecond * elapsedMs / SECOND_MS);
+    }
+
+    private reportStatuses(nowMs: number): void {
+        const primaryPosition = this.replication.position(this.replication.primary, nowMs);
+        const reports = [...this.instances].map(([name, model]) => ({
+            name,
+            report: { position: this.replication.position(name, nowMs), outstanding: model.outstanding },
+        }));
+        for (const entry of this.entries.values()) {
+            const primaryDelayMs = oneWayMs(this.deployment, this.deployment.instances[this.replication.primary]!, entry.failureDomain);
+            this.events.at(nowMs + primaryDelayMs, () => entry.addPrimarySample({ position: primaryPosition, sampledAtMs: nowMs }));
+            for (const { name, report } of reports) {
+                const delayMs = oneWayMs(this.deployment, this.deployment.instances[name]!, entry.failureDomain);
+                this.events.at(nowMs + delayMs, () => entry.known.set(name, report));
+            }
+        }
+    }
+
+    private report(): ReplayReport {
+        const { ranks } = this.deployment;
+        const arrivedCount = this.arrivedCounts.reduce((sum, count) => sum + count, 0);
+        const shares = reportReplicaShares(this.finished);
+        return {
+            ranks: ranks.map((rank, index) => reportRank(rank, this.arrivedCounts[index]!, this.finished.filter(each => each.rank === index))),
+            replicaShare: shares.all,
+            provableReplicaShare: shares.provable,
+            linkBytes: this.link.totalBytes,
+            peakLinkBytesPerSecond: this.link.peakBytesPerSecond,
+            staleCount: this.finished.filter(({ isStale }) => isStale).length,
+            lostCount: arrivedCount - this.finished.length,
+        };
+    }
+}
+
+/** Replays a trace. The same arguments give the same report. */
+export const replayTrace = (deployment: ReplayDeployment, trace: readonly TraceLine[], policy: RoutingPolicy, seed: number): ReplayReport =>
+    new Replay(deployment, trace, policy, seed).run();
--- /dev/null
+++ b/packages/request/choose-instance/src/routingPolicies.ts
@@ -0,0 +1,74 @@
+import type { RoutingCandidate } from "./RoutingCandidate.ts";
+
+/** Constants for the ways to choose among instances that may serve a read. */
+export const RoutingPolicy = {
+    Nearest: "nearest",
+    LeastOutstanding: "leastOutstanding",
+    PowerOfTwo: "powerOfTwo",
+    ExpectedLatency: "expectedLatency",
+    PowerOfTwoLatency: "powerOfTwoLatency",
+    OpportunityCost: "opportunityCost",
+} as const;
+export type RoutingPolicy = typeof RoutingPolicy[keyof typeof RoutingPolicy];
+
+/** Lower is better. */
+type Score = (candidate: RoutingCandidate, candidateCount: number) => number;
+
+/** Chooses one of at least one candidates. @param random gives numbers from 0 to 1 */
+type Choice = (candidates: readonly RoutingCandidate[], random: () => number) => RoutingCandidate;
+
+const best = (candidates: readonly RoutingCandidate[], score: Score): RoutingCandidate => {
+    let chosen = candidates[0]!;
+    let chosenScore = score(chosen, candidates.length);
+    for (const candidate of candidates.slice(1)) {
+        const candidateScore = score(candidate, candidates.length);
+        if (candidateScore < chosenScore) {
+            chosen = candidate;
+            chosenScore = candidateScore;
+        }
+    }
+    return chosen;
+};
+
+const bestOfTwo = (candidates: readonly RoutingCandidate[], score: Score, random: () => number): RoutingCandidate => {
+    if (candidates.length <= 2) {
+        return best(candidates, score);
+    }
+    const first = Math.floor(random() * candidates.length);
+    const second = (first + 1 + Math.floor(random() * (candidates.length - 1))) % candidates.length;
+    return best([candidates[first]!, candidates[second]!], score);
+};
+
+const nearest: Score = candidate => candidate.roundTripMs;
+
+const outstandingPerSlot: Score = candidate => candidate.outstanding / candidate.slots;
+
+/** Time until the answer: the network, the work ahead in the queue, the statement itself. */
+export const expectedLatencyMs: Score = ({ outstanding, slots, serviceTimeMs, roundTripMs }) => {
+    const waitingAhead = Math.max(0, outstanding + 1 - slots);
+    return roundTripMs + serviceTimeMs * (1 + waitingAhead / slots);
+};
+
+/**
+ * Marginal cost of the choice: the growth of the sum of n^utilization over slots, connections and the
+ * paid link, with n the number of candidates.
+ *
+ * Source: Amir, Awerbuch, Barak, Borgstrom, Keren, "An Opportunity Cost Approach for Job Assignment
+ * and Reassignment in a Scalable Computing Cluster", the rule ASSIGN-U.
+ */
+export const marginalCost: Score = (candidate, candidateCount) => {
+    const base = Math.max(2, candidateCount);
+    const growth = (use: number, share: number): number => base ** (use + share) - base ** use;
+    const { outstanding, slots, connections, linkUse, linkShare } = candidate;
+    return growth(outstanding / slots, 1 / slots) + growth(outstanding / connections, 1 / connections) + growth(linkUse, linkShare);
+};
+
+/** The choice of each policy. */
+export const routingPolicies: Readonly<Record<RoutingPolicy, Choice>> = {
+    nearest: candidates => best(candidates, nearest),
+    leastOutstanding: candidates => best(candidates, outstandingPerSlot),
+    powerOfTwo: (candidates, random) => bestOfTwo(candidates, outstandingPerSlot, random),
+    expectedLatency: candidates => best(candidates, expectedLatencyMs),
+    powerOfTwoLatency: (candidates, random) => bestOfTwo(candidates, expectedLatencyMs, random),
+    opportunityCost: candidates => best(candidates, marginalCost),
+};
