Try a replica where the session's write is expected to have arrived

Cause: reports come every 200 ms, so for up to 200 ms after a write every read of the session went to the primary although replicas caught up in 60 ms. Change: a lag estimate per replica (grows when the replica's own check finds it behind, shrinks else) lets a read go there; the check on the connection stays the proof.

--- a/packages/process/replay-trace/src/EntryModel.ts
+++ b/packages/process/replay-trace/src/EntryModel.ts
@@ -1,3 +1,4 @@
+import { initialLagEstimate, isLikelyReplayed, type LagEstimate, updateLagEstimate } from "@pomeloturn/choose-instance/lagEstimate";
 import type { RoutingCandidate } from "@pomeloturn/choose-instance/RoutingCandidate";
 import { routingPolicies, type RoutingPolicy } from "@pomeloturn/choose-instance/routingPolicies";
 import { oneWayMs, type ReplayDeployment } from "./ReplayDeployment.ts";
@@ -17,6 +18,8 @@
 /** A read as the entry sees it. */
 export interface ReadNeed {
     readonly sessionPosition: number;
+    /** Time since the session's last write was acknowledged. */
+    readonly sinceWriteMs: number;
     readonly maximumAgeMs: number | undefined;
     readonly answerBytes: number;
 }
@@ -29,6 +32,7 @@
     readonly known = new Map<string, KnownInstance>();
     readonly ownOutstanding = new Map<string, number>();
     private readonly samples: PrimarySample[] = [];
+    private readonly lagEstimates = new Map<string, LagEstimate>();
 
     private constructor(
         private readonly deployment: ReplayDeployment,
@@ -55,6 +59,15 @@
         }
     }
 
+    /** Learns from the check that the replica made for a read. */
+    learnLag(instance: string, sinceWriteMs: number, isBehind: boolean): void {
+        this.lagEstimates.set(instance, updateLagEstimate(this.lagEstimate(instance), sinceWriteMs, isBehind));
+    }
+
+    private lagEstimate(instance: string): LagEstimate {
+        return this.lagEstimates.get(instance) ?? initialLagEstimate;
+    }
+
     get failureDomain(): string {
         return this.deployment.vms[this.vm]!;
     }
@@ -70,7 +83,10 @@
     /** Whether the last reports prove that the instance covers the read. */
     private covers(instance: string, read: ReadNeed, nowMs: number): boolean {
         const known = this.known.get(instance);
-        if (known === undefined || known.position < read.sessionPosition) {
+        if (known === undefined) {
+            return false;
+        }
+        if (known.position < read.sessionPosition && !isLikelyReplayed(this.lagEstimate(instance), read.sinceWriteMs)) {
             return false;
         }
         return read.maximumAgeMs === undefined || this.provenAgeMs(known, nowMs) <= read.maximumAgeMs;
--- a/packages/process/replay-trace/src/replayTrace.ts
+++ b/packages/process/replay-trace/src/replayTrace.ts
@@ -16,11 +16,19 @@
 const DRAIN_TIME_MS = 20_000;
 const SECOND_MS = 1_000;
 
+/** The last acknowledged write of a session. */
+interface SessionWrite {
+    readonly position: number;
+    readonly acknowledgedAtMs: number;
+}
+
+const NO_WRITE: SessionWrite = { position: 0, acknowledgedAtMs: 0 };
+
 interface Attempt {
     readonly line: RequestLine;
     readonly arrivedAtMs: number;
     readonly entry: EntryModel;
-    readonly sessionPosition: number;
+    readonly write: SessionWrite;
     readonly isProvable: boolean;
 }
 
@@ -31,7 +39,7 @@
     private readonly replication: ReplicationModel;
     private readonly instances = new Map<string, InstanceModel>();
     private readonly entries = new Map<string, EntryModel>();
-    private readonly sessionPositions = new Map<number, number>();
+    private readonly sessionWrites = new Map<number, SessionWrite>();
     private readonly finished: FinishedRequest[] = [];
     private readonly arrivedCounts: number[];
 
@@ -73,9 +81,9 @@
 
     private arrive(line: RequestLine, nowMs: number): void {
         this.arrivedCounts[line.rank]!++;
-        const sessionPosition = this.sessionPositions.get(line.session) ?? 0;
-        const isProvable = !line.isWrite && this.isProvable(line, sessionPosition, nowMs);
-        this.attempt({ line, arrivedAtMs: nowMs, entry: this.entries.get(line.vm)!, sessionPosition, isProvable }, new Set(), nowMs);
+        const write = this.sessionWrites.get(line.session) ?? NO_WRITE;
+        const isProvable = !line.isWrite && this.isProvable(line, write.position, nowMs);
+        this.attempt({ line, arrivedAtMs: nowMs, entry: this.entries.get(line.vm)!, write, isProvable }, new Set(), nowMs);
     }
 
     /** Whether some replica holds what the read needs at this moment. */
@@ -87,9 +95,10 @@
     }
 
     private attempt(attempt: Attempt, excluded: Set<string>, nowMs: number): void {
-        const { line, entry, sessionPosition } = attempt;
+        const { line, entry, write } = attempt;
         const { primary } = this.replication;
-        const read = { sessionPosition, maximumAgeMs: line.maximumAgeMs, answerBytes: line.answerBytes };
+        const sinceWriteMs = nowMs - write.acknowledgedAtMs;
+        const read = { sessionPosition: write.position, sinceWriteMs, maximumAgeMs: line.maximumAgeMs, answerBytes: line.answerBytes };
         const instance = line.isWrite ? primary : entry.chooseReplica(read, primary, excluded, nowMs) ?? primary;
         if (instance === primary && this.replication.isPrimaryDown(nowMs)) {
             this.retryLater(attempt, nowMs);
@@ -113,7 +122,7 @@
         entry.ownOutstanding.set(instance, (entry.ownOutstanding.get(instance) ?? 0) + 1);
         this.meter(entry.failureDomain, target, REQUEST_SIZE_BYTES, nowMs);
         this.events.at(nowMs + delayMs, arrivedMs => {
-            if (!line.isWrite && instance !== this.replication.primary && this.replication.position(instance, arrivedMs) < attempt.sessionPosition) {
+            if (!line.isWrite && instance !== this.replication.primary && this.replication.position(instance, arrivedMs) < attempt.write.position) {
                 this.returnBehind(attempt, instance, excluded, delayMs, arrivedMs);
                 return;
             }
@@ -131,6 +140,7 @@
     private returnBehind(attempt: Attempt, instance: string, excluded: Set<string>, delayMs: number, nowMs: number): void {
         this.events.at(nowMs + delayMs, laterMs => {
             this.settle(attempt.entry, instance);
+            attempt.entry.learnLag(instance, nowMs - attempt.write.acknowledgedAtMs, true);
             this.attempt(attempt, new Set([...excluded, instance]), laterMs);
         });
     }
@@ -141,9 +151,12 @@
         this.meter(this.deployment.instances[instance]!, entry.failureDomain, line.answerBytes, finishedMs);
         this.events.at(finishedMs + delayMs, nowMs => {
             if (line.isWrite) {
-                this.sessionPositions.set(line.session, Math.max(position, this.sessionPositions.get(line.session) ?? 0));
+                this.sessionWrites.set(line.session, { position, acknowledgedAtMs: nowMs });
+            }
+            else if (instance !== this.replication.primary) {
+                entry.learnLag(instance, finishedMs - attempt.write.acknowledgedAtMs, false);
             }
-            const isStale = !line.isWrite && position < attempt.sessionPosition;
+            const isStale = !line.isWrite && position < attempt.write.position;
             this.finish(attempt, instance, nowMs, isStale, instance);
         });
     }
