Pull instance status from holders into the entry's map

Cause: sessions chose replicas without knowing their replay, reach or queues; the map was empty. Change: StatusAsk and its sequence in peer.proto; an entry asks the holders of the groups in use every 200 ms, its own holders too. A holder probes each held instance each second and on demand, on a connection of its own, and calls LocalHolders.onInstanceHealth. A primary's sample counts only while the lease holds after it was read; the entry dates it its own time of asking less the holder's age. A holder that lost its instance serves open transactions only, and is closed once unused.

--- a/packages/process/instance-holder/src/InstanceHolder.ts
+++ b/packages/process/instance-holder/src/InstanceHolder.ts
@@ -17,16 +17,22 @@
     stepPool,
 } from "@pomeloturn/connection-pool/pool";
 import { ResultCode } from "@pomeloturn/errors/ResultCode";
+import type { pomeloturn } from "@pomeloturn/peer-messages/generated/peer";
 import type { GroupConfiguration, InstanceConfiguration } from "@pomeloturn/types/Configuration";
 import type { GroupView } from "@pomeloturn/types/ControlView";
 import { type AnswerPart, type ForwardRequest, TransactionStatus } from "@pomeloturn/types/Request";
 import { checkRequest } from "./checkRequest.ts";
+import { describeInstance } from "./describeInstance.ts";
 import { failedAnswer } from "./failedAnswer.ts";
+import { InstanceProber } from "./InstanceProber.ts";
 import { RequestRun } from "./RequestRun.ts";
 
 const CONNECT_TIMEOUT_MS = 3_000;
 const QUEUE_LIMIT_REQUESTS = 1_000;
 const RANK_COUNT = 3;
+const SAMPLE_REUSE_MS = 100;
+/** The prober's connection is counted within the instance's limit. */
+const PROBE_CONNECTIONS = 1;
 
 /** What an instance holder needs to know from outside, read anew for each decision. */
 export interface InstanceEnvironment {
@@ -38,6 +44,8 @@
     readonly instanceConfiguration: InstanceConfiguration;
     groupView(): GroupView | undefined;
     nowMs(): number;
+    /** Called after each probe of the instance. */
+    onHealth(isReachable: boolean): void;
 }
 
 interface PendingRequest {
@@ -54,18 +62,42 @@
     private readonly pending = new Map<number, PendingRequest>();
     /** Connection of each open transaction. */
     private readonly transactions = new Map<string, number>();
+    private readonly prober: InstanceProber;
     private nextId = 1;
 
     private constructor(private readonly environment: InstanceEnvironment) {
         const { slots, connections } = environment.instanceConfiguration;
         this.admission = createAdmission(slots, RANK_COUNT, QUEUE_LIMIT_REQUESTS);
-        this.pool = createPool(connections);
+        this.pool = createPool(Math.max(1, connections - PROBE_CONNECTIONS));
+        this.prober = InstanceProber.create({
+            open: () => this.openConnection(),
+            isPrimary: () => environment.groupView()?.primary === environment.instance,
+            nowMs: () => environment.nowMs(),
+            onHealth: isReachable => environment.onHealth(isReachable),
+        });
     }
 
     static create(environment: InstanceEnvironment): InstanceHolder {
         return new InstanceHolder(environment);
     }
 
+    get group(): string {
+        return this.environment.group;
+    }
+
+    get instance(): string {
+        return this.environment.instance;
+    }
+
+    /** Whether no request waits or runs and no transaction is open. */
+    get isUnused(): boolean {
+        return this.pending.size === 0 && this.transactions.size === 0;
+    }
+
+    hasTransaction(transactionId: string): boolean {
+        return this.transactions.has(transactionId);
+    }
+
     /** Runs a request; `onPart` gets its answer, the last part exactly once. */
     submit(request: ForwardRequest, onPart: (part: AnswerPart) => void): void {
         const nowMs = this.environment.nowMs();
@@ -85,6 +117,28 @@
         this.applyAdmission(stepAdmission(this.admission, { kind: AdmissionEventKind.Arrived, item }, nowMs));
     }
 
+    /** Describes the instance for a proxy that asks, after a fresh sample of its position. */
+    async describe(_vm: string): Promise<pomeloturn.peer.IInstanceStatus> {
+        const askedAtMs = this.environment.nowMs();
+        await this.prober.refresh(SAMPLE_REUSE_MS);
+        const { slots } = this.environment.instanceConfiguration;
+        return describeInstance(
+            {
+                group: this.environment.group,
+                instance: this.environment.instance,
+                sample: this.prober.last,
+                isReachable: this.prober.isReachable,
+                freeSlots: Math.max(0, slots - this.admission.running.size),
+                queued: this.admission.queues.map(queue => queue.length),
+                credits: [],
+                serviceTimeUs: 0,
+            },
+            this.environment.groupView(),
+            askedAtMs,
+            this.environment.nowMs(),
+        );
+    }
+
     /** Rolls an abandoned transaction back by closing its connection. */
     endTransaction(transactionId: string): void {
         const connectionId = this.transactions.get(transactionId);
@@ -97,6 +151,7 @@
 
     /** Closes all connections. Requests that are running are lost. */
     close(): void {
+        this.prober.close();
         for (const connection of this.connections.values()) {
             connection.close();
         }
@@ -128,20 +183,24 @@
         }
     }
 
-    private async open(connectionId: number): Promise<void> {
+    private openConnection(): Promise<BackendConnection> {
         const { groupConfiguration, instanceConfiguration } = this.environment;
         const { user, password, database } = groupConfiguration;
         const { host, port } = instanceConfiguration;
+        return BackendConnection.open({
+            host,
+            port,
+            user,
+            password,
+            database,
+            connectTimeoutMs: CONNECT_TIMEOUT_MS,
+            applicationName: this.environment.vm,
+        });
+    }
+
+    private async open(connectionId: number): Promise<void> {
         try {
-            const connection = await BackendConnection.open({
-                host,
-                port,
-                user,
-                password,
-                database,
-                connectTimeoutMs: CONNECT_TIMEOUT_MS,
-                applicationName: this.environment.vm,
-            });
+            const connection = await this.openConnection();
             connection.onIdleLost = () => this.removeConnection(connectionId);
             this.connections.set(connectionId, connection);
             this.stepPool({ kind: PoolEventKind.Opened, connectionId });
--- /dev/null
+++ b/packages/process/instance-holder/src/describeInstance.ts
@@ -0,0 +1,57 @@
+import type { pomeloturn } from "@pomeloturn/peer-messages/generated/peer";
+import type { GroupView } from "@pomeloturn/types/ControlView";
+import { checkLease } from "./checkRequest.ts";
+import type { InstanceSample } from "./InstanceProber.ts";
+import { positionTerm } from "./positionTerm.ts";
+
+const NO_POSITION = { term: 0, position: 0 };
+
+/** What a holder knows of its instance. */
+export interface InstanceState {
+    readonly group: string;
+    readonly instance: string;
+    readonly sample: InstanceSample | undefined;
+    readonly isReachable: boolean;
+    readonly freeSlots: number;
+    readonly queued: readonly number[];
+    readonly credits: readonly number[];
+    readonly serviceTimeUs: number;
+}
+
+/**
+ * Builds the status of an instance for the proxies that ask.
+ *
+ * A position counts as the primary's only while this VM's lease holds after it was read: otherwise
+ * another primary may have acknowledged writes that it does not cover.
+ *
+ * @param askedAtMs monotonic time at which the ask arrived, in milliseconds
+ */
+export const describeInstance = (
+    state: InstanceState,
+    view: GroupView | undefined,
+    askedAtMs: number,
+    nowMs: number,
+): pomeloturn.peer.IInstanceStatus => {
+    const { group, instance, sample, isReachable, freeSlots, serviceTimeUs } = state;
+    const position = sample?.position;
+    const base = {
+        group,
+        instance,
+        isReachable,
+        freeSlots,
+        queued: [...state.queued],
+        credits: [...state.credits],
+        serviceTimeUs,
+    };
+    if (sample === undefined || position === undefined || view === undefined) {
+        return { ...base, replayed: NO_POSITION, primarySample: NO_POSITION, primarySampleAgeMs: 0 };
+    }
+    const isLeader = view.primary === instance && !sample.isReplica && checkLease(view, nowMs);
+    const replayed = { term: isLeader ? view.term : positionTerm(view.history, position), position };
+    return {
+        ...base,
+        replayed,
+        primarySample: isLeader ? replayed : NO_POSITION,
+        primarySampleAgeMs: Math.max(0, Math.ceil(askedAtMs - sample.sentAtMs)),
+    };
+};
--- a/packages/process/peer-link/src/PeerClient.ts
+++ b/packages/process/peer-link/src/PeerClient.ts
@@ -54,6 +54,11 @@
         this.writer.add({ endTransaction: { group, instance, transactionId } });
     }
 
+    /** Asks for the state of the instances that the peer holds; the answers echo the sequence. */
+    askStatus(sequence: number): void {
+        this.writer.add({ statusAsk: { sequence } });
+    }
+
     /** Opens the stream, so that the peer starts to report on its instances. */
     connect(): void {
         this.openStream();
--- a/packages/process/peer-link/src/PeerServer.ts
+++ b/packages/process/peer-link/src/PeerServer.ts
@@ -13,6 +13,8 @@
 export class PeerServer {
     private readonly server: Server;
     private readonly writers = new Set<BatchWriter>();
+    /** Answers a peer's ask for the state of the instances that this VM holds. */
+    onStatusAsk: (vm: string, onStatus: (status: pomeloturn.peer.IInstanceStatus) => void) => void = () => undefined;
 
     private constructor(private readonly target: RequestTarget) {
         this.server = new Server({
@@ -59,8 +61,14 @@
         });
         this.writers.add(writer);
         const openTransactions = new Map<string, pomeloturn.peer.IEndTransaction>();
+        let peerVm = "";
         stream.on("data", (batch: pomeloturn.peer.PeerBatch) => {
             for (const message of batch.messages) {
+                peerVm = message.hello?.vm ?? peerVm;
+                if (message.statusAsk) {
+                    const { sequence } = message.statusAsk;
+                    this.onStatusAsk(peerVm, status => writer.add({ instanceStatus: { ...status, sequence: sequence ?? 0 } }));
+                }
                 this.receive(message, writer, openTransactions);
             }
         });
--- a/programs/proxy/src/Proxy.ts
+++ b/programs/proxy/src/Proxy.ts
@@ -6,13 +6,13 @@
 import { PeerServer } from "@pomeloturn/peer-link/PeerServer";
 import type { SessionAction, SessionContext } from "@pomeloturn/session/sessionMessages";
 import type { ControlView } from "@pomeloturn/types/ControlView";
-import type { InstanceStatus } from "@pomeloturn/types/InstanceStatus";
 import { type ActorSystemRef, start, stop } from "nact";
 import { CallerListener } from "./CallerListener.ts";
 import { LocalHolders } from "./LocalHolders.ts";
 import type { ProxySettings } from "./ProxySettings.ts";
 import { RequestRouter } from "./RequestRouter.ts";
 import type { SessionEnvironment } from "./SessionActor.ts";
+import { StatusPuller } from "./StatusPuller.ts";
 
 const EMPTY_VIEW: ControlView = {
     configVersion: 0,
@@ -37,7 +37,7 @@
     private readonly router: RequestRouter;
     private readonly peerServer: PeerServer;
     private readonly callers: CallerListener;
-    private readonly statuses = new Map<string, InstanceStatus>();
+    private readonly statusPuller: StatusPuller;
     private view: ControlView;
     private nextRequestId = 1;
 
@@ -47,7 +47,9 @@
         this.view = settings.view ?? EMPTY_VIEW;
         this.local = LocalHolders.create(settings.vm, view, monotonicNowMs);
         this.router = RequestRouter.create(settings.vm, this.local, view);
+        this.statusPuller = StatusPuller.create({ vm: settings.vm, router: this.router, local: this.local, view, nowMs: monotonicNowMs });
         this.peerServer = PeerServer.create(this.local);
+        this.peerServer.onStatusAsk = (vm, onStatus) => this.local.askStatus(vm, onStatus);
         this.callers = CallerListener.create({
             vm: settings.vm,
             callerLimit: settings.callerLimit,
@@ -72,6 +74,7 @@
 
     close(): void {
         this.callers.close();
+        this.statusPuller.close();
         this.router.close();
         this.peerServer.close();
         this.local.close();
@@ -94,7 +97,7 @@
             view: this.view,
             vm: this.settings.vm,
             failureDomain: this.settings.failureDomain,
-            statuses: this.statuses,
+            statuses: this.statusPuller.statuses,
             classify: text => this.classifier.classify(text),
             takeRequestId: () => this.nextRequestId++,
             random: Math.random,
--- a/programs/proxy/src/RequestRouter.ts
+++ b/programs/proxy/src/RequestRouter.ts
@@ -1,12 +1,17 @@
 import { ResultCode } from "@pomeloturn/errors/ResultCode";
 import { failedAnswer } from "@pomeloturn/instance-holder/failedAnswer";
 import { PeerClient } from "@pomeloturn/peer-link/PeerClient";
+import type { pomeloturn } from "@pomeloturn/peer-messages/generated/peer";
 import type { ControlView } from "@pomeloturn/types/ControlView";
 import type { AnswerPart, ForwardRequest, RequestTarget } from "@pomeloturn/types/Request";
 
 /** Sends requests to the local holders or to the peer that holds the instance. */
 export class RequestRouter {
     private readonly peers = new Map<string, PeerClient>();
+    /** Called with the group of each request. */
+    onGroupUsed: (group: string) => void = () => undefined;
+    /** Called with each report of a peer on an instance that it holds. */
+    onInstanceStatus: (vm: string, status: pomeloturn.peer.IInstanceStatus) => void = () => undefined;
 
     private constructor(private readonly vm: string, private readonly local: RequestTarget, private readonly view: () => ControlView) {}
 
@@ -15,6 +20,7 @@
     }
 
     send(vm: string, request: ForwardRequest, onPart: (part: AnswerPart) => void): void {
+        this.onGroupUsed(request.group);
         const target = this.find(vm);
         if (target === undefined) {
             onPart(failedAnswer(request, ResultCode.NotHolder));
@@ -31,6 +37,11 @@
         this.find(vm)?.endTransaction(group, instance, transactionId);
     }
 
+    /** Asks a peer for the state of the instances that it holds. */
+    askStatus(vm: string, sequence: number): void {
+        this.findPeer(vm)?.askStatus(sequence);
+    }
+
     close(): void {
         for (const peer of this.peers.values()) {
             peer.close();
@@ -38,9 +49,10 @@
     }
 
     private find(vm: string): RequestTarget | undefined {
-        if (vm === this.vm) {
-            return this.local;
-        }
+        return vm === this.vm ? this.local : this.findPeer(vm);
+    }
+
+    private findPeer(vm: string): PeerClient | undefined {
         const known = this.peers.get(vm);
         if (known !== undefined) {
             return known;
@@ -50,6 +62,7 @@
             return undefined;
         }
         const peer = PeerClient.create(`${address.host}:${address.peerPort}`, this.vm);
+        peer.onInstanceStatus = status => this.onInstanceStatus(vm, status);
         this.peers.set(vm, peer);
         return peer;
     }
