Add the operators' call, the status type and merged configuration

Cause: operators had no way to reach a process, and the configuration folder had no merge, schema or owner.

Change: operator-link serves a table of handlers over one unary gRPC call with JSON messages; SystemStatus is the shape of `status`; merge-config merges files by JSON Merge Patch, notes which file set each value and refuses what breaks the schema, a reference, an owner, an approved amount or the floors; config-version decides which version a node adopts. Configuration gains `linkShares` of a service, result codes 509 to 511 are new. json-merge-patch drops the rest of an object after a key such as `constructor`, so these names are refused.

--- /dev/null
+++ b/packages/process/operator-link/src/OperatorServer.ts
@@ -0,0 +1,58 @@
+import { type sendUnaryData, Server, ServerCredentials, type ServerUnaryCall } from "@grpc/grpc-js";
+import { PomeloturnError } from "@pomeloturn/errors/PomeloturnError";
+import { ResultCode } from "@pomeloturn/errors/ResultCode";
+import { type OperatorAnswer, type OperatorRequest, operatorService } from "./operatorService.ts";
+
+/** Carries out one command; what it returns must survive `JSON.stringify`. */
+export type OperatorHandler = (args: Readonly<Record<string, string>>) => unknown;
+
+/** Handlers by the command's name. */
+export type OperatorHandlers = Readonly<Record<string, OperatorHandler>>;
+
+/** Serves the commands of operators. */
+export class OperatorServer {
+    private readonly server = new Server();
+
+    private constructor(private readonly handlers: OperatorHandlers) {
+        this.server.addService(operatorService, {
+            call: (call: ServerUnaryCall<OperatorRequest, OperatorAnswer>, respond: sendUnaryData<OperatorAnswer>) => {
+                void this.answer(call.request).then(answer => respond(null, answer));
+            },
+        });
+    }
+
+    static create(handlers: OperatorHandlers): OperatorServer {
+        return new OperatorServer(handlers);
+    }
+
+    /** @returns the port that was bound */
+    listen(host: string, port: number): Promise<number> {
+        return new Promise((resolve, reject) => {
+            this.server.bindAsync(`${host}:${port}`, ServerCredentials.createInsecure(), (error, boundPort) => {
+                if (error === null) {
+                    resolve(boundPort);
+                }
+                else {
+                    reject(error);
+                }
+            });
+        });
+    }
+
+    close(): void {
+        this.server.forceShutdown();
+    }
+
+    private async answer(request: OperatorRequest): Promise<OperatorAnswer> {
+        try {
+            if (!Object.hasOwn(this.handlers, request.command)) {
+                throw PomeloturnError.create(ResultCode.UnknownOperatorCommand, request.command);
+            }
+            return { result: await this.handlers[request.command]!(request.arguments) ?? {} };
+        }
+        catch (error) {
+            const code = error instanceof PomeloturnError ? error.code : ResultCode.OperatorCommandFailed;
+            return { error: { code, message: (error as Error).message } };
+        }
+    }
+}
--- a/packages/shared/errors/src/ResultCode.ts
+++ b/packages/shared/errors/src/ResultCode.ts
@@ -54,5 +54,8 @@
     FloorStranded: 506,
     StoreUnavailable: 507,
     OwnerConflict: 508,
+    UnknownOperatorCommand: 509,
+    OperatorCommandFailed: 510,
+    OperatorUnreachable: 511,
 } as const;
 export type ResultCode = typeof ResultCode[keyof typeof ResultCode];
--- a/packages/shared/errors/src/resultTable.ts
+++ b/packages/shared/errors/src/resultTable.ts
@@ -67,6 +67,9 @@
     [ResultCode.FloorStranded, "FloorStranded", "F0000", Effect.NotRun, "the floors of a service's ranks add up to more than one"],
     [ResultCode.StoreUnavailable, "StoreUnavailable", "F0000", Effect.OutcomeUnknown, "the platform's store did not answer"],
     [ResultCode.OwnerConflict, "OwnerConflict", "F0000", Effect.NotRun, "the file sets a value that another owner's file owns"],
+    [ResultCode.UnknownOperatorCommand, "UnknownOperatorCommand", "F0000", Effect.NotRun, "the process has no such command"],
+    [ResultCode.OperatorCommandFailed, "OperatorCommandFailed", "F0000", Effect.OutcomeUnknown, "the operator's command failed"],
+    [ResultCode.OperatorUnreachable, "OperatorUnreachable", "F0000", Effect.OutcomeUnknown, "the process did not answer the operator"],
 ];
 
 /** Every error result by its number. */
--- a/packages/shared/types/src/Configuration.ts
+++ b/packages/shared/types/src/Configuration.ts
@@ -26,6 +26,15 @@
 } as const;
 export type AcknowledgeAfter = typeof AcknowledgeAfter[keyof typeof AcknowledgeAfter];
 
+/** Traffic over a paid link that a service asks for one of its ranks. The sum over all must be approved. */
+export interface LinkShareConfiguration {
+    readonly fromRegion: string;
+    readonly toRegion: string;
+    readonly rank: string;
+    readonly bytesPerSecond: number;
+    readonly bytesPerMonth: number;
+}
+
 /** A named path to database groups. The caller's database name is the service's name. */
 export interface ServiceConfiguration {
     readonly user: string;
@@ -38,6 +47,8 @@
     readonly readKinds: Readonly<Record<string, ReadKindConfiguration>>;
     readonly defaultReadKind: string;
     readonly acknowledgeAfter: AcknowledgeAfter;
+    /** Undefined when the service asks for no traffic over paid links. */
+    readonly linkShares?: readonly LinkShareConfiguration[];
 }
 
 /** One database server process of a group. */
--- /dev/null
+++ b/packages/version/config-version/src/adoptVersion.test.ts
@@ -0,0 +1,35 @@
+import fc from "fast-check";
+import { expect, it } from "vitest";
+import { AdoptDecision, adoptVersion, type VersionReference } from "./adoptVersion.ts";
+
+const SEED = 5_041;
+
+const version = (number: number, objectName = `object-${number}`): VersionReference => ({ version: number, objectName });
+
+it.each([
+    ["a new VM adopts", undefined, version(3), AdoptDecision.Adopt],
+    ["a higher version is adopted", version(3), version(4), AdoptDecision.Adopt],
+    ["a gap does not matter", version(3), version(9), AdoptDecision.Adopt],
+    ["the same version is kept", version(3), version(3), AdoptDecision.Keep],
+    ["a lower version is passed over", version(3), version(2), AdoptDecision.Keep],
+    ["an empty store is passed over", version(3), version(0, ""), AdoptDecision.Keep],
+    ["a new VM waits while the store is empty", undefined, version(0, ""), AdoptDecision.Keep],
+    ["another object under the same version is reported", version(3), version(3, "other"), AdoptDecision.Conflicting],
+])("%s", (_name, current, offered, decision) => {
+    expect(adoptVersion(current, offered)).toBe(decision);
+});
+
+it("ends at the highest version in any order of news, and never goes back", () => {
+    fc.assert(
+        fc.property(fc.array(fc.integer({ min: 0, max: 20 }), { minLength: 1, maxLength: 30 }), offers => {
+            let current: VersionReference | undefined;
+            for (const offered of offers.map(number => version(number))) {
+                const before = current?.version ?? 0;
+                current = adoptVersion(current, offered) === AdoptDecision.Adopt ? offered : current;
+                expect(current?.version ?? 0).toBeGreaterThanOrEqual(before);
+            }
+            expect(current?.version ?? 0).toBe(Math.max(...offers));
+        }),
+        { seed: SEED, numRuns: 1_000 },
+    );
+});
--- /dev/null
+++ b/packages/version/merge-config/src/mergeConfig.ts
@@ -0,0 +1,57 @@
+import { PomeloturnError } from "@pomeloturn/errors/PomeloturnError";
+import type { Configuration } from "@pomeloturn/types/Configuration";
+import jsonMergePatch from "json-merge-patch";
+import { checkAmounts } from "./checkAmounts.ts";
+import { checkReferences } from "./checkReferences.ts";
+import { checkSchema } from "./checkSchema.ts";
+import type { ConfigFile, ConfigProblem, ParsedFile } from "./ConfigFile.ts";
+import { OriginMap } from "./OriginMap.ts";
+import { parseConfigFile } from "./parseConfigFile.ts";
+
+/** A folder's files merged, and all that is wrong with them. */
+export interface MergedConfig {
+    /** Meaningful only when there are no problems. */
+    readonly configuration: Configuration;
+    readonly origins: OriginMap;
+    readonly problems: readonly ConfigProblem[];
+}
+
+/** Merges files in the order of their names by JSON Merge Patch (RFC 7396) and checks the result. */
+export const mergeConfig = (files: readonly ConfigFile[]): MergedConfig => {
+    const parsed = [...files].sort((left, right) => left.name < right.name ? -1 : 1).map(parseConfigFile);
+    const patches = parsed.filter((each): each is ParsedFile => "patch" in each);
+    const origins = OriginMap.create();
+    const ownerProblems = patches.flatMap(file => origins.add(file));
+    const configuration = patches.reduce<unknown>((merged, { patch }) => jsonMergePatch.apply(merged, structuredClone(patch)), {});
+    const problems = [...parsed.filter((each): each is ConfigProblem => "rule" in each), ...ownerProblems];
+    if (problems.length > 0) {
+        return { configuration: configuration as Configuration, origins, problems };
+    }
+    return { configuration: configuration as Configuration, origins, problems: checkMerged(configuration, origins) };
+};
+
+const checkMerged = (configuration: unknown, origins: OriginMap): ConfigProblem[] => {
+    const schemaProblems = checkSchema(configuration, origins);
+    if (schemaProblems.length > 0) {
+        return schemaProblems;
+    }
+    return [...checkReferences(configuration as Configuration, origins), ...checkAmounts(configuration as Configuration, origins)];
+};
+
+/** One line: file, path, rule and message. */
+export const formatProblem = ({ file, path, rule, message }: ConfigProblem): string =>
+    `${file || "the folder"} at ${path}: ${message} (${rule})`;
+
+/**
+ * Merges files that must be right.
+ *
+ * @throws PomeloturnError with the code of the first problem and the text of all
+ */
+export const requireConfig = (files: readonly ConfigFile[]): MergedConfig => {
+    const merged = mergeConfig(files);
+    const [first] = merged.problems;
+    if (first !== undefined) {
+        throw PomeloturnError.create(first.code, merged.problems.map(formatProblem).join("; "));
+    }
+    return merged;
+};
