--- a/packages/process/replay-trace/src/InstanceModel.ts
+++ b/packages/process/replay-trace/src/InstanceModel.ts
@@ -1,4 +1,10 @@
-import { AdmissionActionKind, AdmissionEventKind, type AdmissionState, createAdmission, stepAdmission } from "@pomeloturn/admit-request/admission";
+import {
+    AdmissionActionKind,
+    AdmissionEventKind,
+    type AdmissionState,
+    createAdmission,
+    stepAdmission,
+} from "@pomeloturn/admit-request/admission";
 import type { EventQueue } from "./EventQueue.ts";
 import type { ReplayDeployment } from "./ReplayDeployment.ts";
 
--- a/packages/process/replay-trace/src/generateTrace.ts
+++ b/packages/process/replay-trace/src/generateTrace.ts
@@ -1,6 +1,6 @@
-import type { RandomGenerator } from "pure-rand/types/RandomGenerator";
 import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import type { RandomGenerator } from "pure-rand/types/RandomGenerator";
 import type { ReplayDeployment, ReplayRank } from "./ReplayDeployment.ts";
 import { type RequestLine, type TraceLine, TraceLineKind } from "./TraceLine.ts";
 
@@ -100,7 +100,8 @@
     Object.keys(deployment.instances).length * deployment.slots * MILLISECONDS_PER_SECOND / serviceTimeMs;
 
 const floodLines = (deployment: ReplayDeployment, scenario: TraceScenario, rank: number, draw: Draw): RequestLine[] => {
-    const perVmPerSecond = FLOOD_CAPACITY_FACTOR * capacityPerSecond(deployment, deployment.ranks[rank]!) / Object.keys(deployment.vms).length;
+    const perVmPerSecond = FLOOD_CAPACITY_FACTOR * capacityPerSecond(deployment, deployment.ranks[rank]!)
+        / Object.keys(deployment.vms).length;
     const count = Math.round(perVmPerSecond * BURST_MS / MILLISECONDS_PER_SECOND);
     const lines: RequestLine[] = [];
     for (const vm of Object.keys(deployment.vms)) {
@@ -116,7 +117,11 @@
  *
  * @returns the lines in order of time
  */
-export const generateTrace = (deployment: ReplayDeployment, scenario: TraceScenario & { readonly floodRank?: number; }, seed: number): TraceLine[] => {
+export const generateTrace = (
+    deployment: ReplayDeployment,
+    scenario: TraceScenario & { readonly floodRank?: number; },
+    seed: number,
+): TraceLine[] => {
     const draw = createDraw(seed);
     const requests = deployment.ranks.flatMap((_rank, index) => ordinaryLines(deployment, scenario, index, draw));
     const flood = scenario.floodRank === undefined ? [] : floodLines(deployment, scenario, scenario.floodRank, draw);
--- a/packages/process/replay-trace/src/replayTrace.ts
+++ b/packages/process/replay-trace/src/replayTrace.ts
@@ -43,7 +43,12 @@
     private readonly finished: FinishedRequest[] = [];
     private readonly arrivedCounts: number[];
 
-    constructor(private readonly deployment: ReplayDeployment, private readonly trace: readonly TraceLine[], policy: RoutingPolicy, seed: number) {
+    constructor(
+        private readonly deployment: ReplayDeployment,
+        private readonly trace: readonly TraceLine[],
+        policy: RoutingPolicy,
+        seed: number,
+    ) {
         const generator = xoroshiro128plus(seed);
         const random = (): number => uniformFloat64(generator);
         const faults = trace.filter((line): line is FaultLine => line.kind !== TraceLineKind.Request);
@@ -89,7 +94,8 @@
     /** Whether some replica holds what the read needs at this moment. */
     private isProvable(line: RequestLine, sessionPosition: number, nowMs: number): boolean {
         return Object.keys(this.deployment.instances).some(name => {
-            const isOld = line.maximumAgeMs !== undefined && this.replication.position(name, nowMs) < this.replication.position(this.replication.primary, nowMs - line.maximumAgeMs);
+            const isOld = line.maximumAgeMs !== undefined
+                && this.replication.position(name, nowMs) < this.replication.position(this.replication.primary, nowMs - line.maximumAgeMs);
             return name !== this.replication.primary && !isOld && this.replication.position(name, nowMs) >= sessionPosition;
         });
     }
@@ -122,7 +128,10 @@
         entry.ownOutstanding.set(instance, (entry.ownOutstanding.get(instance) ?? 0) + 1);
         this.meter(entry.failureDomain, target, REQUEST_SIZE_BYTES, nowMs);
         this.events.at(nowMs + delayMs, arrivedMs => {
-            if (!line.isWrite && instance !== this.replication.primary && this.replication.position(instance, arrivedMs) < attempt.write.position) {
+            if (
+                !line.isWrite && instance !== this.replication.primary
+                && this.replication.position(instance, arrivedMs) < attempt.write.position
+            ) {
                 this.returnBehind(attempt, instance, excluded, delayMs, arrivedMs);
                 return;
             }
@@ -131,7 +140,8 @@
                 deadlineAtMs: this.deadlineAtMs(attempt),
                 serviceTimeMs: line.serviceTimeMs,
                 onFinished: finishedMs => this.answer(attempt, instance, delayMs, finishedMs),
-                onRefused: refusedMs => this.events.at(refusedMs + delayMs, laterMs => this.finish(attempt, undefined, laterMs, false, instance)),
+                onRefused: refusedMs =>
+                    this.events.at(refusedMs + delayMs, laterMs => this.finish(attempt, undefined, laterMs, false, instance)),
             }, arrivedMs);
         });
     }
@@ -216,7 +226,9 @@
         const arrivedCount = this.arrivedCounts.reduce((sum, count) => sum + count, 0);
         const shares = reportReplicaShares(this.finished);
         return {
-            ranks: ranks.map((rank, index) => reportRank(rank, this.arrivedCounts[index]!, this.finished.filter(each => each.rank === index))),
+            ranks: ranks.map((rank, index) =>
+                reportRank(rank, this.arrivedCounts[index]!, this.finished.filter(each => each.rank === index))
+            ),
             replicaShare: shares.all,
             provableReplicaShare: shares.provable,
             linkBytes: this.link.totalBytes,
--- a/programs/bench/src/routingTable.ts
+++ b/programs/bench/src/routingTable.ts
@@ -21,8 +21,12 @@
                     trace: scenario.name,
                     policy,
                     replicaShare: mean(reports.map(report => report.provableReplicaShare)).toFixed(3),
-                    p99Ms: deployment.ranks.map((_rank, index) => Math.round(mean(reports.map(report => report.ranks[index]!.p99Ms)))).join("/"),
-                    served: deployment.ranks.map((_rank, index) => mean(reports.map(report => report.ranks[index]!.servedCount / report.ranks[index]!.arrivedCount)).toFixed(2)).join("/"),
+                    p99Ms: deployment.ranks.map((_rank, index) => Math.round(mean(reports.map(report => report.ranks[index]!.p99Ms)))).join(
+                        "/",
+                    ),
+                    served: deployment.ranks.map((_rank, index) =>
+                        mean(reports.map(report => report.ranks[index]!.servedCount / report.ranks[index]!.arrivedCount)).toFixed(2)
+                    ).join("/"),
                     linkKb: Math.round(mean(reports.map(report => report.linkBytes)) / KILOBYTE),
                     stale: mean(reports.map(report => report.staleCount)),
                     lost: mean(reports.map(report => report.lostCount)),
