State the outcomes of the traces and hold the replay against them

Cause: traces without stated outcomes prove nothing. Change: traces in JSON Lines with an outcome each: served, within target, floors in windows of 10 s, stale, lost, paid link; the replay runs each twice.

--- a/packages/process/replay-trace/src/InstanceModel.ts
+++ b/packages/process/replay-trace/src/InstanceModel.ts
@@ -19,10 +19,19 @@
     onRefused(nowMs: number): void;
 }
 
+/** Slot time of one statement. */
+export interface SlotTime {
+    readonly rank: number;
+    readonly atMs: number;
+    readonly lengthMs: number;
+}
+
 /** An instance with its holder: the real admission decisions, and statements that take their time. */
 export class InstanceModel {
-    /** Slot time that each rank used, as (end, length) pairs. */
-    readonly slotTimes: { readonly rank: number; readonly endMs: number; readonly lengthMs: number; }[] = [];
+    /** Slot time that was asked for, by arrival. */
+    readonly offered: SlotTime[] = [];
+    /** Slot time that was used, by the statement's end. */
+    readonly used: SlotTime[] = [];
     private readonly admission: AdmissionState;
     private readonly requests = new Map<number, HeldRequest>();
     private nextId = 1;
@@ -43,7 +52,8 @@
     submit(request: HeldRequest, nowMs: number): void {
         const id = this.nextId++;
         this.requests.set(id, request);
-        const { rank, deadlineAtMs } = request;
+        const { rank, deadlineAtMs, serviceTimeMs } = request;
+        this.offered.push({ rank, atMs: nowMs, lengthMs: serviceTimeMs });
         this.apply(stepAdmission(this.admission, { kind: AdmissionEventKind.Arrived, item: { id, rank, deadlineAtMs } }, nowMs), nowMs);
     }
 
@@ -61,7 +71,7 @@
     private start(id: number, startedAtMs: number): void {
         const { rank, serviceTimeMs } = this.requests.get(id)!;
         this.events.at(startedAtMs + serviceTimeMs, nowMs => {
-            this.slotTimes.push({ rank, endMs: nowMs, lengthMs: serviceTimeMs });
+            this.used.push({ rank, atMs: nowMs, lengthMs: serviceTimeMs });
             this.take(id).onFinished(nowMs);
             this.apply(stepAdmission(this.admission, { kind: AdmissionEventKind.Finished, id }, nowMs), nowMs);
         });
--- a/packages/process/replay-trace/src/ReplayReport.ts
+++ b/packages/process/replay-trace/src/ReplayReport.ts
@@ -9,6 +9,8 @@
     readonly p99Ms: number;
     /** Share of the served requests within the rank's target latency, 0 to 1. */
     readonly withinTargetShare: number;
+    /** Largest part of an instance's slot time by which the rank fell short of its floor in a window, 0 to 1. */
+    readonly floorShortfallShare: number;
 }
 
 /** Outcome of a replay. */
@@ -49,6 +51,7 @@
     rank: { readonly name: string; readonly targetLatencyMs: number; },
     arrivedCount: number,
     finished: readonly FinishedRequest[],
+    floorShortfallShare: number,
 ): RankReport => {
     const latencies = finished.filter(({ isServed }) => isServed).map(({ latencyMs }) => latencyMs).sort((left, right) => left - right);
     return {
@@ -59,6 +62,7 @@
         p50Ms: percentile(latencies, 0.5),
         p99Ms: percentile(latencies, 0.99),
         withinTargetShare: ratio(latencies.filter(each => each <= rank.targetLatencyMs).length, latencies.length),
+        floorShortfallShare,
     };
 };
 
--- /dev/null
+++ b/packages/process/replay-trace/src/measureFloorShortfall.ts
@@ -0,0 +1,34 @@
+import type { SlotTime } from "./InstanceModel.ts";
+
+const WINDOW_MS = 10_000;
+const WINDOW_STEP_MS = 1_000;
+/** Work that arrives this close to a window's end may be served after it. */
+const WINDOW_END_ALLOWANCE_MS = 1_000;
+
+const sumBetween = (times: readonly SlotTime[], fromMs: number, toMs: number): number =>
+    times.reduce((sum, { atMs, lengthMs }) => atMs >= fromMs && atMs < toMs ? sum + lengthMs : sum, 0);
+
+/**
+ * Largest shortfall of a rank's floor at an instance over all windows of 10 s: what it was offered, up to
+ * its floor, less what it used, as a share of the instance's slot time.
+ */
+export const measureFloorShortfall = (
+    offered: readonly SlotTime[],
+    used: readonly SlotTime[],
+    rank: number,
+    floorShare: number,
+    slots: number,
+): number => {
+    const ofRank = (times: readonly SlotTime[]): SlotTime[] => times.filter(each => each.rank === rank);
+    const offeredByRank = ofRank(offered);
+    const usedByRank = ofRank(used);
+    const slotTimeMs = slots * WINDOW_MS;
+    const endMs = used.at(-1)?.atMs ?? 0;
+    let largest = 0;
+    for (let fromMs = 0; fromMs + WINDOW_MS <= endMs; fromMs += WINDOW_STEP_MS) {
+        const offeredShare = sumBetween(offeredByRank, fromMs, fromMs + WINDOW_MS - WINDOW_END_ALLOWANCE_MS) / slotTimeMs;
+        const usedShare = sumBetween(usedByRank, fromMs, fromMs + WINDOW_MS) / slotTimeMs;
+        largest = Math.max(largest, Math.min(floorShare, offeredShare) - usedShare);
+    }
+    return largest;
+};
--- /dev/null
+++ b/packages/process/replay-trace/src/replayTrace.test.ts
@@ -0,0 +1,32 @@
+import { RoutingPolicy } from "@pomeloturn/choose-instance/routingPolicies";
+import { readFileSync } from "node:fs";
+import { describe, expect, it } from "vitest";
+import { checkOutcome, type StatedOutcome } from "./checkOutcome.ts";
+import { floodScenarios, generateTrace, traceScenarios } from "./generateTrace.ts";
+import { replayDeployments } from "./ReplayDeployment.ts";
+import { replayTrace } from "./replayTrace.ts";
+import type { TraceLine } from "./TraceLine.ts";
+
+const SEED = 1;
+const cases = replayDeployments.flatMap(deployment => [...traceScenarios, ...floodScenarios].map(scenario => ({ deployment, scenario })));
+
+const readTrace = (file: string): TraceLine[] => readFileSync(file, "utf8").trim().split("\n").map(line => JSON.parse(line) as TraceLine);
+
+describe.each(cases)("replay of $deployment.name $scenario.name", ({ deployment, scenario }) => {
+    const base = `traces/${deployment.name}/${scenario.name}`;
+    const trace = readTrace(`${base}.jsonl`);
+
+    it("has the trace that the generator writes", () => {
+        expect(generateTrace(deployment, scenario, SEED)).toEqual(trace);
+    });
+
+    it("meets the stated outcome", () => {
+        const stated = JSON.parse(readFileSync(`${base}.outcome.json`, "utf8")) as StatedOutcome;
+        expect(checkOutcome(replayTrace(deployment, trace, RoutingPolicy.ExpectedLatency, SEED), stated)).toEqual([]);
+    });
+
+    it("gives the same report twice", () => {
+        const replay = (): unknown => replayTrace(deployment, trace, RoutingPolicy.ExpectedLatency, SEED);
+        expect(replay()).toEqual(replay());
+    });
+});
--- a/packages/process/replay-trace/src/replayTrace.ts
+++ b/packages/process/replay-trace/src/replayTrace.ts
@@ -5,6 +5,7 @@
 import { EventQueue } from "./EventQueue.ts";
 import { InstanceModel } from "./InstanceModel.ts";
 import { LinkMeter } from "./LinkMeter.ts";
+import { measureFloorShortfall } from "./measureFloorShortfall.ts";
 import { oneWayMs, type ReplayDeployment } from "./ReplayDeployment.ts";
 import { type FinishedRequest, type ReplayReport, reportRank, reportReplicaShares } from "./ReplayReport.ts";
 import { ReplicationModel } from "./ReplicationModel.ts";
@@ -221,13 +222,19 @@
         }
     }
 
+    private floorShortfall(rank: number): number {
+        const { slots, ranks } = this.deployment;
+        const models = [...this.instances.values()];
+        return Math.max(...models.map(({ offered, used }) => measureFloorShortfall(offered, used, rank, ranks[rank]!.floorShare, slots)));
+    }
+
     private report(): ReplayReport {
         const { ranks } = this.deployment;
         const arrivedCount = this.arrivedCounts.reduce((sum, count) => sum + count, 0);
         const shares = reportReplicaShares(this.finished);
         return {
             ranks: ranks.map((rank, index) =>
-                reportRank(rank, this.arrivedCounts[index]!, this.finished.filter(each => each.rank === index))
+                reportRank(rank, this.arrivedCounts[index]!, this.finished.filter(each => each.rank === index), this.floorShortfall(index))
             ),
             replicaShare: shares.all,
             provableReplicaShare: shares.provable,
--- a/programs/bench/src/main.ts
+++ b/programs/bench/src/main.ts
@@ -1,9 +1,11 @@
 import { routingTable } from "./routingTable.ts";
+import { writeTraces } from "./writeTraces.ts";
 
 type Measurement = () => unknown;
 
 const measurements: Readonly<Record<string, Measurement>> = {
     routing: routingTable,
+    writeTraces,
 };
 
 /** Runs the named measurement and prints it as JSON. */
