--- a/scripts/build.js
+++ b/scripts/build.js
@@ -1,5 +1,5 @@
 import { build } from "esbuild";
-import { existsSync, mkdirSync, writeFileSync } from "node:fs";
+import { existsSync, mkdirSync, rmSync, writeFileSync } from "node:fs";
 
 const programs = ["proxy", "controller", "cli", "standin", "demo", "bench"];
 const entryPoints = Object.fromEntries(
@@ -12,6 +12,7 @@
     entryPoints[name] = file;
 }
 
+rmSync("dist", { recursive: true, force: true });
 mkdirSync("dist", { recursive: true });
 writeFileSync("dist/package.json", "{ \"type\": \"commonjs\" }\n");
 
