Add leases, candidates and the lease runner

Cause: nothing decides who may acknowledge writes, and nobody orders a promotion. Change: witness, holder and candidate decisions in group-lease and promote-primary, lease.proto, and LeaseRunner, which carries them out behind LeaseService. TermStart gains the timeline that a promotion left; DatabaseControl.follow with an empty upstream stops a replica. Conclusion: the path stands; its safety under faults is not shown yet.

--- /dev/null
+++ b/packages/process/lease-runner/src/ActionRunner.ts
@@ -0,0 +1,139 @@
+import type { ResultCode } from "@pomeloturn/errors/ResultCode";
+import type { VmIncarnation } from "@pomeloturn/group-lease/GroupRow";
+import { groupRowKey } from "@pomeloturn/group-lease/GroupRow";
+import { type GroupAction, GroupActionKind } from "@pomeloturn/promote-primary/GroupAction";
+import { type GroupEvent, GroupEventKind } from "@pomeloturn/promote-primary/GroupEvent";
+import { PROBE_TIMEOUT_MS } from "@pomeloturn/promote-primary/promotionTiming";
+import type { InstanceProbe, LeaseServiceOptions } from "@pomeloturn/types/Leadership";
+import { encodeLeaseBatch, type GroupMessage } from "./leaseBatch.ts";
+
+type ActionOf<Kind extends GroupAction["kind"]> = Extract<GroupAction, { readonly kind: Kind; }>;
+type Handlers = { readonly [Kind in GroupAction["kind"]]: (group: string, action: ActionOf<Kind>) => void; };
+
+/** An event with the group that it happened to. */
+export interface GroupOccurrence {
+    readonly group: string;
+    readonly event: GroupEvent;
+}
+
+/** What a runner of actions reports back. */
+export interface ActionReports {
+    onEvents(occurrences: readonly GroupOccurrence[]): void;
+    onChanged(group: string): void;
+    onPromotionFinished(group: string, code: ResultCode): void;
+}
+
+/** Fails when the promise has not settled in time; the call itself may still take effect. */
+const withTimeout = async <Value>(call: Promise<Value>): Promise<Value> => {
+    let timer: NodeJS.Timeout | undefined;
+    const timeout = new Promise<never>((_resolve, reject) => {
+        timer = setTimeout(() => reject(new Error("timeout")), PROBE_TIMEOUT_MS);
+    });
+    try {
+        return await Promise.race([call, timeout]);
+    }
+    finally {
+        clearTimeout(timer);
+    }
+};
+
+/** Carries out actions of groups: messages in a batch per VM, reads of rows in one call, orders to databases. */
+export class ActionRunner {
+    private readonly outbox = new Map<string, GroupMessage[]>();
+    private readonly reads = new Set<string>();
+    private readonly handlers: Handlers;
+    private readonly self: VmIncarnation;
+
+    private constructor(private readonly options: LeaseServiceOptions, private readonly reports: ActionReports) {
+        this.self = { vm: options.vm, incarnation: options.incarnation };
+        this.handlers = this.createHandlers();
+    }
+
+    static create(options: LeaseServiceOptions, reports: ActionReports): ActionRunner {
+        return new ActionRunner(options, reports);
+    }
+
+    run(group: string, actions: readonly GroupAction[]): void {
+        for (const action of actions) {
+            (this.handlers[action.kind] as (group: string, action: GroupAction) => void)(group, action);
+        }
+    }
+
+    /** Sends what the actions of one turn have gathered. */
+    flush(): void {
+        for (const [vm, messages] of this.outbox) {
+            this.options.send(vm, encodeLeaseBatch({ from: this.self, messages }));
+        }
+        this.outbox.clear();
+        if (this.reads.size > 0) {
+            const groups = [...this.reads];
+            this.reads.clear();
+            void this.readRows(groups);
+        }
+    }
+
+    private createHandlers(): Handlers {
+        const { database } = this.options;
+        return {
+            [GroupActionKind.Send]: (group, { vm, message }) => this.sendMessage(vm, { group, message }),
+            [GroupActionKind.ReadRow]: group => this.reads.add(group),
+            [GroupActionKind.WriteRow]: (group, action) => void this.writeRow(group, action),
+            [GroupActionKind.Probe]: (group, { instance }) =>
+                void this.probe(group, instance, GroupEventKind.Probed, () => database.probe(group, instance)),
+            [GroupActionKind.Freeze]: (group, { instance }) =>
+                void this.probe(group, instance, GroupEventKind.Frozen, async () => {
+                    await database.follow(group, instance, "");
+                    return database.probe(group, instance);
+                }),
+            [GroupActionKind.Follow]: (group, { instance, upstream }) =>
+                void withTimeout(database.follow(group, instance, upstream)).catch(() => undefined),
+            [GroupActionKind.Promote]: (group, { instance }) => void this.promote(group, instance),
+            [GroupActionKind.FinishPromotion]: (group, { code }) => this.reports.onPromotionFinished(group, code),
+            [GroupActionKind.Changed]: group => this.reports.onChanged(group),
+        };
+    }
+
+    private sendMessage(vm: string, message: GroupMessage): void {
+        if (vm === this.self.vm) {
+            this.report(message.group, { kind: GroupEventKind.Message, from: this.self, message: message.message });
+            return;
+        }
+        const messages = this.outbox.get(vm) ?? [];
+        messages.push(message);
+        this.outbox.set(vm, messages);
+    }
+
+    private report(group: string, event: GroupEvent): void {
+        this.reports.onEvents([{ group, event }]);
+    }
+
+    private async readRows(groups: readonly string[]): Promise<void> {
+        const rows = await this.options.table.read(groups.map(groupRowKey)).catch(() => []);
+        const byKey = new Map(rows.map(row => [row.key, row]));
+        this.reports.onEvents(
+            groups.map(group => ({ group, event: { kind: GroupEventKind.RowRead, row: byKey.get(groupRowKey(group)) } })),
+        );
+    }
+
+    private async writeRow(group: string, { operationId, expectedVersion, value }: ActionOf<"writeRow">): Promise<void> {
+        const write = { key: groupRowKey(group), expectedVersion, value };
+        const result = await this.options.table.transact(operationId, [write]).catch(() => undefined);
+        this.report(group, { kind: GroupEventKind.RowWritten, operationId, result });
+    }
+
+    private async probe(
+        group: string,
+        instance: string,
+        kind: typeof GroupEventKind.Probed | typeof GroupEventKind.Frozen,
+        call: () => Promise<InstanceProbe>,
+    ): Promise<void> {
+        const sentAtMs = this.options.nowMs();
+        const probe = await withTimeout(call()).catch(() => undefined);
+        this.report(group, { kind, instance, sentAtMs, probe });
+    }
+
+    private async promote(group: string, instance: string): Promise<void> {
+        await withTimeout(this.options.database.promote(group, instance)).catch(() => undefined);
+        this.report(group, { kind: GroupEventKind.Promoted, instance });
+    }
+}
--- a/packages/shared/types/src/ControlView.ts
+++ b/packages/shared/types/src/ControlView.ts
@@ -7,6 +7,8 @@
     readonly term: number;
     /** Log position in bytes. */
     readonly position: number;
+    /** Timeline that the primary was on before the promotion that began the term; absent for the first term. */
+    readonly fromTimeline?: number;
 }
 
 /** A database group as the table service's row and the lease state it. */
--- a/packages/shared/types/src/Leadership.ts
+++ b/packages/shared/types/src/Leadership.ts
@@ -38,7 +38,10 @@
 export interface DatabaseControl {
     probe(group: string, instance: string): Promise<InstanceProbe>;
     promote(group: string, instance: string): Promise<void>;
-    /** Makes a replica follow another instance. */
+    /**
+     * Makes a replica follow another instance. With an empty upstream it stops following, and the call
+     * resolves once what it had received is replayed, so that its position is final.
+     */
     follow(group: string, instance: string, upstream: string): Promise<void>;
 }
 
@@ -67,7 +70,7 @@
     /** Tells whether this VM's proxy reaches an instance that it holds. */
     reportInstance(group: string, instance: string, isReachable: boolean): void;
     leadership(): ReadonlyMap<string, GroupLeadership>;
-    /** Planned promotion; @returns a result code */
+    /** Planned promotion, run by the holder's VM; @returns a result code, `NotHolder` on other VMs */
     promote(group: string, instance: string): Promise<number>;
     /** Hands all leadership of this VM over, for a shutdown. */
     release(): Promise<void>;
--- /dev/null
+++ b/packages/version/promote-primary/src/createFirstRow.ts
@@ -0,0 +1,36 @@
+import { chooseHolder } from "@pomeloturn/group-lease/chooseHolder";
+import { chooseWitnesses } from "@pomeloturn/group-lease/chooseWitnesses";
+import { rankVms } from "@pomeloturn/group-lease/rankVms";
+import { GroupActionKind } from "./GroupAction.ts";
+import type { GroupState, Step } from "./GroupState.ts";
+import { CREATE_STAGGER_MS, ORDER_INTERVAL_MS } from "./promotionTiming.ts";
+import { startChange } from "./rowChange.ts";
+
+/** Creates the row of a group that has none: the first instance by name that is not in recovery is the primary. */
+export const createFirstRow = (state: GroupState, step: Step, missingSinceMs: number): void => {
+    const order = rankVms(step.vms, state.group).findIndex(({ vm }) => vm === step.self.vm);
+    if (order < 0 || step.nowMs - missingSinceMs < order * CREATE_STAGGER_MS || state.change !== undefined) {
+        return;
+    }
+    const instances = Object.keys(state.instances).sort();
+    const primary = instances.find(instance => state.found.get(instance)?.isReplica === false);
+    const isComplete = instances.every(instance => state.found.has(instance));
+    if (primary === undefined || !isComplete) {
+        probeInstances(state, step, instances);
+        return;
+    }
+    const chosen = chooseHolder(state.group, state.instances[primary]!, step.vms)!;
+    const holder = { vm: chosen.vm, incarnation: chosen.incarnation };
+    const witnesses = chooseWitnesses(state.group, holder.vm, step.vms);
+    startChange(state, step, { term: 1, primary, holder, witnesses, history: [{ term: 1, position: 0 }] }, false);
+};
+
+const probeInstances = (state: GroupState, step: Step, instances: readonly string[]): void => {
+    if (step.nowMs - state.primary.probedAtMs < ORDER_INTERVAL_MS) {
+        return;
+    }
+    state.primary.probedAtMs = step.nowMs;
+    for (const instance of instances) {
+        step.actions.push({ kind: GroupActionKind.Probe, instance });
+    }
+};
--- /dev/null
+++ b/packages/version/promote-primary/src/leadGroup.ts
@@ -0,0 +1,131 @@
+import { chooseHolder } from "@pomeloturn/group-lease/chooseHolder";
+import { chooseWitnesses } from "@pomeloturn/group-lease/chooseWitnesses";
+import type { StoredRow, VmIncarnation } from "@pomeloturn/group-lease/GroupRow";
+import { LeaseMessageKind } from "@pomeloturn/group-lease/LeaseMessage";
+import { RENEW_INTERVAL_MS, WITNESS_COUNT } from "@pomeloturn/group-lease/leaseTiming";
+import { GroupActionKind } from "./GroupAction.ts";
+import type { GroupState, Step } from "./GroupState.ts";
+import { leaseExpiry } from "./leaseExpiryUnder.ts";
+import { ORDER_INTERVAL_MS, REPAIR_INTERVAL_MS, WITNESS_GONE_MS } from "./promotionTiming.ts";
+import { startChange } from "./rowChange.ts";
+import { runElection, startElection } from "./runElection.ts";
+import { isPrimaryLost, isPromotable, probePrimary } from "./watchPrimary.ts";
+
+/** One run of the holder: renewals, the primary, its replacement, witnesses, the published lease. */
+export const leadGroup = (state: GroupState, step: Step, stored: StoredRow): void => {
+    renewLease(state, step, stored);
+    probePrimary(state, step, !state.primary.isConfirmed);
+    confirmPrimary(state, step, stored);
+    if (state.election === undefined && state.change === undefined) {
+        startWork(state, step, stored);
+    }
+    runElection(state, step);
+    publishLease(state, step, stored);
+    repairReplicas(state, step, stored);
+};
+
+const renewLease = (state: GroupState, step: Step, { version, row }: StoredRow): void => {
+    if (state.releasedVersion === version || step.nowMs - state.renewedAtMs < RENEW_INTERVAL_MS) {
+        return;
+    }
+    state.renewedAtMs = step.nowMs;
+    sendRenewals(step, row.witnesses, version);
+    if (state.change?.isContinuing === true) {
+        sendRenewals(step, state.change.next.witnesses, state.change.expectedVersion + 1);
+    }
+};
+
+const sendRenewals = (step: Step, witnesses: readonly VmIncarnation[], rowVersion: number): void => {
+    for (const { vm, incarnation } of witnesses) {
+        const message = { kind: LeaseMessageKind.Renewal, rowVersion, witnessIncarnation: incarnation, sentAtMs: step.nowMs };
+        step.actions.push({ kind: GroupActionKind.Send, vm, message });
+    }
+};
+
+/** Orders the promotion once the lease is held, and believes in it once a probe has shown it. */
+const confirmPrimary = (state: GroupState, step: Step, { row }: StoredRow): void => {
+    const watch = state.primary;
+    if (watch.isConfirmed || watch.lastProbe === undefined) {
+        return;
+    }
+    if (!watch.lastProbe.isReplica) {
+        watch.isConfirmed = true;
+        state.repairedAtMs = -Infinity;
+        return;
+    }
+    const isDue = step.nowMs - watch.promotedAtMs >= ORDER_INTERVAL_MS;
+    if (isDue && isPromotable(state, watch.lastProbe) && leaseExpiry(state, step) > step.nowMs) {
+        watch.promotedAtMs = step.nowMs;
+        step.actions.push({ kind: GroupActionKind.Promote, instance: row.primary });
+    }
+    watch.isConfirmed = !step.guards.isPromotionConfirmed;
+};
+
+const startWork = (state: GroupState, step: Step, stored: StoredRow): void => {
+    if (isPrimaryLost(state, step.nowMs)) {
+        startElection(state, step, true);
+        return;
+    }
+    if (state.isHandingOver) {
+        handOver(state, step, stored);
+        return;
+    }
+    const witnesses = chooseMissingWitnesses(state, step, stored);
+    if (witnesses !== undefined || state.isRefused) {
+        state.renewedAtMs = -Infinity;
+        startChange(state, step, { ...stored.row, witnesses: witnesses ?? stored.row.witnesses }, true);
+    }
+};
+
+/** Names another VM as the holder, once nobody leads under the present row. */
+const handOver = (state: GroupState, step: Step, { row }: StoredRow): void => {
+    const others = step.vms.filter(({ vm }) => vm !== step.self.vm);
+    const next = chooseHolder(state.group, state.instances[row.primary] ?? "", others);
+    if (next === undefined || (step.nowMs < state.publishedUntilMs && step.guards.isOwnLeaseWaitedOut)) {
+        return;
+    }
+    const holder = { vm: next.vm, incarnation: next.incarnation };
+    startChange(state, step, { ...row, holder, witnesses: chooseWitnesses(state.group, next.vm, others) }, false);
+};
+
+/** @returns new witnesses when one has been gone for a while or more VMs could take part */
+const chooseMissingWitnesses = (state: GroupState, step: Step, { row }: StoredRow): VmIncarnation[] | undefined => {
+    const isAlive = (witness: VmIncarnation): boolean =>
+        step.vms.some(({ vm, incarnation, isLeaving }) => vm === witness.vm && incarnation === witness.incarnation && !isLeaving);
+    const alive = row.witnesses.filter(isAlive);
+    const isComplete = alive.length === row.witnesses.length && (alive.length >= WITNESS_COUNT || alive.length >= step.vms.length - 1);
+    if (isComplete) {
+        state.witnessesGoneSinceMs = undefined;
+        return undefined;
+    }
+    state.witnessesGoneSinceMs ??= step.nowMs;
+    if (step.nowMs - state.witnessesGoneSinceMs < WITNESS_GONE_MS) {
+        return undefined;
+    }
+    const chosen = chooseWitnesses(state.group, step.self.vm, step.vms, alive);
+    const isSame = chosen.length === row.witnesses.length && chosen.every(({ vm }) => alive.some(kept => kept.vm === vm));
+    return isSame || chosen.length === 0 ? undefined : chosen;
+};
+
+/** Lets this VM's proxy acknowledge until the lease ends, unless the primary fails or leadership is about to move. */
+const publishLease = (state: GroupState, step: Step, { version }: StoredRow): void => {
+    const isStopped = state.election !== undefined || state.isHandingOver || state.releasedVersion === version
+        || state.change?.isContinuing === false || state.primary.failingSinceMs !== undefined;
+    if (state.primary.isConfirmed && !isStopped) {
+        state.publishedUntilMs = Math.max(state.publishedUntilMs, leaseExpiry(state, step));
+    }
+};
+
+/** Orders the replicas to follow the primary, in case that an earlier order of anybody left them elsewhere. */
+const repairReplicas = (state: GroupState, step: Step, { row }: StoredRow): void => {
+    const isDue = step.nowMs - state.repairedAtMs >= REPAIR_INTERVAL_MS;
+    if (!isDue || state.election !== undefined || !state.primary.isConfirmed || state.publishedUntilMs <= step.nowMs) {
+        return;
+    }
+    state.repairedAtMs = step.nowMs;
+    for (const instance of Object.keys(state.instances)) {
+        if (instance !== row.primary) {
+            step.actions.push({ kind: GroupActionKind.Follow, instance, upstream: row.primary });
+        }
+    }
+};
--- /dev/null
+++ b/packages/version/promote-primary/src/leaseExpiryUnder.ts
@@ -0,0 +1,28 @@
+import { computeLeaseExpiry } from "@pomeloturn/group-lease/computeLeaseExpiry";
+import type { VmIncarnation } from "@pomeloturn/group-lease/GroupRow";
+import { HOLDER_LEASE_MS, LEASE_MS } from "@pomeloturn/group-lease/leaseTiming";
+import type { GroupState, Step } from "./GroupState.ts";
+
+/** Key of a grant. */
+export const grantKey = (rowVersion: number, witness: VmIncarnation): string => `${rowVersion}/${witness.vm}/${witness.incarnation}`;
+
+/** Time until which a majority of `witnesses` grants the lease under a row version. */
+export const leaseExpiryUnder = (state: GroupState, witnesses: readonly VmIncarnation[], rowVersion: number, { guards }: Step): number =>
+    computeLeaseExpiry(
+        witnesses,
+        witness => state.grants.get(grantKey(rowVersion, witness)),
+        guards.isClockMarginKept ? HOLDER_LEASE_MS : LEASE_MS,
+    );
+
+/** Time until which this VM, as the holder, may lead. During a change of the row it needs the witnesses of both versions. */
+export const leaseExpiry = (state: GroupState, step: Step): number => {
+    const { stored, change } = state;
+    if (stored === undefined) {
+        return -Infinity;
+    }
+    const present = leaseExpiryUnder(state, stored.row.witnesses, stored.version, step);
+    if (change?.isSent !== true || !step.guards.areBothSetsNeeded) {
+        return present;
+    }
+    return Math.min(present, leaseExpiryUnder(state, change.next.witnesses, change.expectedVersion + 1, step));
+};
--- /dev/null
+++ b/packages/version/promote-primary/src/rowChange.ts
@@ -0,0 +1,150 @@
+import { ResultCode } from "@pomeloturn/errors/ResultCode";
+import { type GroupRow, groupRowKey, type StoredRow } from "@pomeloturn/group-lease/GroupRow";
+import { formatGroupRow, parseGroupRow } from "@pomeloturn/group-lease/groupRowCodec";
+import { LeaseMessageKind } from "@pomeloturn/group-lease/LeaseMessage";
+import type { TableResult, TableRow } from "@pomeloturn/types/Platform";
+import { GroupActionKind } from "./GroupAction.ts";
+import { createPrimaryWatch, type GroupState, isHolder, type RowChange, type Step } from "./GroupState.ts";
+import { leaseExpiryUnder } from "./leaseExpiryUnder.ts";
+import { CHANGE_READY_LIMIT_MS, WRITE_RETRY_MS } from "./promotionTiming.ts";
+
+const nextOperationId = (state: GroupState, { self }: Step): string =>
+    `${groupRowKey(state.group)}/${self.vm}/${self.incarnation}/${++state.operationCount}`;
+
+/** Starts a change of the row from the version that is known. */
+export const startChange = (state: GroupState, step: Step, next: Omit<GroupRow, "operationId">, isContinuing: boolean): void => {
+    const operationId = nextOperationId(state, step);
+    state.change = {
+        operationId,
+        expectedVersion: state.stored?.version ?? 0,
+        next: { ...next, operationId },
+        isContinuing,
+        startedAtMs: step.nowMs,
+        isSent: false,
+        isOutstanding: false,
+        nextTryAtMs: step.nowMs,
+    };
+    runChange(state, step);
+};
+
+/** Sends the change, or repeats it under the same operation id while its outcome is not known. */
+export const runChange = (state: GroupState, step: Step): void => {
+    const { change } = state;
+    if (change === undefined || change.isOutstanding || step.nowMs < change.nextTryAtMs) {
+        return;
+    }
+    if (!change.isSent && !isReadyToSend(state, change, step)) {
+        if (step.nowMs - change.startedAtMs >= CHANGE_READY_LIMIT_MS) {
+            state.change = undefined;
+        }
+        return;
+    }
+    change.isSent = true;
+    change.isOutstanding = true;
+    const { operationId, expectedVersion, next } = change;
+    step.actions.push({ kind: GroupActionKind.WriteRow, operationId, expectedVersion, value: formatGroupRow(next) });
+};
+
+/** A lease that is already published must be covered by the new witnesses before the row can name them. */
+const isReadyToSend = (state: GroupState, change: RowChange, step: Step): boolean => {
+    if (!change.isContinuing || !step.guards.areBothSetsNeeded || state.publishedUntilMs <= step.nowMs) {
+        return true;
+    }
+    return leaseExpiryUnder(state, change.next.witnesses, change.expectedVersion + 1, step) >= state.publishedUntilMs;
+};
+
+/** Takes in the table's answer to a change. */
+export const settleChange = (state: GroupState, step: Step, operationId: string, result: TableResult | undefined): void => {
+    const { change } = state;
+    if (change?.operationId !== operationId) {
+        return;
+    }
+    change.isOutstanding = false;
+    if (result === undefined) {
+        change.nextTryAtMs = step.nowMs + WRITE_RETRY_MS;
+        return;
+    }
+    if (result.isApplied) {
+        adoptRow(state, step, { version: change.expectedVersion + 1, row: change.next });
+        sendRowToAll(state, step);
+        return;
+    }
+    const current = result.rows.find(({ key }) => key === groupRowKey(state.group));
+    if (!step.guards.isVersionCompared && current !== undefined) {
+        change.operationId = nextOperationId(state, step);
+        change.expectedVersion = current.version;
+        return;
+    }
+    state.change = undefined;
+    if (current !== undefined) {
+        takeTableRow(state, step, current);
+    }
+};
+
+/** Takes in a row as the table states it. */
+export const takeTableRow = (state: GroupState, step: Step, { version, value }: TableRow): void => {
+    if (version === 0) {
+        state.missingSinceMs ??= step.nowMs;
+        return;
+    }
+    const row = parseGroupRow(value);
+    if (row !== undefined) {
+        adoptRow(state, step, { version, row });
+    }
+};
+
+const adoptRow = (state: GroupState, step: Step, stored: StoredRow): void => {
+    const before = state.stored;
+    if (before !== undefined && stored.version <= before.version) {
+        return;
+    }
+    const isSamePrimary = before?.row.term === stored.row.term && before.row.primary === stored.row.primary;
+    state.stored = stored;
+    state.missingSinceMs = undefined;
+    if (state.change !== undefined && state.change.expectedVersion < stored.version && step.guards.isVersionCompared) {
+        state.change = undefined;
+    }
+    for (const key of state.grants.keys()) {
+        if (Number.parseInt(key) < stored.version) {
+            state.grants.delete(key);
+        }
+    }
+    if (!isSamePrimary) {
+        state.primary = createPrimaryWatch();
+    }
+    finishElection(state, step, stored.row.primary);
+    state.isRefused = false;
+    state.isHandingOver &&= isHolder(state, step);
+    state.witnessesGoneSinceMs = undefined;
+    state.witness.heardAtMs = step.nowMs;
+    state.renewedAtMs = -Infinity;
+    state.repairedAtMs = -Infinity;
+    step.actions.push({ kind: GroupActionKind.Changed });
+};
+
+const finishElection = (state: GroupState, step: Step, primary: string): void => {
+    const target = state.election?.target;
+    state.election = undefined;
+    if (target !== undefined) {
+        const code = target === primary ? ResultCode.Ok : ResultCode.TermChanged;
+        step.actions.push({ kind: GroupActionKind.FinishPromotion, code });
+    }
+};
+
+/** Tells all VMs the row, as they need it for routing and as witnesses. */
+const sendRowToAll = (state: GroupState, step: Step): void => {
+    for (const { vm } of step.vms) {
+        if (vm !== step.self.vm) {
+            sendRow(state, step, vm);
+        }
+    }
+};
+
+/** Tells one VM the row. */
+export const sendRow = (state: GroupState, step: Step, vm: string): void => {
+    const { stored } = state;
+    if (stored !== undefined) {
+        const message = { kind: LeaseMessageKind.RowNotice, rowVersion: stored.version, value: formatGroupRow(stored.row) };
+        step.actions.push({ kind: GroupActionKind.Send, vm, message });
+    }
+};
--- /dev/null
+++ b/packages/version/promote-primary/src/runPlannedPromotion.ts
@@ -0,0 +1,53 @@
+import { ResultCode } from "@pomeloturn/errors/ResultCode";
+import type { StoredRow } from "@pomeloturn/group-lease/GroupRow";
+import { isEligible } from "./choosePrimary.ts";
+import { GroupActionKind } from "./GroupAction.ts";
+import type { Election, GroupState, Step } from "./GroupState.ts";
+import { FAST_PROBE_INTERVAL_MS, PLANNED_LIMIT_MS } from "./promotionTiming.ts";
+import { freezeInstances, promote } from "./runElection.ts";
+import { probePrimary } from "./watchPrimary.ts";
+
+/**
+ * Replaces a primary that is alive: after the lease has ended, the target must reach the primary's last position and
+ * the position of every other replica, so that nothing is lost and no replica has to be rebuilt.
+ */
+export const runPlannedPromotion = (state: GroupState, step: Step, election: Election, { row }: StoredRow): void => {
+    const target = election.target!;
+    if (step.nowMs - election.waitUntilMs! >= PLANNED_LIMIT_MS) {
+        abandonPromotion(state, step);
+        return;
+    }
+    const others = Object.keys(state.instances).filter(instance => instance !== row.primary && instance !== target);
+    freezeInstances(step, election, others);
+    if (state.primary.answeredAtMs < election.waitUntilMs!) {
+        probePrimary(state, step, true);
+        return;
+    }
+    const isEachOrdered = others.every(instance => election.frozen.has(instance));
+    const positions = [...election.frozen].filter(([name]) => name !== target).map(([, probe]) => probe.position);
+    const requiredPosition = Math.max(state.primary.lastProbe!.position, ...positions);
+    const frozen = election.frozen.get(target);
+    if (frozen !== undefined && isEachOrdered && frozen.position >= requiredPosition && isEligible(frozen, row.history, step.guards)) {
+        promote(state, step, row, target, frozen);
+        return;
+    }
+    if ((election.targetProbe?.position ?? -1) >= requiredPosition) {
+        freezeInstances(step, election, [target]);
+        return;
+    }
+    probeTarget(step, election, target);
+};
+
+const probeTarget = (step: Step, election: Election, target: string): void => {
+    if (step.nowMs - (election.orderedAtMs.get(target) ?? -Infinity) >= FAST_PROBE_INTERVAL_MS) {
+        election.orderedAtMs.set(target, step.nowMs);
+        step.actions.push({ kind: GroupActionKind.Probe, instance: target });
+    }
+};
+
+/** Goes on with the present primary; its replicas are told to follow it again. */
+const abandonPromotion = (state: GroupState, step: Step): void => {
+    state.election = undefined;
+    state.repairedAtMs = -Infinity;
+    step.actions.push({ kind: GroupActionKind.FinishPromotion, code: ResultCode.ReplicaBehind });
+};
--- /dev/null
+++ b/packages/version/promote-primary/src/standAsCandidate.ts
@@ -0,0 +1,20 @@
+import type { StoredRow } from "@pomeloturn/group-lease/GroupRow";
+import { CANDIDATE_STAGGER_MS, SUSPICION_MS } from "@pomeloturn/group-lease/leaseTiming";
+import type { GroupState, Step } from "./GroupState.ts";
+import { PROBE_AFTER_MS } from "./promotionTiming.ts";
+import { runElection, startElection } from "./runElection.ts";
+import { probePrimary } from "./watchPrimary.ts";
+
+/** One run of a VM that is not the holder: a witness that hears nothing of the holder stands, each in its turn. */
+export const standAsCandidate = (state: GroupState, step: Step, { row }: StoredRow): void => {
+    const order = row.witnesses.findIndex(({ vm }) => vm === step.self.vm);
+    const silenceMs = step.nowMs - state.witness.heardAtMs;
+    if (order >= 0 && silenceMs >= PROBE_AFTER_MS) {
+        probePrimary(state, step, false);
+    }
+    const isDue = silenceMs >= SUSPICION_MS + order * CANDIDATE_STAGGER_MS && step.nowMs >= state.deferUntilMs;
+    if (state.election === undefined && order >= 0 && isDue) {
+        startElection(state, step, false);
+    }
+    runElection(state, step);
+};
--- /dev/null
+++ b/packages/version/promote-primary/src/stepGroup.ts
@@ -0,0 +1,108 @@
+import { ResultCode } from "@pomeloturn/errors/ResultCode";
+import { groupRowKey } from "@pomeloturn/group-lease/GroupRow";
+import { createFirstRow } from "./createFirstRow.ts";
+import { type GroupAction, GroupActionKind } from "./GroupAction.ts";
+import { type GroupEvent, GroupEventKind } from "./GroupEvent.ts";
+import { type GroupState, isHolder, type Step } from "./GroupState.ts";
+import { leadGroup } from "./leadGroup.ts";
+import { PAUSE_MS, READ_INTERVAL_MS, READ_RETRY_MS } from "./promotionTiming.ts";
+import { receiveMessage } from "./receiveMessage.ts";
+import { receiveProbe } from "./receiveProbe.ts";
+import { runChange, settleChange, takeTableRow } from "./rowChange.ts";
+import { standAsCandidate } from "./standAsCandidate.ts";
+
+type EventOf<Kind extends GroupEvent["kind"]> = Extract<GroupEvent, { readonly kind: Kind; }>;
+type Handler<Event> = (state: GroupState, step: Step, event: Event) => void;
+
+const tick: Handler<EventOf<typeof GroupEventKind.Tick>> = (state, step) => {
+    if (step.nowMs - state.tickedAtMs >= PAUSE_MS) {
+        state.witness.heardAtMs = Math.max(state.witness.heardAtMs, step.nowMs);
+        state.primary.failingSinceMs = undefined;
+    }
+    state.tickedAtMs = step.nowMs;
+    readWhenDue(state, step);
+    runChange(state, step);
+    const { stored } = state;
+    if (stored === undefined) {
+        if (state.missingSinceMs !== undefined) {
+            createFirstRow(state, step, state.missingSinceMs);
+        }
+        return;
+    }
+    (isHolder(state, step) ? leadGroup : standAsCandidate)(state, step, stored);
+};
+
+const readWhenDue = (state: GroupState, step: Step): void => {
+    const intervalMs = state.stored === undefined ? READ_RETRY_MS : READ_INTERVAL_MS;
+    if (step.nowMs - state.readAtMs >= intervalMs) {
+        state.readAtMs = step.nowMs;
+        step.actions.push({ kind: GroupActionKind.ReadRow });
+    }
+};
+
+const readRow: Handler<EventOf<typeof GroupEventKind.RowRead>> = (state, step, { row }) => {
+    if (row !== undefined && row.key === groupRowKey(state.group)) {
+        takeTableRow(state, step, row);
+    }
+};
+
+/** A report of the proxy brings the next probe forward; the probes decide. */
+const receiveReport: Handler<EventOf<typeof GroupEventKind.InstanceReported>> = (state, _step, { instance, isReachable }) => {
+    if (!isReachable && instance === state.stored?.row.primary && state.primary.outstanding === 0) {
+        state.primary.probedAtMs = -Infinity;
+    }
+};
+
+const requestPromotion: Handler<EventOf<typeof GroupEventKind.PromotionRequested>> = (state, step, { instance }) => {
+    const refusal = refusePromotion(state, step, instance);
+    if (refusal !== undefined) {
+        step.actions.push({ kind: GroupActionKind.FinishPromotion, code: refusal });
+        return;
+    }
+    state.plannedInstance = instance;
+    step.actions.push({ kind: GroupActionKind.Probe, instance });
+};
+
+const refusePromotion = (state: GroupState, step: Step, instance: string): ResultCode | undefined => {
+    if (!isHolder(state, step) || state.publishedUntilMs <= step.nowMs) {
+        return ResultCode.NotHolder;
+    }
+    if (instance === state.stored?.row.primary) {
+        return ResultCode.Ok;
+    }
+    if (!(instance in state.instances)) {
+        return ResultCode.NoInstance;
+    }
+    const isBusy = state.election !== undefined || state.change !== undefined || state.plannedInstance !== undefined || state.isHandingOver;
+    return isBusy ? ResultCode.TermChanged : undefined;
+};
+
+const requestHandOver: Handler<EventOf<typeof GroupEventKind.HandOverRequested>> = (state, step) => {
+    state.isHandingOver = isHolder(state, step);
+};
+
+const handlers: { readonly [Kind in GroupEvent["kind"]]: Handler<EventOf<Kind>>; } = {
+    [GroupEventKind.Tick]: tick,
+    [GroupEventKind.Message]: (state, step, { from, message }) => receiveMessage(state, step, from, message),
+    [GroupEventKind.RowRead]: readRow,
+    [GroupEventKind.RowWritten]: (state, step, { operationId, result }) => settleChange(state, step, operationId, result),
+    [GroupEventKind.Probed]: receiveProbe,
+    [GroupEventKind.Frozen]: receiveProbe,
+    [GroupEventKind.Promoted]: state => {
+        state.primary.probedAtMs = -Infinity;
+    },
+    [GroupEventKind.InstanceReported]: receiveReport,
+    [GroupEventKind.PromotionRequested]: requestPromotion,
+    [GroupEventKind.HandOverRequested]: requestHandOver,
+};
+
+/**
+ * Applies an event to what a VM knows of a group.
+ *
+ * @returns the actions to carry out, in order
+ */
+export const stepGroup = (state: GroupState, event: GroupEvent, context: Omit<Step, "actions">): readonly GroupAction[] => {
+    const step: Step = { ...context, actions: [] };
+    (handlers[event.kind] as Handler<GroupEvent>)(state, step, event);
+    return step.actions;
+};
