Add controllers: membership, holders and the proxy's view

Cause: the proxies ran on a fixed view; nothing told them which VMs live or who holds an instance.

Change: membership as a deterministic step function (heartbeats over a small overlay, suspicion and refutation by incarnation and sequence, the platform's list), holders by rendezvous hash inside the instance's failure domain, one gRPC stream a pair of controllers, a stream of view changes to the VM's proxy, configuration by poll of a few and push to the rest. The stand-in knows pg_walfile_name and pg_stat_wal_receiver.

Conclusion: the thin control path stands; leases, drain, proofs of membership and the cost are next.

--- a/packages/shared/types/src/ControlView.ts
+++ b/packages/shared/types/src/ControlView.ts
@@ -18,6 +18,8 @@
     readonly history: readonly TermStart[];
     /** The VM that holds each instance, by the instance's name. */
     readonly holders: Readonly<Record<string, string>>;
+    /** Instances on backend VMs that are leaving: they get no new work. Absent means none. */
+    readonly leavingInstances?: readonly string[];
     /**
      * Monotonic time of this VM until which it may acknowledge writes of the group, in milliseconds.
      * Undefined on VMs that do not hold the group's primary.
--- /dev/null
+++ b/programs/controller/src/ControllerNode.ts
@@ -0,0 +1,221 @@
+import { assignHolders, type Holders } from "@pomeloturn/assign-holders/assignHolders";
+import type { pomeloturn } from "@pomeloturn/control-messages/generated/control";
+import { describeVms, leavingBackends, shouldPoll } from "@pomeloturn/membership/describeVms";
+import { Condition, type Member } from "@pomeloturn/membership/Member";
+import { MembershipEventKind } from "@pomeloturn/membership/membershipMessages";
+import { type ControlView, VmState, type VmView } from "@pomeloturn/types/ControlView";
+import type { ControllerVm, LeaseService } from "@pomeloturn/types/Leadership";
+import type { ObjectStore, TableService, VmList } from "@pomeloturn/types/Platform";
+import type { ActorSystemRef } from "nact";
+import { buildView } from "./buildView.ts";
+import { ConfigurationKeeper } from "./ConfigurationKeeper.ts";
+import type { ControlTransport } from "./ControlTransport.ts";
+import { MembershipActor } from "./MembershipActor.ts";
+import { ProxyLink } from "./ProxyLink.ts";
+
+type IControlMessage = pomeloturn.control.IControlMessage;
+type MessageHandler = (from: string, message: IControlMessage) => void;
+
+const CONFIGURATION_REQUEST_INTERVAL_MS = 1_000;
+const JOIN_ADDRESS_LIMIT = 3;
+
+/** What a node works with. */
+export interface ControllerNodeOptions {
+    readonly system: ActorSystemRef;
+    readonly self: Member;
+    readonly seeds: readonly string[];
+    readonly table: TableService;
+    readonly objects: ObjectStore;
+    readonly vmList: VmList;
+    readonly transport: ControlTransport;
+    createLeases(node: ControllerNode): LeaseService;
+    nowMs(): number;
+    onConfigurationInvalid(objectName: string, error: Error): void;
+    /** Another process runs under this VM's name. */
+    onSuperseded(): void;
+}
+
+/** One VM's controller without its sockets and timers: `tick` each second, `pushView` more often. */
+export class ControllerNode {
+    readonly proxy = ProxyLink.create();
+    readonly members: MembershipActor;
+    readonly configuration: ConfigurationKeeper;
+    readonly leases: LeaseService;
+    vms: Readonly<Record<string, VmView>> = {};
+    view: ControlView | undefined;
+    private holders: Holders = {};
+    private vmsText = "";
+    private isPolling = false;
+    private joinIndex = 0;
+    private configurationRequestedAtMs = -Infinity;
+    private readonly handlers: readonly (readonly [key: keyof IControlMessage, handler: MessageHandler])[] = [
+        ["lease", (from, { lease }) => this.leases.receive(from, lease?.payload ?? new Uint8Array(0))],
+        ["configurationOffer", (from, { configurationOffer }) => this.receiveOffer(from, configurationOffer!)],
+        ["configurationRequest", from => this.options.transport.send(from, { configurationOffer: this.configuration.describe() })],
+    ];
+
+    private constructor(private readonly options: ControllerNodeOptions) {
+        const { system, self, transport, table, objects } = options;
+        this.configuration = ConfigurationKeeper.create({
+            table,
+            objects,
+            onAdopted: () => this.adoptConfiguration(),
+            onInvalid: (objectName, error) => options.onConfigurationInvalid(objectName, error),
+        });
+        this.members = MembershipActor.create({
+            system,
+            self,
+            transport,
+            configurationVersion: () => this.configuration.version,
+            nowMs: () => options.nowMs(),
+            onChanged: () => this.refreshVms(),
+            onSuperseded: () => options.onSuperseded(),
+        });
+        this.leases = options.createLeases(this);
+        this.refreshVms();
+    }
+
+    static create(options: ControllerNodeOptions): ControllerNode {
+        return new ControllerNode(options);
+    }
+
+    /** Takes a message of another VM's controller. */
+    receive(from: string, message: IControlMessage): void {
+        const { heartbeat } = message;
+        if (heartbeat && (heartbeat.configurationVersion ?? 0) > this.configuration.version) {
+            this.requestConfiguration(from);
+        }
+        if (!this.members.receive(from, message)) {
+            this.handlers.find(([key]) => message[key])?.[1](from, message);
+        }
+    }
+
+    /** To be called at each heartbeat interval. */
+    tick(): void {
+        this.members.dispatch({ kind: MembershipEventKind.Tick });
+        this.refreshVms();
+        this.join();
+        void this.poll();
+    }
+
+    /** Tells the proxy what changed, also how long the leases now last. */
+    pushView(): void {
+        const { configuration, version } = this.configuration;
+        if (configuration === undefined) {
+            return;
+        }
+        this.view = buildView(this.view, {
+            configVersion: version,
+            configuration,
+            vms: this.vms,
+            holders: this.holders,
+            leavingBackends: leavingBackends(this.members.state),
+            leadership: this.leases.leadership(),
+        });
+        this.proxy.push(this.view);
+    }
+
+    /** Tells all others that this VM leaves, so that it gets no new holdership. */
+    leave(): void {
+        this.members.dispatch({ kind: MembershipEventKind.Leave });
+    }
+
+    close(): void {
+        this.leases.close();
+    }
+
+    private refreshVms(): void {
+        const vms = describeVms(this.members.state, this.options.nowMs());
+        const text = JSON.stringify(vms);
+        if (text !== this.vmsText) {
+            this.vmsText = text;
+            this.vms = vms;
+            this.leases?.setVms(this.describeControllers());
+            this.reassign();
+        }
+        else {
+            this.pushView();
+        }
+    }
+
+    private reassign(): void {
+        const { configuration } = this.configuration;
+        if (configuration !== undefined) {
+            this.holders = assignHolders(configuration, this.vms);
+        }
+        this.pushView();
+    }
+
+    private describeControllers(): ControllerVm[] {
+        const { self, members } = this.members.state;
+        return [self, ...members.values()]
+            .filter(({ condition }) => condition !== Condition.Gone)
+            .map(({ vm, incarnation, failureDomain }) => ({
+                vm,
+                incarnation,
+                failureDomain,
+                isLeaving: this.vms[vm]?.state !== VmState.Live,
+            }));
+    }
+
+    private adoptConfiguration(): void {
+        const { configuration, version } = this.configuration;
+        const groups = Object.entries(configuration?.groups ?? {}).map(([group, { instances }]) => [
+            group,
+            Object.fromEntries(Object.entries(instances).map(([instance, { failureDomain }]) => [instance, failureDomain])),
+        ]);
+        this.leases.setGroups(Object.fromEntries(groups) as Record<string, Record<string, string>>);
+        this.reassign();
+        const { outgoing, incoming } = this.members.state.neighbors;
+        for (const vm of new Set([...outgoing, ...incoming])) {
+            this.options.transport.send(vm, { configurationOffer: { version } });
+        }
+    }
+
+    private receiveOffer(from: string, offer: pomeloturn.control.IConfigurationOffer): void {
+        const { version, objectName, body } = offer;
+        if ((version ?? 0) > this.configuration.version && !body) {
+            this.requestConfiguration(from);
+            return;
+        }
+        this.configuration.offer(version ?? 0, objectName ?? "", body ?? "");
+    }
+
+    private requestConfiguration(from: string): void {
+        const nowMs = this.options.nowMs();
+        if (nowMs - this.configurationRequestedAtMs >= CONFIGURATION_REQUEST_INTERVAL_MS) {
+            this.configurationRequestedAtMs = nowMs;
+            this.options.transport.send(from, { configurationRequest: {} });
+        }
+    }
+
+    /** Asks the platform for the VM list and the configuration's head when it is this VM's turn. */
+    private async poll(): Promise<void> {
+        const { listing } = this.members.state;
+        const ageMs = listing === undefined ? undefined : this.options.nowMs() - listing.listedAtMs;
+        if (this.isPolling || !shouldPoll(this.members.state, ageMs)) {
+            return;
+        }
+        this.isPolling = true;
+        await Promise.allSettled([
+            this.configuration.poll(),
+            this.options.vmList.list().then(vms => this.members.dispatch({ kind: MembershipEventKind.Listed, vms })),
+        ]);
+        this.isPolling = false;
+    }
+
+    /** A VM that hears no other asks the seeds and the listed VMs for the members. */
+    private join(): void {
+        const { self, members, listing } = this.members.state;
+        if ([...members.values()].some(({ condition }) => condition !== Condition.Gone)) {
+            return;
+        }
+        const own = `${self.host}:${self.controllerPort}`;
+        const listed = [...(listing?.vms.values() ?? [])].map(({ host }) => `${host}:${self.controllerPort}`);
+        const addresses = [...new Set([...this.options.seeds, ...listed])].filter(address => address !== own);
+        for (let count = 0; count < Math.min(JOIN_ADDRESS_LIMIT, addresses.length); count++) {
+            const address = addresses[this.joinIndex++ % addresses.length]!;
+            this.options.transport.sendToAddress(address, { membersRequest: { failureDomain: "" } });
+        }
+    }
+}
--- /dev/null
+++ b/programs/controller/src/MembershipActor.ts
@@ -0,0 +1,106 @@
+import { toHeartbeat, toListingChange, toMember } from "@pomeloturn/control-link/convertMembership";
+import type { pomeloturn } from "@pomeloturn/control-messages/generated/control";
+import type { Member } from "@pomeloturn/membership/Member";
+import {
+    type MembershipAction,
+    MembershipActionKind,
+    type MembershipEvent,
+    MembershipEventKind,
+} from "@pomeloturn/membership/membershipMessages";
+import { createMembership, type MembershipState } from "@pomeloturn/membership/MembershipState";
+import { stepMembership } from "@pomeloturn/membership/stepMembership";
+import { type ActorSystemRef, dispatch, type Ref, spawnStateless } from "nact";
+import type { ControlTransport } from "./ControlTransport.ts";
+
+type IControlMessage = pomeloturn.control.IControlMessage;
+type ActionHandlers = { readonly [Kind in MembershipAction["kind"]]: (action: Extract<MembershipAction, { kind: Kind; }>) => void; };
+
+/** What the actor works with. */
+export interface MembershipActorOptions {
+    readonly system: ActorSystemRef;
+    readonly self: Member;
+    readonly transport: ControlTransport;
+    configurationVersion(): number;
+    nowMs(): number;
+    onChanged(): void;
+    onSuperseded(): void;
+}
+
+/** Carries out what `stepMembership` decides. */
+export class MembershipActor {
+    readonly state: MembershipState;
+    private readonly reference: Ref<MembershipEvent>;
+    private readonly handlers: ActionHandlers;
+
+    private constructor(private readonly options: MembershipActorOptions) {
+        this.state = createMembership(options.self, options.nowMs());
+        this.reference = spawnStateless(options.system, (event: MembershipEvent) => this.step(event), `membership-${options.self.vm}`);
+        this.handlers = this.createHandlers();
+    }
+
+    static create(options: MembershipActorOptions): MembershipActor {
+        return new MembershipActor(options);
+    }
+
+    dispatch(event: MembershipEvent): void {
+        dispatch(this.reference, event);
+    }
+
+    /** Takes a message of another controller; @returns false when it is not about membership */
+    receive(from: string, message: IControlMessage): boolean {
+        const event = toEvent(from, message);
+        if (event !== undefined) {
+            this.dispatch(event);
+        }
+        return event !== undefined;
+    }
+
+    private step(event: MembershipEvent): void {
+        for (const action of stepMembership(this.state, event, this.options.nowMs())) {
+            const handler = this.handlers[action.kind] as (action: MembershipAction) => void;
+            handler(action);
+        }
+    }
+
+    private createHandlers(): ActionHandlers {
+        const { transport } = this.options;
+        return {
+            [MembershipActionKind.SendHeartbeat]: ({ vm, heartbeat: { listingAgeMs, digests, ...rest } }) =>
+                transport.send(vm, {
+                    heartbeat: {
+                        ...rest,
+                        digests: [...digests],
+                        configurationVersion: this.options.configurationVersion(),
+                        ...(listingAgeMs === undefined ? {} : { listingAgeMs }),
+                    },
+                }),
+            [MembershipActionKind.SendMembers]: ({ vm, members }) => transport.send(vm, { members: { members: [...members] } }),
+            [MembershipActionKind.RequestMembers]: ({ vm, failureDomain }) => transport.send(vm, { membersRequest: { failureDomain } }),
+            [MembershipActionKind.SendListing]: ({ vm, change: { listed, removed, isComplete, ageMs } }) =>
+                transport.send(vm, { vmListing: { listed: [...listed], removed: [...removed], isComplete, ageMs } }),
+            [MembershipActionKind.RequestListing]: ({ vm }) => transport.send(vm, { listingRequest: {} }),
+            [MembershipActionKind.Changed]: () => this.options.onChanged(),
+            [MembershipActionKind.Superseded]: () => this.options.onSuperseded(),
+        };
+    }
+}
+
+const toEvent = (from: string, message: IControlMessage): MembershipEvent | undefined => {
+    const { hello, heartbeat, members, membersRequest, vmListing, listingRequest } = message;
+    if (heartbeat) {
+        return { kind: MembershipEventKind.Heartbeat, from, heartbeat: toHeartbeat(heartbeat) };
+    }
+    if (members) {
+        return { kind: MembershipEventKind.Members, from, members: (members.members ?? []).map(toMember) };
+    }
+    if (membersRequest) {
+        return { kind: MembershipEventKind.MembersRequest, from, failureDomain: membersRequest.failureDomain ?? "" };
+    }
+    if (vmListing) {
+        return { kind: MembershipEventKind.ListingChange, from, change: toListingChange(vmListing) };
+    }
+    if (listingRequest) {
+        return { kind: MembershipEventKind.ListingRequest, from };
+    }
+    return hello?.self ? { kind: MembershipEventKind.Members, from, members: [toMember(hello.self)] } : undefined;
+};
--- a/programs/proxy/src/Proxy.ts
+++ b/programs/proxy/src/Proxy.ts
@@ -8,6 +8,7 @@
 import type { ControlView } from "@pomeloturn/types/ControlView";
 import { type ActorSystemRef, start, stop } from "nact";
 import { CallerListener } from "./CallerListener.ts";
+import { ControlSource } from "./ControlSource.ts";
 import { LocalHolders } from "./LocalHolders.ts";
 import type { ProxySettings } from "./ProxySettings.ts";
 import { RequestRouter } from "./RequestRouter.ts";
@@ -39,6 +40,7 @@
     private readonly callers: CallerListener;
     private readonly statusPuller: StatusPuller;
     private view: ControlView;
+    private controlSource: ControlSource | undefined;
     private nextRequestId = 1;
 
     private constructor(private readonly settings: ProxySettings, private readonly classifier: StatementClassifier) {
@@ -63,6 +65,7 @@
         const proxy = new Proxy(settings, await StatementClassifier.create());
         await proxy.peerServer.listen(settings.peerHost, settings.peerPort);
         await proxy.callers.listen(settings.callerHost, settings.callerPort);
+        proxy.connectController();
         proxy.logger.info({ event: "listening", callerPort: settings.callerPort, peerPort: settings.peerPort });
         return proxy;
     }
@@ -73,6 +76,7 @@
     }
 
     close(): void {
+        this.controlSource?.close();
         this.callers.close();
         this.statusPuller.close();
         this.router.close();
@@ -81,6 +85,14 @@
         stop(this.system);
     }
 
+    private connectController(): void {
+        const { vm, peerHost, controllerPort } = this.settings;
+        if (controllerPort !== undefined) {
+            const address = `${peerHost}:${controllerPort}`;
+            this.controlSource = ControlSource.create({ vm, address, initialView: this.view, onView: view => this.setView(view) });
+        }
+    }
+
     private sessionEnvironment(onClosed: () => void): SessionEnvironment {
         return {
             system: this.system,
--- a/programs/standin/src/database/statements.ts
+++ b/programs/standin/src/database/statements.ts
@@ -156,6 +156,21 @@
     run: (_session, match) => oneRow(match[1]),
 };
 
+/** Name of the log file that is written: timeline, then where in the log, 8 hexadecimal digits each. */
+const walFileName: StatementForm = {
+    pattern: pattern("select pg_walfile_name\\(pg_current_wal_insert_lsn\\(\\)\\)"),
+    columns: () => ["pg_walfile_name"],
+    isWork: false,
+    run: session => oneRow(session.instance.timeline.toString(16).toUpperCase().padStart(8, "0").padEnd(24, "0")),
+};
+
+const receivedTimeline: StatementForm = {
+    pattern: pattern("select received_tli from pg_stat_wal_receiver"),
+    columns: () => ["received_tli"],
+    isWork: false,
+    run: session => session.instance.isReplica ? oneRow(String(session.instance.timeline)) : done("SELECT 0"),
+};
+
 /** The statements of the stand-in, tried in order. */
 export const statementForms: readonly StatementForm[] = [
     select,
@@ -169,6 +184,8 @@
         return "t";
     }),
     query("pg_current_timeline", session => String(session.instance.timeline)),
+    walFileName,
+    receivedTimeline,
     query("pg_reload_conf", () => "t"),
     command("(?:begin|start transaction)(?: .*)?", session => {
         session.begin();
--- /dev/null
+++ b/tests/controllers.test.ts
@@ -0,0 +1,52 @@
+import { afterEach, beforeEach, describe, expect, it } from "vitest";
+import { ControlledDeployment } from "./support/ControlledDeployment.ts";
+
+const VM_COUNT = 3;
+
+describe("three VMs with a controller and a proxy each", () => {
+    let deployment: ControlledDeployment;
+
+    beforeEach(async () => {
+        deployment = await ControlledDeployment.create(VM_COUNT);
+    });
+
+    afterEach(() => deployment.close());
+
+    const write = async (index: number, key: string): Promise<void> => {
+        const client = await deployment.connect(index);
+        await deployment.waitFor(() => client.query("INSERT INTO entries (key, value) VALUES ($1, 'one') ON CONFLICT DO NOTHING", [key]));
+    };
+
+    it("serves writes and reads at every proxy", async () => {
+        for (let index = 0; index < VM_COUNT; index++) {
+            await write(index, `key-${index}`);
+        }
+        const client = await deployment.connect(0);
+        const read = await client.query("SELECT count(*) FROM entries");
+        expect(read.rows).toEqual([{ count: "3" }]);
+    });
+
+    it.each([0, 1, 2])("goes on after VM %i is killed, and takes it back", async killed => {
+        await write((killed + 1) % VM_COUNT, "before");
+        await Promise.all([deployment.vms[killed]!.controller.kill("SIGKILL"), deployment.vms[killed]!.proxy.kill("SIGKILL")]);
+        await write((killed + 1) % VM_COUNT, "after");
+        await deployment.startVm(killed);
+        await write(killed, "returned");
+    });
+
+    it("serves from the last view while the controllers are gone", async () => {
+        await write(0, "before");
+        const client = await deployment.connect(0, "-c pomeloturn.token=new");
+        await Promise.all(deployment.vms.map(({ controller }) => controller.kill("SIGKILL")));
+        const read = await client.query("SELECT value FROM entries WHERE key = 'before'");
+        expect(read.rows).toEqual([{ value: "one" }]);
+    });
+
+    it("starts a VM during a store outage", async () => {
+        await write(0, "before");
+        await Promise.all([deployment.vms[2]!.controller.kill("SIGKILL"), deployment.vms[2]!.proxy.kill("SIGKILL")]);
+        await deployment.applyFault({ platformFaults: { isDown: true } });
+        await deployment.startVm(2);
+        await write(2, "during");
+    });
+});
--- /dev/null
+++ b/tests/support/ControlledDeployment.ts
@@ -0,0 +1,121 @@
+import type { ListedVm } from "@pomeloturn/types/Platform";
+import pg from "pg";
+import { findPorts } from "./findPorts.ts";
+import { ProgramProcess } from "./ProgramProcess.ts";
+import { createSmallDeployment, type SmallDeployment } from "./smallDeployment.ts";
+
+const LOCALHOST = "127.0.0.1";
+const WAIT_TIMEOUT_MS = 30_000;
+const POLL_INTERVAL_MS = 50;
+
+/** An entry VM's two processes. */
+export interface VmProcesses {
+    readonly vm: string;
+    readonly callerPort: number;
+    controller: ProgramProcess;
+    proxy: ProgramProcess;
+}
+
+/** Stand-in, controllers and proxies, each a process, on free ports of the loopback address. */
+export class ControlledDeployment {
+    readonly vms: VmProcesses[] = [];
+    private standin: ProgramProcess | undefined;
+    private readonly clients: pg.Client[] = [];
+
+    private constructor(readonly small: SmallDeployment, private readonly controllerPorts: readonly number[]) {}
+
+    static async create(vmCount: number): Promise<ControlledDeployment> {
+        const small = await createSmallDeployment(vmCount, { expiresAtMs: 0 });
+        const deployment = new ControlledDeployment(small, await findPorts(vmCount));
+        await deployment.startStandin();
+        await Promise.all(small.proxies.map((_each, index) => deployment.startVm(index)));
+        return deployment;
+    }
+
+    /** Sets faults of the stand-in; @returns the counts of store operations */
+    async applyFault(fault: object): Promise<{ readonly readCount: number; readonly writeCount: number; }> {
+        const response = await fetch(`${this.platformUrl}/faults`, { method: "POST", body: JSON.stringify(fault) });
+        return await response.json() as { readCount: number; writeCount: number; };
+    }
+
+    /** Starts the processes of a VM, again when they have ended. */
+    async startVm(index: number): Promise<void> {
+        const address = this.small.proxies[index]!;
+        const controllerPort = this.controllerPorts[index]!;
+        const controller = await ProgramProcess.create("controller", {
+            vm: address.vm,
+            failureDomain: address.failureDomain,
+            host: LOCALHOST,
+            controllerPort,
+            peerPort: address.peerPort,
+            seeds: this.controllerPorts.map(port => `${LOCALHOST}:${port}`),
+            platformUrl: this.platformUrl,
+            drainDeadlineMs: 5_000,
+        }, controllerPort);
+        const proxy = await ProgramProcess.create("proxy", { ...address, controllerPort }, address.callerPort);
+        this.vms[index] = { vm: address.vm, callerPort: address.callerPort, controller, proxy };
+    }
+
+    /** Connects a caller, again until the proxy knows the service. */
+    async connect(index: number, options = ""): Promise<pg.Client> {
+        return this.waitFor(async () => {
+            const client = new pg.Client({
+                host: LOCALHOST,
+                port: this.vms[index]!.callerPort,
+                user: "editor",
+                password: "secret",
+                database: "log-core",
+                ...(options === "" ? {} : { options }),
+            });
+            client.on("error", () => undefined);
+            await client.connect();
+            this.clients.push(client);
+            return client;
+        });
+    }
+
+    /** Repeats an attempt until it succeeds. @throws its last error after a time limit */
+    async waitFor<Result>(attempt: () => Promise<Result>): Promise<Result> {
+        const deadline = performance.now() + WAIT_TIMEOUT_MS;
+        for (;;) {
+            try {
+                return await attempt();
+            }
+            catch (error) {
+                if (performance.now() > deadline) {
+                    throw error;
+                }
+                await new Promise(resolve => setTimeout(resolve, POLL_INTERVAL_MS));
+            }
+        }
+    }
+
+    async close(): Promise<void> {
+        await Promise.allSettled(this.clients.map(client => client.end()));
+        await Promise.all(this.vms.flatMap(({ controller, proxy }) => [controller.kill(), proxy.kill()]));
+        await this.standin?.kill();
+    }
+
+    private get platformUrl(): string {
+        return `http://${LOCALHOST}:${this.small.standin.platformPort}`;
+    }
+
+    private async startStandin(): Promise<void> {
+        const vms: ListedVm[] = this.small.proxies.map(({ vm, failureDomain }) => ({
+            name: vm,
+            host: LOCALHOST,
+            failureDomain,
+            isLeaving: false,
+        }));
+        this.standin = await ProgramProcess.create("standin", { ...this.small.standin, vms }, this.small.standin.platformPort);
+        await this.applyConfiguration();
+    }
+
+    private async applyConfiguration(): Promise<void> {
+        const objectName = "config/versions/1";
+        const body = JSON.stringify({ version: 1, configuration: this.small.configuration });
+        await fetch(`${this.platformUrl}/objects?name=${encodeURIComponent(objectName)}`, { method: "PUT", body });
+        const writes = [{ key: "config/head", expectedVersion: 0, value: JSON.stringify({ version: 1, objectName, files: [] }) }];
+        await fetch(`${this.platformUrl}/table/transact`, { method: "POST", body: JSON.stringify({ operationId: "apply-1", writes }) });
+    }
+}
