Decide how an edit of the configuration is applied

Cause: operators race each other, and the store's answers are lost after a change took effect.

Change: stepApply reads head and history, rebases the edit by file, checks the merged result, puts the files under a name that follows from their text, and changes both rows in one transaction. A missing answer repeats the same operation id; the history holds a hash of the edit, so that a second run of the command finds the first. planApply refuses a file that both changed (504, with the other edit), a changed owner (508) and an edit whose base is not stated or kept (512, new). FakePlatform is the platform in memory for tests.

--- a/packages/shared/errors/src/ResultCode.ts
+++ b/packages/shared/errors/src/ResultCode.ts
@@ -57,5 +57,6 @@
     UnknownOperatorCommand: 509,
     OperatorCommandFailed: 510,
     OperatorUnreachable: 511,
+    BaseVersionUnknown: 512,
 } as const;
 export type ResultCode = typeof ResultCode[keyof typeof ResultCode];
--- a/packages/shared/errors/src/resultTable.test.ts
+++ b/packages/shared/errors/src/resultTable.test.ts
@@ -6,8 +6,7 @@
 
 const errorCodes = Object.entries(ResultCode).filter(([, code]) => code !== ResultCode.Ok);
 
-const documentedRows = (): string[] =>
-    readFileSync("docs/RESULT-CODES.md", "utf8").split("\n").filter(line => /^\| \d/.test(line));
+const documentedRows = (): string[] => readFileSync("docs/RESULT-CODES.md", "utf8").split("\n").filter(line => /^\| \d/.test(line));
 
 describe("result table", () => {
     it.each(errorCodes)("describes %s under its own name", (name, code) => {
@@ -15,7 +14,9 @@
     });
 
     it("stands in docs/RESULT-CODES.md line for line", () => {
-        const rows = [...resultTable].map(([code, { name, sqlState, effect, message }]) => `| ${code} | ${name} | ${sqlState} | ${effect} | ${message} |`);
+        const rows = [...resultTable].map(([code, { name, sqlState, effect, message }]) =>
+            `| ${code} | ${name} | ${sqlState} | ${effect} | ${message} |`
+        );
         expect(documentedRows()).toEqual(rows);
     });
 
--- a/packages/shared/errors/src/resultTable.ts
+++ b/packages/shared/errors/src/resultTable.ts
@@ -70,6 +70,13 @@
     [ResultCode.UnknownOperatorCommand, "UnknownOperatorCommand", "F0000", Effect.NotRun, "the process has no such command"],
     [ResultCode.OperatorCommandFailed, "OperatorCommandFailed", "F0000", Effect.OutcomeUnknown, "the operator's command failed"],
     [ResultCode.OperatorUnreachable, "OperatorUnreachable", "F0000", Effect.OutcomeUnknown, "the process did not answer the operator"],
+    [
+        ResultCode.BaseVersionUnknown,
+        "BaseVersionUnknown",
+        "F0000",
+        Effect.NotRun,
+        "the version that the files were edited from is not stated or not kept",
+    ],
 ];
 
 /** Every error result by its number. */
--- a/packages/version/config-version/src/ConfigHead.ts
+++ b/packages/version/config-version/src/ConfigHead.ts
@@ -34,7 +34,7 @@
 export interface HistoryEntry {
     readonly version: number;
     readonly objectName: string;
-    /** Differs for each run of `config apply`. */
+    /** Hash of the edit: its operator, base and files. */
     readonly applyId: string;
     readonly operator: string;
     /** Wall-clock time at the operator, in milliseconds since 1970. */
--- /dev/null
+++ b/packages/version/config-version/src/planApply.ts
@@ -0,0 +1,138 @@
+import { ResultCode } from "@pomeloturn/errors/ResultCode";
+import { type ConfigFile, type ConfigProblem, Owner, type ParsedFile } from "@pomeloturn/merge-config/ConfigFile";
+import { formatProblem, mergeConfig } from "@pomeloturn/merge-config/mergeConfig";
+import { parseConfigFile } from "@pomeloturn/merge-config/parseConfigFile";
+import { hashText, packBundle } from "./ConfigBundle.ts";
+import type { ConfigHead, FileVersion, HistoryEntry } from "./ConfigHead.ts";
+import { diffFile, formatChange, toTexts } from "./diffFiles.ts";
+
+/** A folder that an operator wants in force. */
+export interface ConfigEdit {
+    readonly operator: string;
+    /** Wall-clock time at the operator, in milliseconds since 1970. */
+    readonly appliedAtMs: number;
+    /** Version that the folder was edited from; undefined when the operator did not state it. */
+    readonly baseVersion: number | undefined;
+    readonly files: readonly ConfigFile[];
+}
+
+/** The version in force with its files, and the files of the version that the folder was edited from. */
+export interface ApplyInputs {
+    readonly edit: ConfigEdit;
+    readonly applyId: string;
+    readonly head: ConfigHead;
+    readonly history: readonly HistoryEntry[];
+    readonly headFiles: readonly ConfigFile[];
+    readonly baseFiles: readonly ConfigFile[];
+}
+
+/** Constants for `ApplyPlan.kind`. */
+export const ApplyPlanKind = {
+    Write: "write",
+    Unchanged: "unchanged",
+    Refuse: "refuse",
+} as const;
+
+/** What is to be done for an edit. */
+export type ApplyPlan =
+    | {
+        readonly kind: typeof ApplyPlanKind.Write;
+        readonly head: ConfigHead;
+        readonly history: readonly HistoryEntry[];
+        readonly body: string;
+    }
+    | { readonly kind: typeof ApplyPlanKind.Unchanged; readonly version: number; }
+    | { readonly kind: typeof ApplyPlanKind.Refuse; readonly code: ResultCode; readonly detail: string; };
+
+/** Versions that stay known as bases of edits. */
+export const HISTORY_LENGTH = 50;
+
+/**
+ * Decides what an edit does to the version in force. A file that the edit left as it was in the base keeps what
+ * others made of it; a file that both changed is refused, with the other change shown.
+ */
+export const planApply = (inputs: ApplyInputs): ApplyPlan => {
+    const { edit, head, headFiles } = inputs;
+    const { files, conflicts } = rebase(inputs);
+    if (conflicts.length > 0) {
+        return refuse(ResultCode.ConfigurationConflict, conflicts.join("; "));
+    }
+    const headTexts = toTexts(headFiles);
+    const texts = toTexts(files);
+    const changedFiles = [...new Set([...headTexts.keys(), ...texts.keys()])].filter(name => headTexts.get(name) !== texts.get(name))
+        .sort();
+    if (changedFiles.length === 0) {
+        return { kind: ApplyPlanKind.Unchanged, version: head.version };
+    }
+    const problems = [...checkOwners(head, files), ...mergeConfig(files).problems];
+    if (problems.length > 0) {
+        return refuse(problems[0]!.code, problems.map(formatProblem).join("; "));
+    }
+    return write(edit, files, changedFiles, inputs);
+};
+
+const refuse = (code: ResultCode, detail: string): ApplyPlan => ({ kind: ApplyPlanKind.Refuse, code, detail });
+
+const rebase = ({ edit, history, headFiles, baseFiles }: ApplyInputs): { readonly files: ConfigFile[]; readonly conflicts: string[]; } => {
+    const [base, edited, standing] = [baseFiles, edit.files, headFiles].map(toTexts) as [Texts, Texts, Texts];
+    const names = [...new Set([...base.keys(), ...edited.keys(), ...standing.keys()])].sort();
+    const files: ConfigFile[] = [];
+    const conflicts: string[] = [];
+    for (const name of names) {
+        const isConflict = edited.get(name) !== base.get(name) && standing.get(name) !== base.get(name)
+            && edited.get(name) !== standing.get(name);
+        if (isConflict) {
+            conflicts.push(describeConflict(name, base.get(name), standing.get(name), history));
+        }
+        const text = edited.get(name) === base.get(name) ? standing.get(name) : edited.get(name);
+        if (text !== undefined) {
+            files.push({ name, text });
+        }
+    }
+    return { files, conflicts };
+};
+
+type Texts = ReadonlyMap<string, string>;
+
+const describeConflict = (
+    name: string,
+    before: string | undefined,
+    after: string | undefined,
+    history: readonly HistoryEntry[],
+): string => {
+    const entry = history.find(({ changedFiles }) => changedFiles.includes(name));
+    const author = entry === undefined ? "another edit" : `${entry.operator} in version ${entry.version}`;
+    const changes = diffFile(name, before, after).map(formatChange).join(", ") || "only the layout";
+    return `${name} was changed by ${author}: ${changes}`;
+};
+
+/** A file's owner never changes, so that nobody takes over what the other approved. */
+const checkOwners = (head: ConfigHead, files: readonly ConfigFile[]): ConfigProblem[] =>
+    files.map(parseConfigFile).filter((each): each is ParsedFile => "patch" in each).flatMap(({ name, owner }) => {
+        const known = head.files.find(file => file.name === name);
+        const message = `the file belongs to ${known?.owner}`;
+        return known === undefined || known.owner === owner
+            ? []
+            : [{ code: ResultCode.OwnerConflict, file: name, path: "/owner", rule: "owner", message }];
+    });
+
+const write = (edit: ConfigEdit, files: readonly ConfigFile[], changedFiles: readonly string[], inputs: ApplyInputs): ApplyPlan => {
+    const version = inputs.head.version + 1;
+    const { objectName, body } = packBundle({ version, files });
+    const { operator, appliedAtMs } = edit;
+    const entry: HistoryEntry = { version, objectName, applyId: inputs.applyId, operator, appliedAtMs, changedFiles };
+    return {
+        kind: ApplyPlanKind.Write,
+        head: { version, objectName, files: files.map(file => toFileVersion(file, version, inputs.head)) },
+        history: [entry, ...inputs.history].slice(0, HISTORY_LENGTH),
+        body,
+    };
+};
+
+const toFileVersion = (file: ConfigFile, version: number, head: ConfigHead): FileVersion => {
+    const hash = hashText(file.text);
+    const known = head.files.find(({ name }) => name === file.name);
+    const parsed = parseConfigFile(file);
+    const owner = "patch" in parsed ? parsed.owner : Owner.Engineering;
+    return known?.hash === hash ? known : { name: file.name, owner, hash, version };
+};
--- a/scripts/make-result-codes.js
+++ b/scripts/make-result-codes.js
@@ -11,7 +11,9 @@
 });
 const source = Buffer.from(bundle.outputFiles[0].contents).toString("base64");
 const { resultTable } = await import(`data:text/javascript;base64,${source}`);
-const rows = [...resultTable].map(([code, { name, sqlState, effect, message }]) => `| ${code} | ${name} | ${sqlState} | ${effect} | ${message} |`);
+const rows = [...resultTable].map(([code, { name, sqlState, effect, message }]) =>
+    `| ${code} | ${name} | ${sqlState} | ${effect} | ${message} |`
+);
 const page = `# Result codes: what does a number mean?
 
 Every error of pomeloturn carries a number, in the message and in the detail field (\`result=301 effect=not run\`). The effect is certain: "not run" means that the request had no effect and may be repeated; "outcome unknown" means that it may have run, so repeat it only under a request id.
--- /dev/null
+++ b/tests/support/FakePlatform.ts
@@ -0,0 +1,88 @@
+import { PomeloturnError } from "@pomeloturn/errors/PomeloturnError";
+import { ResultCode } from "@pomeloturn/errors/ResultCode";
+import type { ListedVm, ObjectStore, TableResult, TableRow, TableService, TableWrite, VmList } from "@pomeloturn/types/Platform";
+
+/** The platform in memory. Its contract tests run against the stand-in too. */
+export class FakePlatform implements TableService, ObjectStore, VmList {
+    isDown = false;
+    /** Number of changes that take effect but whose answer is lost. */
+    lostAnswers = 0;
+    vms: readonly ListedVm[] = [];
+    private readonly rows = new Map<string, TableRow>();
+    private readonly operations = new Map<string, TableResult>();
+    private readonly objects = new Map<string, string>();
+
+    private constructor() {}
+
+    static create(): FakePlatform {
+        return new FakePlatform();
+    }
+
+    async read(keys: readonly string[]): Promise<readonly TableRow[]> {
+        await this.reach();
+        return this.readRows(keys);
+    }
+
+    async transact(operationId: string, writes: readonly TableWrite[]): Promise<TableResult> {
+        await this.reach();
+        const result = this.change(operationId, writes);
+        if (this.lostAnswers > 0) {
+            this.lostAnswers--;
+            throw PomeloturnError.create(ResultCode.StoreUnavailable);
+        }
+        return result;
+    }
+
+    async put(name: string, body: string): Promise<void> {
+        await this.reach();
+        this.putObject(name, body);
+    }
+
+    async get(name: string): Promise<string | undefined> {
+        await this.reach();
+        return this.objects.get(name);
+    }
+
+    async list(): Promise<readonly ListedVm[]> {
+        await this.reach();
+        return this.vms;
+    }
+
+    /** `read` without faults. */
+    readRows(keys: readonly string[]): readonly TableRow[] {
+        return keys.map(key => this.rows.get(key) ?? { key, version: 0, value: "" });
+    }
+
+    /** `transact` without faults. */
+    change(operationId: string, writes: readonly TableWrite[]): TableResult {
+        const known = this.operations.get(operationId);
+        if (known !== undefined) {
+            return known;
+        }
+        const keys = writes.map(({ key }) => key);
+        const isApplied = this.readRows(keys).every(({ version }, index) => version === writes[index]!.expectedVersion);
+        if (isApplied) {
+            writes.forEach(({ key, expectedVersion, value }) => this.rows.set(key, { key, version: expectedVersion + 1, value }));
+        }
+        const result = { isApplied, rows: this.readRows(keys) };
+        this.operations.set(operationId, result);
+        return result;
+    }
+
+    /** `put` without faults. */
+    putObject(name: string, body: string): void {
+        this.objects.set(name, body);
+    }
+
+    /** `get` without faults. */
+    getObject(name: string): string | undefined {
+        return this.objects.get(name);
+    }
+
+    private async reach(): Promise<void> {
+        await Promise.resolve();
+        if (this.isDown) {
+            throw PomeloturnError.create(ResultCode.StoreUnavailable);
+        }
+    }
+}
--- /dev/null
+++ b/tests/support/applyFixture.ts
@@ -0,0 +1,134 @@
+/** A valid folder, edits of it and operators that apply them to the fake platform. */
+
+import {
+    type ApplyAction,
+    ApplyActionKind,
+    type ApplyEvent,
+    ApplyEventKind,
+    type ApplyOutcome,
+} from "@pomeloturn/config-version/applyMessages";
+import { openBundle } from "@pomeloturn/config-version/ConfigBundle";
+import { HISTORY_KEY, type HistoryEntry, parseHistory } from "@pomeloturn/config-version/ConfigHead";
+import { type ApplyState, createApply, stepApply } from "@pomeloturn/config-version/stepApply";
+import type { ConfigFile } from "@pomeloturn/merge-config/ConfigFile";
+import { expect } from "vitest";
+import { FakePlatform } from "./FakePlatform.ts";
+
+export const STEP_LIMIT = 500;
+const START: ApplyEvent = { kind: ApplyEventKind.Start };
+export const FAILED: ApplyEvent = { kind: ApplyEventKind.Failed };
+
+const RANK = { name: "filing", targetLatencyMs: 100, floorShare: 0.5, worth: 10, deadlineMs: 5_000 };
+const SERVICE = {
+    user: "editor",
+    password: "secret",
+    tokenKey: "key",
+    groups: ["log-1"],
+    ranks: [RANK],
+    defaultRank: "filing",
+    readKinds: { session: {} },
+    defaultReadKind: "session",
+    acknowledgeAfter: "primary",
+};
+const INSTANCE = { host: "127.0.0.1", port: 5432, failureDomain: "cluj-a", slots: 2, connections: 16 };
+const LINK = { fromRegion: "ro-nord", toRegion: "ro-sud", approvedBytesPerSecond: 100, approvedBytesPerMonth: 1_000 };
+export const SHARE = { fromRegion: "ro-nord", toRegion: "ro-sud", rank: "filing", bytesPerSecond: 60, bytesPerMonth: 600 };
+
+const PLACES = "10-places.json";
+export const FIRST = "20-first.json";
+export const SECOND = "21-second.json";
+export const FINANCE = "30-finance.json";
+
+export const file = (name: string, content: object, owner = "engineering"): ConfigFile => ({
+    name,
+    text: JSON.stringify({ owner, ...content }),
+});
+export const serviceFile = (name: string, service: string, patch: object): ConfigFile =>
+    file(name, { services: { [service]: { ...SERVICE, ...patch } } });
+
+export const FOLDER: readonly ConfigFile[] = [
+    file(PLACES, {
+        failureDomains: { "cluj-a": "ro-nord", "buc-a": "ro-sud" },
+        latency: { betweenFailureDomainsMs: 1, betweenRegionsMs: 12 },
+        groups: { "log-1": { database: "log", user: "proxy", password: "secret", instances: { one: INSTANCE } } },
+    }),
+    serviceFile(FIRST, "first", {}),
+    serviceFile(SECOND, "second", {}),
+    file(FINANCE, { links: [LINK] }, "finance"),
+];
+
+export const replace = (files: readonly ConfigFile[], ...changed: readonly ConfigFile[]): ConfigFile[] => [
+    ...files.filter(({ name }) => !changed.some(each => each.name === name)),
+    ...changed,
+];
+
+/** One operator's apply against the fake platform, an action at a time. */
+export class Operator {
+    readonly state: ApplyState;
+    action: ApplyAction;
+
+    constructor(private readonly platform: FakePlatform, name: string, baseVersion: number | undefined, files: readonly ConfigFile[]) {
+        this.state = createApply({ operator: name, appliedAtMs: 0, baseVersion, files });
+        this.action = stepApply(this.state, START);
+    }
+
+    get outcome(): ApplyOutcome | undefined {
+        return this.action.kind === ApplyActionKind.Done ? this.action.outcome : undefined;
+    }
+
+    /** Carries out the present action and hands its answer, or its loss, back. */
+    step(isLost = false): void {
+        const event = execute(this.platform, this.action);
+        this.receive(isLost ? FAILED : event);
+    }
+
+    receive(event: ApplyEvent): void {
+        this.action = stepApply(this.state, event);
+    }
+
+    finish(): ApplyOutcome {
+        for (let step = 0; step < STEP_LIMIT && this.outcome === undefined; step++) {
+            this.step();
+        }
+        return this.outcome!;
+    }
+}
+
+export const execute = (platform: FakePlatform, action: ApplyAction): ApplyEvent => {
+    const handlers = {
+        readRows: ({ keys }: { keys: readonly string[]; }) => ({ kind: ApplyEventKind.Rows, rows: platform.readRows(keys) }),
+        getObjects: ({ names }: { names: readonly string[]; }) => ({
+            kind: ApplyEventKind.Objects,
+            bodies: names.map(name => platform.getObject(name)),
+        }),
+        putObject: ({ name, body }: { name: string; body: string; }) => {
+            platform.putObject(name, body);
+            return { kind: ApplyEventKind.ObjectPut };
+        },
+        transact: ({ operationId, writes }: Extract<ApplyAction, { kind: "transact"; }>) => ({
+            kind: ApplyEventKind.Transacted,
+            result: platform.change(operationId, writes),
+        }),
+        done: () => FAILED,
+    };
+    return (handlers[action.kind] as (action: ApplyAction) => ApplyEvent)(action);
+};
+
+export const readHistory = (platform: FakePlatform): readonly HistoryEntry[] => parseHistory(platform.readRows([HISTORY_KEY])[0]!);
+
+export const readFiles = (platform: FakePlatform, version: number): ReadonlyMap<string, string> => {
+    const entry = readHistory(platform).find(each => each.version === version);
+    const files = entry === undefined ? [] : openBundle(entry.objectName, platform.getObject(entry.objectName)!).files;
+    return new Map(files.map(({ name, text }) => [name, text]));
+};
+
+export const prepare = (): FakePlatform => {
+    const platform = FakePlatform.create();
+    expect(new Operator(platform, "first", undefined, FOLDER).finish()).toMatchObject({ isAccepted: true, version: 1 });
+    return platform;
+};
+
+export const first = (user: string): ConfigFile => serviceFile(FIRST, "first", { user });
+export const second = (user: string): ConfigFile => serviceFile(SECOND, "second", { user });
+export const finance = (approvedBytesPerSecond: number): ConfigFile =>
+    file(FINANCE, { links: [{ ...LINK, approvedBytesPerSecond }] }, "finance");
