--- /dev/null
+++ b/programs/bench/src/decisionCost.ts
@@ -0,0 +1,81 @@
+import { AdmissionEventKind, createAdmission, stepAdmission } from "@pomeloturn/admit-request/admission";
+import { StatementClassifier } from "@pomeloturn/classify-statement/StatementClassifier";
+import { type SessionContext, SessionEventKind } from "@pomeloturn/session/sessionMessages";
+import { createSession } from "@pomeloturn/session/SessionState";
+import { stepSession } from "@pomeloturn/session/stepSession";
+import { createSampleConfiguration, SAMPLE_GROUP, SAMPLE_SERVICE } from "@pomeloturn/standin/sampleConfiguration";
+import type { ControlView, GroupView } from "@pomeloturn/types/ControlView";
+import { serialize } from "pg-protocol";
+
+const GROUP_COUNTS = [3, 560];
+const WARM_UP_COUNT = 20_000;
+const MEASURED_COUNT = 20_000;
+const PORTS = [1, 2, 3];
+const NO_EXPIRY_MS = 1e15;
+const RANK_COUNT = 3;
+
+const createView = (groupCount: number): ControlView => {
+    const sample = createSampleConfiguration(PORTS);
+    const names = Array.from({ length: groupCount }, (_each, index) => `log-${index + 1}`);
+    const service = { ...sample.services[SAMPLE_SERVICE]!, groups: names };
+    const group: GroupView = {
+        term: 1,
+        primary: "one",
+        history: [{ term: 1, position: 0 }],
+        holders: { one: "vm-1", two: "vm-2", three: "vm-3" },
+        leaseExpiresAtMs: NO_EXPIRY_MS,
+    };
+    return {
+        configVersion: 1,
+        configuration: {
+            ...sample,
+            services: { [SAMPLE_SERVICE]: service },
+            groups: Object.fromEntries(names.map(name => [name, sample.groups[SAMPLE_GROUP]!])),
+        },
+        vms: {},
+        groups: Object.fromEntries(names.map(name => [name, group])),
+    };
+};
+
+const measureAt = (groupCount: number, classifier: StatementClassifier): Record<string, number> => {
+    const view = createView(groupCount);
+    let requestId = 1;
+    const context: SessionContext = {
+        view,
+        vm: "vm-1",
+        failureDomain: "cluj-a",
+        statuses: new Map(),
+        classify: text => classifier.classify(text),
+        takeRequestId: () => requestId++,
+        random: () => 0.5,
+    };
+    const state = createSession("vm-1-1", SAMPLE_SERVICE, new Map(), {});
+    const admission = createAdmission(2, RANK_COUNT, 100);
+    const messages = [serialize.query("SELECT value FROM entries WHERE key = 'a' /*rank='lookup',key='a'*/")];
+    const run = (count: number): void => {
+        for (let turn = 0; turn < count; turn++) {
+            stepSession(state, { kind: SessionEventKind.Messages, messages }, context, turn);
+            const id = state.current!.request.requestId;
+            stepAdmission(admission, { kind: AdmissionEventKind.Arrived, item: { id, rank: 1, deadlineAtMs: turn + 1_000 } }, turn);
+            stepAdmission(admission, { kind: AdmissionEventKind.Finished, id }, turn);
+            state.current = undefined;
+        }
+    };
+    run(WARM_UP_COUNT);
+    const beforeBytes = process.memoryUsage().heapUsed;
+    const startedAt = process.hrtime.bigint();
+    run(MEASURED_COUNT);
+    const elapsedNs = Number(process.hrtime.bigint() - startedAt);
+    const allocatedBytes = process.memoryUsage().heapUsed - beforeBytes;
+    return {
+        groupCount,
+        nsPerStatement: Math.round(elapsedNs / MEASURED_COUNT),
+        bytesPerStatement: Math.round(allocatedBytes / MEASURED_COUNT),
+    };
+};
+
+/** Time and memory of routing and admitting a statement. Run with a young generation that holds the whole measurement. */
+export const decisionCost = async (): Promise<Record<string, number>[]> => {
+    const classifier = await StatementClassifier.create();
+    return GROUP_COUNTS.map(groupCount => measureAt(groupCount, classifier));
+};
--- a/programs/bench/src/main.ts
+++ b/programs/bench/src/main.ts
@@ -1,15 +1,17 @@
+import { decisionCost } from "./decisionCost.ts";
 import { routingTable } from "./routingTable.ts";
 import { writeTraces } from "./writeTraces.ts";
 
 type Measurement = () => unknown;
 
 const measurements: Readonly<Record<string, Measurement>> = {
+    decisions: decisionCost,
     routing: routingTable,
     writeTraces,
 };
 
 /** Runs the named measurement and prints it as JSON. */
-const main = (): void => {
+const main = async (): Promise<void> => {
     const name = process.argv[2] ?? "";
     const measurement = measurements[name];
     if (measurement === undefined) {
@@ -17,7 +19,7 @@
         process.exitCode = 1;
         return;
     }
-    process.stdout.write(`${JSON.stringify(measurement(), undefined, 4)}\n`);
+    process.stdout.write(`${JSON.stringify(await measurement(), undefined, 4)}\n`);
 };
 
-main();
+void main();
