--- a/packages/connection/backend-connection/src/BackendConnection.ts
+++ b/packages/connection/backend-connection/src/BackendConnection.ts
@@ -8,6 +8,9 @@
 
 const MAXIMUM_ANSWER_MESSAGE_BYTES = 256 * 1024 * 1024;
 
+/** Messages that a backend server may send at any time; they concern no request. */
+const UNASKED_TYPES: ReadonlySet<number> = new Set([BackendType.ParameterStatus, BackendType.NotificationResponse]);
+
 /** Where and how to connect. */
 export interface BackendConnectionOptions extends BackendCredentials {
     readonly host: string;
@@ -37,6 +40,8 @@
     private run: Run | undefined;
     private isClosed = false;
     private readonly framer = MessageFramer.create(MAXIMUM_ANSWER_MESSAGE_BYTES);
+    /** Whether the connection may keep state of a session, so that no other one may use it. */
+    isTainted = false;
     /** Called once when the connection ends while no request runs. */
     onIdleLost: () => void = () => undefined;
 
@@ -136,6 +141,9 @@
     }
 
     private receiveMessage(message: Buffer): void {
+        if (UNASKED_TYPES.has(message[0]!)) {
+            return;
+        }
         const run = this.run;
         if (run === undefined) {
             // An answer that nobody asked for: the connection's state is not known any more.
--- a/packages/connection/caller-connection/src/CallerConnection.ts
+++ b/packages/connection/caller-connection/src/CallerConnection.ts
@@ -8,6 +8,8 @@
 
 export interface CallerConnectionHandler {
     onMessages(messages: Buffer[]): void;
+    /** Called when the caller has read what was buffered, after a `write` that returned false. */
+    onDrained(): void;
     onClosed(): void;
 }
 
@@ -19,7 +21,9 @@
     private constructor(private readonly socket: Socket, private readonly handler: CallerConnectionHandler) {
         socket.setNoDelay(true);
         socket.on("data", chunk => this.receive(chunk));
+        socket.on("drain", () => handler.onDrained());
         socket.on("error", () => this.reportClosed());
+        socket.on("end", () => socket.end());
         socket.on("close", () => this.reportClosed());
     }
 
@@ -29,12 +33,25 @@
 
     /** @returns false when the caller reads too slowly and the sender should pause */
     write(messages: readonly Uint8Array[]): boolean {
+        if (this.isClosed) {
+            return true;
+        }
         this.socket.cork();
         const isBelowLimit = messages.map(message => this.socket.write(message)).every(Boolean);
         this.socket.uncork();
         return isBelowLimit;
     }
 
+    /** Stops or resumes reading, so that a caller that pipelines without end is bounded. */
+    setPaused(isPaused: boolean): void {
+        if (isPaused) {
+            this.socket.pause();
+        }
+        else {
+            this.socket.resume();
+        }
+    }
+
     /** Sends what is buffered, then closes. */
     end(): void {
         this.socket.end();
@@ -48,13 +65,20 @@
             }
         }
         catch (error) {
-            const code = error instanceof PomeloturnError ? error.code : ResultCode.MalformedMessage;
-            this.socket.end(buildErrorResponse(code, "", Severity.Fatal));
-            this.socket.removeAllListeners("data");
-            this.reportClosed();
+            this.refuse(error);
         }
     }
 
+    /** The stream cannot be framed any more: says why and closes. */
+    private refuse(error: unknown): void {
+        const isNumbered = error instanceof PomeloturnError;
+        const code = isNumbered ? error.code : ResultCode.MalformedMessage;
+        this.socket.removeAllListeners("data");
+        this.socket.resume();
+        this.socket.end(buildErrorResponse(code, isNumbered ? error.detail : "", Severity.Fatal));
+        this.reportClosed();
+    }
+
     private reportClosed(): void {
         if (!this.isClosed) {
             this.isClosed = true;
--- /dev/null
+++ b/packages/connection/session-token/src/decodeToken.test.ts
@@ -0,0 +1,101 @@
+import { PomeloturnError } from "@pomeloturn/errors/PomeloturnError";
+import { ResultCode } from "@pomeloturn/errors/ResultCode";
+import fc from "fast-check";
+import { describe, expect, it } from "vitest";
+import { decodeToken } from "./decodeToken.ts";
+import { encodeToken, signToken } from "./encodeToken.ts";
+import { mergePosition, mergeTokens } from "./mergePosition.ts";
+import { EMPTY_TOKEN, type SessionToken, TOKEN_GROUP_LIMIT } from "./SessionToken.ts";
+
+const SERVICE = "log-core";
+const KEY = "token-key";
+const SEED = 4_201;
+
+const codeOf = (text: string, service = SERVICE, key = KEY): ResultCode => {
+    try {
+        decodeToken(text, service, key);
+        return ResultCode.Ok;
+    }
+    catch (error) {
+        expect(error).toBeInstanceOf(PomeloturnError);
+        return (error as PomeloturnError).code;
+    }
+};
+
+/** A token with a valid signature over any body. */
+const signed = (body: string): string => {
+    const encoded = Buffer.from(body).toString("base64url");
+    return `${Buffer.from(SERVICE).toString("base64url")}.${encoded}.${signToken(SERVICE, encoded, KEY)}`;
+};
+
+const positionArbitrary = fc.record({ term: fc.integer({ min: 1, max: 1_000 }), position: fc.integer({ min: 1, max: 2 ** 50 }) });
+const tokenArbitrary = fc.record({
+    positions: fc.array(fc.tuple(fc.string(), positionArbitrary), { maxLength: TOKEN_GROUP_LIMIT }).map(entries => new Map(entries)),
+    isPastKnown: fc.boolean(),
+});
+
+describe("decodeToken", () => {
+    it("reads what encodeToken wrote", () => {
+        fc.assert(
+            fc.property(tokenArbitrary, token => {
+                expect(decodeToken(encodeToken(token, SERVICE, KEY), SERVICE, KEY)).toEqual(token);
+            }),
+            { seed: SEED },
+        );
+    });
+
+    const token: SessionToken = mergePosition(EMPTY_TOKEN, "log-1", { term: 1, position: 10 });
+    it.each([
+        ["empty", "", ResultCode.TokenMalformed],
+        ["two parts", "a.b", ResultCode.TokenMalformed],
+        ["four parts", "a.b.c.d", ResultCode.TokenMalformed],
+        ["too long", `a.${"b".repeat(20_000)}.c`, ResultCode.TokenMalformed],
+        ["of another service", encodeToken(token, "ledger", KEY), ResultCode.TokenOtherService],
+        ["forged", encodeToken(token, SERVICE, "other-key"), ResultCode.TokenForged],
+        ["changed", encodeToken(token, SERVICE, KEY).replace(/\..{4}/, ".WzAs"), ResultCode.TokenForged],
+        ["not JSON", signed("{"), ResultCode.TokenMalformed],
+        ["an object", signed("{}"), ResultCode.TokenMalformed],
+        ["null", signed("null"), ResultCode.TokenMalformed],
+        ["without the flag", signed("[[],[]]"), ResultCode.TokenMalformed],
+        ["entry of the wrong shape", signed("[true,[[\"log-1\",1]]]"), ResultCode.TokenMalformed],
+        ["text as a term", signed("[true,[[\"log-1\",\"1\",5]]]"), ResultCode.TokenMalformed],
+        ["negative position", signed("[true,[[\"log-1\",1,-5]]]"), ResultCode.TokenMalformed],
+        ["term 0", signed("[true,[[\"log-1\",0,5]]]"), ResultCode.TokenMalformed],
+        ["too many groups", signed(`[true,${JSON.stringify(Array.from({ length: 33 }, (_, index) => [`g${index}`, 1, 1]))}]`), 109],
+    ])("refuses one that is %s", (_name, text, code) => {
+        expect(codeOf(text)).toBe(code);
+    });
+
+    it("never throws anything but a numbered token error", () => {
+        const text = fc.oneof(fc.string(), fc.string().map(signed), fc.json().map(signed), fc.stringMatching(/^[\w-]*\.[\w-]*\.[\w-]*$/));
+        const codes: readonly ResultCode[] = [
+            ResultCode.Ok,
+            ResultCode.TokenMalformed,
+            ResultCode.TokenForged,
+            ResultCode.TokenOtherService,
+        ];
+        fc.assert(fc.property(text, each => codes.includes(codeOf(each))), { seed: SEED, numRuns: 2_000 });
+    });
+});
+
+describe("mergePosition", () => {
+    it("never goes back", () => {
+        const later = mergePosition(EMPTY_TOKEN, "log-1", { term: 2, position: 5 });
+        expect(mergePosition(later, "log-1", { term: 1, position: 900 })).toEqual(later);
+    });
+
+    it("forgets the group written longest ago when there are too many, and says so", () => {
+        const groups = Array.from({ length: TOKEN_GROUP_LIMIT + 1 }, (_each, index) => `g${index}`);
+        const token = groups.reduce((merged, group) => mergePosition(merged, group, { term: 1, position: 1 }), EMPTY_TOKEN);
+        expect(token.positions.size).toBe(TOKEN_GROUP_LIMIT);
+        expect(token.positions.has("g0")).toBe(false);
+        expect(token.isPastKnown).toBe(false);
+        expect(mergeTokens(token, EMPTY_TOKEN).isPastKnown).toBe(false);
+    });
+
+    it("takes the past from the token that is presented", () => {
+        const own = mergePosition({ ...EMPTY_TOKEN, isPastKnown: false }, "log-1", { term: 1, position: 5 });
+        expect(mergeTokens(own, EMPTY_TOKEN)).toEqual({ ...own, isPastKnown: true });
+        expect(mergeTokens(EMPTY_TOKEN, own).isPastKnown).toBe(false);
+    });
+});
--- a/packages/connection/session/src/SessionState.ts
+++ b/packages/connection/session/src/SessionState.ts
@@ -1,5 +1,4 @@
-import type { SessionToken } from "@pomeloturn/session-token/SessionToken";
-import type { LogPosition } from "@pomeloturn/types/LogPosition";
+import { EMPTY_TOKEN, type SessionToken } from "@pomeloturn/session-token/SessionToken";
 import { type ForwardRequest, TransactionStatus } from "@pomeloturn/types/Request";
 import type { StatementClass } from "@pomeloturn/types/StatementClass";
 
@@ -30,6 +29,14 @@
     readonly injectedParses: readonly boolean[];
     /** Names of the prepared statements that the unit defines. */
     readonly definedNames: readonly string[];
+    /** Whether the unit ends in a Flush: its answer has no ReadyForQuery. */
+    readonly isFlush: boolean;
+}
+
+/** CommandCompletes of the BEGIN or COMMIT that the session added around a unit. */
+export interface HiddenTags {
+    isFirstHidden: boolean;
+    readonly isLastHidden: boolean;
 }
 
 /** The request that is under way. */
@@ -43,6 +50,11 @@
     /** Instances that were tried and could not serve the read. */
     readonly excluded: Set<string>;
     isAnswerRelayed: boolean;
+    /** Monotonic time until which the data's age is proved. */
+    freshUntilMs: number;
+    /** Monotonic time at which the next attempt is sent; undefined while one is under way. */
+    retryAtMs: number | undefined;
+    readonly hiddenTags: HiddenTags;
     /** Injected parses whose ParseComplete has not come yet. */
     readonly injectedParses: boolean[];
 }
@@ -54,28 +66,42 @@
     readonly instance: string;
     readonly vm: string;
     readonly term: number;
+    /** Whether the session opened it for a Flush; it ends at the caller's Sync. */
+    readonly isImplicit: boolean;
     /** Set when the transaction was lost; the caller has yet to end it. */
     isLost: boolean;
 }
 
+/** A request that was given up before its last answer. If it opened a transaction, that has to be ended. */
+export interface AbandonedRequest {
+    readonly vm: string;
+    readonly group: string;
+    readonly instance: string;
+    readonly transactionId: string;
+}
+
 /** A caller's session on this proxy. */
 export interface SessionState {
     readonly sessionId: string;
     readonly service: string;
     attributes: StatementAttributes;
-    /** Positions that every read must cover. */
-    positions: Map<string, LogPosition>;
-    /** Whether groups without a position are known to hold no write of the session. */
-    isPastKnown: boolean;
+    /** What every read must cover. */
+    token: SessionToken;
     readonly statements: Map<string, PreparedStatement>;
     /** Messages of a unit that is not complete. */
     collecting: Buffer[];
+    /** Whether messages are passed over until the next Sync, after an error. */
+    isSkipping: boolean;
     /** Complete units, oldest first. */
     readonly waiting: Buffer[][];
     current: CurrentRequest | undefined;
+    /** By request id. */
+    readonly abandoned: Map<number, AbandonedRequest>;
     transaction: OpenTransaction | undefined;
     status: TransactionStatus;
     nextRequestNumber: number;
+    /** Whether the caller has gone. */
+    isClosed: boolean;
 }
 
 /** @param token what the caller presented; undefined when its past is not known */
@@ -88,13 +114,15 @@
     sessionId,
     service,
     attributes,
-    positions: new Map(token ?? []),
-    isPastKnown: token !== undefined,
+    token: token ?? { ...EMPTY_TOKEN, isPastKnown: false },
     statements: new Map(),
     collecting: [],
+    isSkipping: false,
     waiting: [],
     current: undefined,
+    abandoned: new Map(),
     transaction: undefined,
     status: TransactionStatus.Idle,
     nextRequestNumber: 1,
+    isClosed: false,
 });
--- a/packages/connection/session/src/buildUnit.ts
+++ b/packages/connection/session/src/buildUnit.ts
@@ -1,3 +1,4 @@
+import { combineClasses } from "@pomeloturn/classify-statement/combineClasses";
 import { PomeloturnError } from "@pomeloturn/errors/PomeloturnError";
 import { ResultCode } from "@pomeloturn/errors/ResultCode";
 import { StatementClass } from "@pomeloturn/types/StatementClass";
@@ -11,6 +12,7 @@
     unnameParse,
 } from "@pomeloturn/wire-messages/preparedStatement";
 import { readQueryText } from "@pomeloturn/wire-messages/readMessage";
+import { serialize } from "pg-protocol";
 import { readComment } from "./readAttributes.ts";
 import type { PreparedStatement, RequestUnit, StatementAttributes } from "./SessionState.ts";
 
@@ -75,6 +77,7 @@
         const { kind, name } = readNamedObject(message);
         if (kind === "S") {
             builder.statements.delete(name);
+            builder.unnamed = undefined;
             builder.messages.push(unnameDescribe(message));
             return;
         }
@@ -86,33 +89,11 @@
     [FrontendType.Sync]: (builder, message) => {
         builder.messages.push(message);
     },
-    [FrontendType.Flush]: (builder, message) => {
-        builder.messages.push(message);
+    [FrontendType.Flush]: builder => {
+        builder.messages.push(serialize.sync());
     },
 };
 
-const isTransactionControl: ReadonlySet<StatementClass> = new Set<StatementClass>([
-    StatementClass.Begin,
-    StatementClass.BeginReadOnly,
-    StatementClass.Commit,
-    StatementClass.Rollback,
-    StatementClass.SessionSetting,
-]);
-
-const combineClasses = (classes: ReadonlySet<StatementClass>): StatementClass => {
-    if (classes.has(StatementClass.Unsupported)) {
-        return StatementClass.Unsupported;
-    }
-    if (classes.size === 0) {
-        return StatementClass.Read;
-    }
-    const [first] = classes;
-    return classes.size === 1 || [...classes].every(each => each === first) ? first! : combineMixed(classes);
-};
-
-const combineMixed = (classes: ReadonlySet<StatementClass>): StatementClass =>
-    [...classes].some(each => isTransactionControl.has(each) || each === StatementClass.Write) ? StatementClass.Write : StatementClass.Read;
-
 /**
  * Rewrites a unit so that it depends on no state of a backend connection: named prepared statements
  * become the unnamed one, parsed anew where they are used.
@@ -146,5 +127,6 @@
         throw PomeloturnError.create(ResultCode.UnsupportedStatement);
     }
     const { attributes, injectedParses, definedNames } = builder;
-    return { messages: builder.messages, statementClass, attributes, injectedParses, definedNames };
+    const isFlush = messages.at(-1)![0] === FrontendType.Flush;
+    return { messages: builder.messages, statementClass, attributes, injectedParses, definedNames, isFlush };
 };
--- a/packages/connection/session/src/planRequest.ts
+++ b/packages/connection/session/src/planRequest.ts
@@ -1,88 +1,115 @@
 import { chooseGroup } from "@pomeloturn/choose-instance/chooseGroup";
-import { chooseInstance } from "@pomeloturn/choose-instance/chooseInstance";
+import { chooseInstance, type ReadRequirement } from "@pomeloturn/choose-instance/chooseInstance";
+import { type FreshnessProof, proveFreshness } from "@pomeloturn/choose-instance/proveFreshness";
 import { PomeloturnError } from "@pomeloturn/errors/PomeloturnError";
 import { ResultCode } from "@pomeloturn/errors/ResultCode";
 import type { ServiceConfiguration } from "@pomeloturn/types/Configuration";
 import type { GroupView } from "@pomeloturn/types/ControlView";
+import { instanceKey } from "@pomeloturn/types/InstanceStatus";
 import { type ForwardRequest, RequestMode } from "@pomeloturn/types/Request";
 import { StatementClass } from "@pomeloturn/types/StatementClass";
+import { enclose } from "./encloseUnit.ts";
+import { findRank, findReadKind, findService } from "./findAttributes.ts";
+import { forgetLostWrite } from "./forgetLostWrite.ts";
 import type { SessionContext } from "./sessionMessages.ts";
 import type { CurrentRequest, RequestUnit, SessionState, StatementAttributes } from "./SessionState.ts";
 
-const NO_POSITION = { term: 0, position: 0 };
+const NO_PROOF: FreshnessProof = { requiredPosition: { term: 0, position: 0 }, validUntilMs: Infinity, isReported: true };
 
 /** Where a request goes and under what conditions. */
 interface Route {
     readonly group: string;
     readonly instance: string;
     readonly mode: RequestMode;
+    readonly proof: FreshnessProof;
 }
 
+/** Classes whose request id is recorded with the write. */
+const RECORDED_CLASSES: ReadonlySet<StatementClass> = new Set<StatementClass>([StatementClass.Write, StatementClass.Mixed]);
+
 /**
  * Plans the first attempt of a unit.
  *
- * @throws PomeloturnError with `UnknownRank`, `UnknownReadKind` or `NoInstance`
+ * @throws PomeloturnError with `UnknownRank`, `UnknownReadKind`, `NoInstance`, `WriteLost` or `UnsupportedStatement`
  */
 export const planRequest = (state: SessionState, unit: RequestUnit, context: SessionContext, nowMs: number): CurrentRequest => {
-    const service = findService(state, context);
+    const service = findService(state.service, context.view);
     const attributes = { ...state.attributes, ...unit.attributes };
     const rank = findRank(service, attributes);
     const excluded = new Set<string>();
-    const route = planRoute(state, unit, attributes, service, context, excluded);
+    const route = planRoute(state, unit, attributes, service, context, excluded, nowMs);
     const deadlineLeftMs = service.ranks[rank]!.deadlineMs;
+    const enclosed = enclose(unit, state.transaction);
     const base = {
         requestId: context.takeRequestId(),
         attempt: 1,
         service: state.service,
         rank,
-        idempotencyKey: attributes.requestId ?? "",
-        maximumAgeMs: service.readKinds[readKindName(service, attributes)]?.maximumAgeMs ?? 0,
-        messages: Buffer.concat(unit.messages),
+        idempotencyKey: recordedId(unit, attributes),
+        maximumAgeMs: findReadKind(service, attributes).maximumAgeMs ?? 0,
+        messages: Buffer.concat(enclosed.messages),
         transactionId: state.transaction?.id ?? `${state.sessionId}-${state.nextRequestNumber++}`,
     };
-    const request = routeRequest(base, route, state, context, deadlineLeftMs);
     return {
         unit,
         startedAtMs: nowMs,
         deadlineAtMs: nowMs + deadlineLeftMs,
         rank,
-        request,
+        request: routeRequest(base, route, state, context, deadlineLeftMs),
         vm: state.transaction?.vm ?? holderOf(route, context),
         excluded,
         isAnswerRelayed: false,
+        freshUntilMs: route.proof.validUntilMs,
+        retryAtMs: undefined,
+        hiddenTags: enclosed.hiddenTags,
         injectedParses: [...unit.injectedParses],
     };
 };
 
 /** Plans the next attempt of a request that failed. @throws as `planRequest` */
 export const replanRequest = (state: SessionState, current: CurrentRequest, context: SessionContext, nowMs: number): void => {
-    const service = findService(state, context);
+    const service = findService(state.service, context.view);
     const attributes = { ...state.attributes, ...current.unit.attributes };
-    const route = planRoute(state, current.unit, attributes, service, context, current.excluded);
+    const route = planRoute(state, current.unit, attributes, service, context, current.excluded, nowMs);
     const base = { ...current.request, attempt: current.request.attempt + 1 };
     current.request = routeRequest(base, route, state, context, Math.max(0, current.deadlineAtMs - nowMs));
     current.vm = holderOf(route, context);
+    current.freshUntilMs = route.proof.validUntilMs;
     current.injectedParses.splice(0, current.injectedParses.length, ...current.unit.injectedParses);
 };
 
 /** Whether a unit only reads and so may be repeated. */
-export const isRead = (unit: RequestUnit): boolean => unit.statementClass === StatementClass.Read;
+export const isRead = (unit: RequestUnit): boolean => unit.statementClass === StatementClass.Read && !unit.isFlush;
+
+/** The request id under which a write is recorded; empty for what is not recorded. */
+const recordedId = (unit: RequestUnit, attributes: StatementAttributes): string => {
+    const requestId = attributes.requestId ?? "";
+    if (requestId === "" || !RECORDED_CLASSES.has(unit.statementClass)) {
+        return "";
+    }
+    if (unit.statementClass === StatementClass.Mixed || unit.isFlush) {
+        throw PomeloturnError.create(ResultCode.UnsupportedStatement, "a request id with transaction control in the same message");
+    }
+    return requestId;
+};
 
 type UnroutedRequest = Omit<ForwardRequest, "group" | "instance" | "mode" | "term" | "requiredPosition" | "deadlineLeftMs">;
 
 const routeRequest = (
     base: UnroutedRequest,
-    route: Route,
+    { group, instance, mode, proof }: Route,
     state: SessionState,
     context: SessionContext,
     deadlineLeftMs: number,
 ): ForwardRequest => ({
     ...base,
-    ...route,
+    group,
+    instance,
+    mode,
     deadlineLeftMs,
-    term: state.transaction?.term ?? groupView(route.group, context).term,
-    requiredPosition: state.positions.get(route.group) ?? NO_POSITION,
-    transactionId: route.mode === RequestMode.PrimaryWrite ? base.transactionId : "",
+    term: state.transaction?.term ?? groupView(group, context).term,
+    requiredPosition: proof.requiredPosition,
+    transactionId: mode === RequestMode.PrimaryWrite || mode === RequestMode.TransactionStep ? base.transactionId : "",
 });
 
 const planRoute = (
@@ -92,56 +119,49 @@
     service: ServiceConfiguration,
     context: SessionContext,
     excluded: ReadonlySet<string>,
+    nowMs: number,
 ): Route => {
     if (state.transaction !== undefined) {
         const { group, instance } = state.transaction;
-        return { group, instance, mode: RequestMode.PrimaryWrite };
+        return { group, instance, mode: RequestMode.TransactionStep, proof: NO_PROOF };
     }
     const group = chooseGroup(service.groups, attributes.key ?? "");
-    const { primary } = groupView(group, context);
+    const view = groupView(group, context);
+    forgetLostWrite(state, group, view);
+    const position = state.token.positions.get(group);
+    const proof = { ...NO_PROOF, requiredPosition: position ?? NO_PROOF.requiredPosition };
     if (!isRead(unit)) {
-        return { group, instance: primary, mode: RequestMode.PrimaryWrite };
+        return { group, instance: view.primary, mode: RequestMode.PrimaryWrite, proof };
     }
-    const position = state.positions.get(group);
-    if (position === undefined && !state.isPastKnown) {
-        return { group, instance: primary, mode: RequestMode.PrimaryRead };
+    if (position === undefined && !state.token.isPastKnown) {
+        return { group, instance: view.primary, mode: RequestMode.PrimaryRead, proof };
     }
-    const maximumAgeMs = service.readKinds[readKindName(service, attributes)]?.maximumAgeMs;
-    const instance = chooseInstance({ group, position, maximumAgeMs, excluded }, {
+    const { maximumAgeMs } = findReadKind(service, attributes);
+    return routeRead({ group, position, maximumAgeMs, excluded }, proof, context, nowMs);
+};
+
+/** Routes a read of a session whose past in the group is known. */
+const routeRead = (read: ReadRequirement, primaryProof: FreshnessProof, context: SessionContext, nowMs: number): Route => {
+    const { group } = read;
+    const view = groupView(group, context);
+    const instance = chooseInstance(read, {
         groupConfiguration: context.view.configuration.groups[group]!,
-        groupView: groupView(group, context),
+        groupView: view,
         statuses: context.statuses,
         failureDomain: context.failureDomain,
+        nowMs,
     });
     if (instance === undefined) {
         throw PomeloturnError.create(ResultCode.NoInstance, group);
     }
-    return { group, instance, mode: instance === primary ? RequestMode.PrimaryRead : RequestMode.ReplicaRead };
-};
-
-const findService = (state: SessionState, context: SessionContext): ServiceConfiguration => {
-    const service = context.view.configuration.services[state.service];
-    if (service === undefined) {
-        throw PomeloturnError.create(ResultCode.UnknownService, state.service);
+    if (instance === view.primary) {
+        return { group, instance, mode: RequestMode.PrimaryRead, proof: primaryProof };
     }
-    return service;
-};
-
-const findRank = (service: ServiceConfiguration, attributes: StatementAttributes): number => {
-    const name = attributes.rank ?? service.defaultRank;
-    const rank = service.ranks.findIndex(each => each.name === name);
-    if (rank < 0) {
-        throw PomeloturnError.create(ResultCode.UnknownRank, name);
-    }
-    return rank;
-};
-
-const readKindName = (service: ServiceConfiguration, attributes: StatementAttributes): string => {
-    const name = attributes.readKind ?? service.defaultReadKind;
-    if (service.readKinds[name] === undefined) {
-        throw PomeloturnError.create(ResultCode.UnknownReadKind, name);
+    const proof = proveFreshness(read, context.statuses.get(instanceKey(group, instance)), view, nowMs);
+    if (proof === undefined) {
+        throw PomeloturnError.create(ResultCode.FreshnessLapsed, `${group}/${instance}`);
     }
-    return name;
+    return { group, instance, mode: RequestMode.ReplicaRead, proof };
 };
 
 const groupView = (group: string, context: SessionContext): GroupView => {
--- a/packages/connection/session/src/receiveAnswer.ts
+++ b/packages/connection/session/src/receiveAnswer.ts
@@ -1,31 +1,63 @@
+import { PomeloturnError } from "@pomeloturn/errors/PomeloturnError";
 import { ResultCode } from "@pomeloturn/errors/ResultCode";
-import { planRetry } from "@pomeloturn/plan-retry/planRetry";
-import { encodeToken } from "@pomeloturn/session-token/encodeToken";
+import { planRetry, RetryDecisionKind } from "@pomeloturn/plan-retry/planRetry";
+import { mergePosition } from "@pomeloturn/session-token/mergePosition";
 import { type AnswerPart, RequestMode, TransactionStatus } from "@pomeloturn/types/Request";
-import { buildErrorResponse, buildParameterStatus, buildReadyForQuery } from "@pomeloturn/wire-messages/buildMessage";
-import { BackendType } from "@pomeloturn/wire-messages/messageTypes";
+import { buildReadyForQuery } from "@pomeloturn/wire-messages/buildMessage";
+import { opensImplicit } from "./encloseUnit.ts";
+import { filterAnswer } from "./filterAnswer.ts";
+import { giveUp } from "./giveUp.ts";
 import { isRead, replanRequest } from "./planRequest.ts";
 import { startNext } from "./receiveMessages.ts";
+import { record } from "./recordRequest.ts";
 import { type SessionAction, SessionActionKind, type SessionContext } from "./sessionMessages.ts";
 import type { CurrentRequest, SessionState } from "./SessionState.ts";
+import { buildTokenStatus } from "./tokenStatus.ts";
+
+/** Time beyond the deadline in which the holder may still state the certain outcome. */
+export const DEADLINE_GRACE_MS = 250;
 
 /** Relays a part of an answer, or retries, and starts the next unit after the last part. */
 export const receiveAnswer = (state: SessionState, part: AnswerPart, context: SessionContext, nowMs: number): SessionAction[] => {
     const current = state.current;
-    if (current === undefined || part.requestId !== current.request.requestId || part.attempt !== current.request.attempt) {
+    if (current === undefined || part.requestId !== current.request.requestId) {
+        return receiveAbandoned(state, part);
+    }
+    if (part.attempt !== current.request.attempt || current.retryAtMs !== undefined) {
         return [];
     }
     if (part.resultCode !== ResultCode.Ok) {
-        return fail(state, current, part, context, nowMs);
+        return fail(state, current, part.resultCode as ResultCode, true, context, nowMs);
+    }
+    if (!current.isAnswerRelayed && nowMs > current.freshUntilMs) {
+        return fail(state, current, ResultCode.FreshnessLapsed, part.isLast, context, nowMs);
     }
-    const messages = removeInjected(part.messages, current);
+    const { messages, hasError } = filterAnswer(part.messages, part.isLast, current);
     current.isAnswerRelayed ||= messages.length > 0;
     if (!part.isLast) {
         return [{ kind: SessionActionKind.Reply, messages: [messages] }];
     }
+    state.isSkipping ||= hasError && current.unit.isFlush;
     return finish(state, current, part, [messages], context, nowMs);
 };
 
+/** A late answer of a request that was given up: a transaction that it opened is ended. */
+const receiveAbandoned = (state: SessionState, part: AnswerPart): SessionAction[] => {
+    const abandoned = state.abandoned.get(part.requestId);
+    if (abandoned === undefined || !part.isLast) {
+        return [];
+    }
+    state.abandoned.delete(part.requestId);
+    const actions: SessionAction[] = [];
+    if (part.transactionStatus !== TransactionStatus.Idle) {
+        actions.push({ kind: SessionActionKind.EndTransaction, ...abandoned });
+    }
+    if (state.isClosed && state.abandoned.size === 0) {
+        actions.push({ kind: SessionActionKind.Finished });
+    }
+    return actions;
+};
+
 const finish = (
     state: SessionState,
     current: CurrentRequest,
@@ -36,10 +68,12 @@
 ): SessionAction[] => {
     updateTransaction(state, current, part.transactionStatus);
     if (part.position.term !== 0 && part.transactionStatus === TransactionStatus.Idle) {
-        state.positions.set(current.request.group, part.position);
+        state.token = mergePosition(state.token, current.request.group, part.position);
         messages.push(buildTokenStatus(state, context));
     }
-    messages.push(buildReadyForQuery(state.status));
+    if (!current.unit.isFlush) {
+        messages.push(buildReadyForQuery(state.status));
+    }
     state.current = undefined;
     return [
         { kind: SessionActionKind.Reply, messages },
@@ -48,12 +82,6 @@
     ];
 };
 
-/** The ParameterStatus that tells the caller its session token. */
-const buildTokenStatus = (state: SessionState, context: SessionContext): Buffer => {
-    const { tokenKey } = context.view.configuration.services[state.service]!;
-    return buildParameterStatus("pomeloturn.token", encodeToken(state.positions, state.service, tokenKey));
-};
-
 const updateTransaction = (state: SessionState, current: CurrentRequest, status: TransactionStatus): void => {
     state.status = status;
     if (status === TransactionStatus.Idle) {
@@ -61,85 +89,84 @@
         return;
     }
     const { transactionId, group, instance, term } = current.request;
-    state.transaction ??= { id: transactionId, group, instance, vm: current.vm, term, isLost: false };
-};
-
-const fail = (state: SessionState, current: CurrentRequest, part: AnswerPart, context: SessionContext, nowMs: number): SessionAction[] => {
-    const code = part.resultCode as ResultCode;
-    const isRetried = planRetry({
-        code,
-        attempt: current.request.attempt,
-        isRead: isRead(current.unit),
-        isIdempotent: current.request.idempotencyKey !== "",
-        isInTransaction: state.transaction !== undefined,
-        isAnswerRelayed: current.isAnswerRelayed,
-        deadlineAtMs: current.deadlineAtMs,
-    }, nowMs);
-    if (isRetried) {
-        return retry(state, current, context, nowMs);
-    }
-    return giveUp(state, current, code, context, nowMs);
-};
-
-const retry = (state: SessionState, current: CurrentRequest, context: SessionContext, nowMs: number): SessionAction[] => {
-    if (current.request.mode === RequestMode.ReplicaRead) {
-        current.excluded.add(current.request.instance);
-    }
-    replanRequest(state, current, context, nowMs);
-    return [{ kind: SessionActionKind.Forward, vm: current.vm, request: current.request }];
+    const isImplicit = opensImplicit(current.unit);
+    state.transaction ??= { id: transactionId, group, instance, vm: current.vm, term, isImplicit, isLost: false };
 };
 
-const giveUp = (
+const fail = (
     state: SessionState,
     current: CurrentRequest,
     code: ResultCode,
+    isAnswered: boolean,
     context: SessionContext,
     nowMs: number,
 ): SessionAction[] => {
-    const actions: SessionAction[] = [];
-    if (state.transaction !== undefined) {
-        const { vm, group, instance, id } = state.transaction;
-        state.transaction.isLost = true;
-        state.status = TransactionStatus.Failed;
-        actions.push({ kind: SessionActionKind.EndTransaction, vm, group, instance, transactionId: id });
+    const decision = planRetry(
+        {
+            code,
+            attempt: current.request.attempt,
+            isRead: isRead(current.unit),
+            isIdempotent: current.request.idempotencyKey !== "",
+            isInTransaction: state.transaction !== undefined,
+            isAnswerRelayed: current.isAnswerRelayed,
+            deadlineAtMs: current.deadlineAtMs,
+        },
+        context.retryBudget(state.service),
+        nowMs,
+        context.random(),
+    );
+    if (decision.kind === RetryDecisionKind.GiveUp) {
+        return [...giveUp(state, current, decision.code, isAnswered, nowMs), ...startNext(state, context, nowMs)];
     }
-    for (const name of current.unit.definedNames) {
-        state.statements.delete(name);
+    if (current.request.mode === RequestMode.ReplicaRead) {
+        current.excluded.add(current.request.instance);
     }
-    state.current = undefined;
-    const messages = [buildErrorResponse(code, ""), buildReadyForQuery(state.status)];
-    return [
-        ...actions,
-        { kind: SessionActionKind.Reply, messages },
-        record(state, current, code, nowMs),
-        ...startNext(state, context, nowMs),
-    ];
+    current.retryAtMs = nowMs + decision.delayMs;
+    return decision.delayMs === 0
+        ? retry(state, current, context, nowMs)
+        : [{ kind: SessionActionKind.Wake, atMs: current.retryAtMs }];
+};
+
+const retry = (state: SessionState, current: CurrentRequest, context: SessionContext, nowMs: number): SessionAction[] => {
+    try {
+        replanRequest(state, current, context, nowMs);
+    }
+    catch (error) {
+        if (!(error instanceof PomeloturnError)) {
+            throw error;
+        }
+        current.request = { ...current.request, attempt: current.request.attempt + 1 };
+        return fail(state, current, error.code, true, context, nowMs);
+    }
+    current.retryAtMs = undefined;
+    return [{ kind: SessionActionKind.Forward, vm: current.vm, request: current.request }, wakeAtDeadline(current)];
 };
 
-const record = (state: SessionState, current: CurrentRequest, code: ResultCode, nowMs: number): SessionAction => ({
-    kind: SessionActionKind.Record,
-    service: state.service,
-    rank: current.rank,
-    latencyMs: nowMs - current.startedAtMs,
-    code,
-    isReplica: current.request.mode === RequestMode.ReplicaRead,
+/** Asks to be woken when the request's deadline has passed without an answer. */
+export const wakeAtDeadline = (current: CurrentRequest): SessionAction => ({
+    kind: SessionActionKind.Wake,
+    atMs: current.deadlineAtMs + DEADLINE_GRACE_MS,
 });
 
-/** Removes the ParseComplete of each Parse that the caller did not send. */
-const removeInjected = (bytes: Uint8Array, current: CurrentRequest): Uint8Array => {
-    if (!current.injectedParses.includes(true)) {
-        return bytes;
-    }
-    const source = Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength);
-    const kept: Buffer[] = [];
-    let offset = 0;
-    while (offset < source.length) {
-        const end = offset + 1 + source.readUInt32BE(offset + 1);
-        const isInjected = source[offset] === BackendType.ParseComplete && current.injectedParses.shift() === true;
-        if (!isInjected) {
-            kept.push(source.subarray(offset, end));
-        }
-        offset = end;
+/** Sends the retry that is due, or ends a request whose deadline has passed. */
+export const wake = (state: SessionState, context: SessionContext, nowMs: number): SessionAction[] => {
+    const { current } = state;
+    if (current === undefined) {
+        return [];
+    }
+    if (current.retryAtMs !== undefined) {
+        return nowMs >= current.retryAtMs
+            ? retry(state, current, context, nowMs)
+            : [{ kind: SessionActionKind.Wake, atMs: current.retryAtMs }];
     }
-    return Buffer.concat(kept);
+    if (nowMs < current.deadlineAtMs + DEADLINE_GRACE_MS) {
+        return [wakeAtDeadline(current)];
+    }
+    return [...giveUp(state, current, ResultCode.DeadlineWhileRunning, false, nowMs), ...startNext(state, context, nowMs)];
 };
+
+/** Ends the request under way because the caller asked to cancel it. */
+export const cancelCurrent = (state: SessionState, context: SessionContext, nowMs: number): SessionAction[] =>
+    state.current === undefined
+        ? []
+        : [...giveUp(state, state.current, ResultCode.Canceled, false, nowMs), ...startNext(state, context, nowMs)];
--- a/packages/connection/session/src/receiveMessages.ts
+++ b/packages/connection/session/src/receiveMessages.ts
@@ -1,16 +1,18 @@
 import { PomeloturnError } from "@pomeloturn/errors/PomeloturnError";
 import { ResultCode } from "@pomeloturn/errors/ResultCode";
-import { decodeToken } from "@pomeloturn/session-token/decodeToken";
-import { TransactionStatus } from "@pomeloturn/types/Request";
+import { depositRequest } from "@pomeloturn/plan-retry/retryBudget";
 import { StatementClass } from "@pomeloturn/types/StatementClass";
-import { buildCommandComplete, buildErrorResponse, buildReadyForQuery } from "@pomeloturn/wire-messages/buildMessage";
+import { buildReadyForQuery } from "@pomeloturn/wire-messages/buildMessage";
 import { FrontendType } from "@pomeloturn/wire-messages/messageTypes";
-import { readQueryText } from "@pomeloturn/wire-messages/readMessage";
+import { answerCommand } from "./answerCommand.ts";
+import { applySetting } from "./applySetting.ts";
 import { buildUnit } from "./buildUnit.ts";
+import { endImplicit, forgetTransaction, loseTransaction, replyError } from "./giveUp.ts";
 import { planRequest } from "./planRequest.ts";
-import { readSetStatement, toAttribute } from "./readAttributes.ts";
+import { wakeAtDeadline } from "./receiveAnswer.ts";
 import { type SessionAction, SessionActionKind, type SessionContext } from "./sessionMessages.ts";
 import type { RequestUnit, SessionState } from "./SessionState.ts";
+import { buildTokenStatus } from "./tokenStatus.ts";
 
 const UNIT_ENDS: ReadonlySet<number> = new Set([FrontendType.Query, FrontendType.Sync, FrontendType.Flush]);
 
@@ -44,6 +46,14 @@
 };
 
 const startUnit = (state: SessionState, messages: readonly Buffer[], context: SessionContext, nowMs: number): SessionAction[] => {
+    const last = messages.at(-1)!;
+    if (state.isSkipping) {
+        if (last[0] !== FrontendType.Sync) {
+            return [];
+        }
+        state.isSkipping = false;
+        return startUnit(state, [last], context, nowMs);
+    }
     try {
         const unit = buildUnit(messages, state.statements, text => context.classify(text));
         return answerLocally(state, unit, context) ?? forward(state, unit, context, nowMs);
@@ -52,69 +62,49 @@
         if (!(error instanceof PomeloturnError)) {
             throw error;
         }
-        return [refuse(state, error.code, error.message)];
+        return refuse(state, error.code, error.detail, last[0] === FrontendType.Flush, context);
     }
 };
 
 const forward = (state: SessionState, unit: RequestUnit, context: SessionContext, nowMs: number): SessionAction[] => {
     state.current = planRequest(state, unit, context, nowMs);
+    depositRequest(context.retryBudget(state.service));
     const { vm, request } = state.current;
-    return [{ kind: SessionActionKind.Forward, vm, request }];
+    return [{ kind: SessionActionKind.Forward, vm, request }, wakeAtDeadline(state.current)];
 };
 
-/** An error for the caller; an open transaction counts as failed from here on. */
-export const refuse = (state: SessionState, code: ResultCode, detail: string): SessionAction => {
-    if (state.status === TransactionStatus.Open) {
-        state.status = TransactionStatus.Failed;
+/** An error for the caller; an open transaction is rolled back, as its database would fail it. */
+const refuse = (state: SessionState, code: ResultCode, detail: string, isFlush: boolean, context: SessionContext): SessionAction[] => {
+    const actions = loseTransaction(state);
+    endImplicit(state, isFlush);
+    if (code === ResultCode.WriteLost) {
+        actions.push({ kind: SessionActionKind.Reply, messages: [buildTokenStatus(state, context)] });
     }
-    const messages = [buildErrorResponse(code, detail), buildReadyForQuery(state.status)];
-    return { kind: SessionActionKind.Reply, messages };
+    return [...actions, replyError(state, code, detail, isFlush)];
 };
 
-const reply = (state: SessionState, tag: string): SessionAction[] => [
-    { kind: SessionActionKind.Reply, messages: [buildCommandComplete(tag), buildReadyForQuery(state.status)] },
-];
-
 /** Answers what needs no backend server: our own settings, and the end of a transaction that was lost. */
 const answerLocally = (state: SessionState, unit: RequestUnit, context: SessionContext): SessionAction[] | undefined => {
     const isOnlySync = unit.messages.length === 1 && unit.messages[0]![0] === FrontendType.Sync;
-    if (isOnlySync && state.transaction === undefined) {
-        return [{ kind: SessionActionKind.Reply, messages: [buildReadyForQuery(state.status)] }];
-    }
     if (state.transaction?.isLost === true) {
-        return answerLost(state, unit);
+        return answerLost(state, unit, isOnlySync);
     }
-    if (unit.statementClass !== StatementClass.SessionSetting) {
-        return undefined;
+    if (isOnlySync && state.transaction?.isImplicit !== true) {
+        const messages = unit.isFlush ? [] : [buildReadyForQuery(state.status)];
+        return [{ kind: SessionActionKind.Reply, messages }];
     }
-    return applySetting(state, unit, context);
+    return unit.statementClass === StatementClass.SessionSetting ? applySetting(state, unit, context) : undefined;
 };
 
-const answerLost = (state: SessionState, unit: RequestUnit): SessionAction[] => {
-    if (unit.statementClass !== StatementClass.Commit && unit.statementClass !== StatementClass.Rollback) {
-        return [refuse(state, ResultCode.TransactionLost, "")];
-    }
-    state.transaction = undefined;
-    state.status = TransactionStatus.Idle;
-    return reply(state, "ROLLBACK");
-};
-
-const applySetting = (state: SessionState, unit: RequestUnit, context: SessionContext): SessionAction[] => {
-    const message = unit.messages[0]!;
-    const setting = message[0] === FrontendType.Query ? readSetStatement(readQueryText(message)) : undefined;
-    if (setting === undefined) {
-        throw PomeloturnError.create(ResultCode.UnsupportedSessionSetting);
-    }
-    const attribute = toAttribute(setting.name);
-    if (attribute !== undefined) {
-        state.attributes = { ...state.attributes, [attribute]: setting.value };
-        return reply(state, "SET");
+const answerLost = (state: SessionState, unit: RequestUnit, isOnlySync: boolean): SessionAction[] => {
+    const isEnd = unit.statementClass === StatementClass.Commit || unit.statementClass === StatementClass.Rollback;
+    endImplicit(state, unit.isFlush);
+    if (isOnlySync && !unit.isFlush) {
+        return [{ kind: SessionActionKind.Reply, messages: [buildReadyForQuery(state.status)] }];
     }
-    if (setting.name !== "token") {
-        throw PomeloturnError.create(ResultCode.UnsupportedSessionSetting, setting.name);
+    if (!isEnd) {
+        return [replyError(state, ResultCode.TransactionLost, "", unit.isFlush)];
     }
-    const { tokenKey } = context.view.configuration.services[state.service]!;
-    state.positions = new Map(decodeToken(setting.value, state.service, tokenKey));
-    state.isPastKnown = true;
-    return reply(state, "SET");
+    forgetTransaction(state);
+    return [{ kind: SessionActionKind.Reply, messages: answerCommand(state, unit, "ROLLBACK") }];
 };
--- /dev/null
+++ b/packages/connection/session/src/recordRequest.ts
@@ -0,0 +1,14 @@
+import type { ResultCode } from "@pomeloturn/errors/ResultCode";
+import { RequestMode } from "@pomeloturn/types/Request";
+import { type SessionAction, SessionActionKind } from "./sessionMessages.ts";
+import type { CurrentRequest, SessionState } from "./SessionState.ts";
+
+/** The action that counts a finished request. */
+export const record = (state: SessionState, current: CurrentRequest, code: ResultCode, nowMs: number): SessionAction => ({
+    kind: SessionActionKind.Record,
+    service: state.service,
+    rank: current.rank,
+    latencyMs: nowMs - current.startedAtMs,
+    code,
+    isReplica: current.request.mode === RequestMode.ReplicaRead,
+});
--- a/packages/connection/session/src/sessionMessages.ts
+++ b/packages/connection/session/src/sessionMessages.ts
@@ -1,4 +1,5 @@
 import type { ResultCode } from "@pomeloturn/errors/ResultCode";
+import type { RetryBudget } from "@pomeloturn/plan-retry/retryBudget";
 import type { ControlView } from "@pomeloturn/types/ControlView";
 import type { InstanceStatus } from "@pomeloturn/types/InstanceStatus";
 import type { AnswerPart, ForwardRequest } from "@pomeloturn/types/Request";
@@ -9,13 +10,18 @@
     Messages: "messages",
     Answer: "answer",
     CallerClosed: "callerClosed",
+    Woken: "woken",
+    CancelRequested: "cancelRequested",
 } as const;
 
 /** What happens to a session. */
 export type SessionEvent =
     | { readonly kind: typeof SessionEventKind.Messages; readonly messages: readonly Buffer[]; }
     | { readonly kind: typeof SessionEventKind.Answer; readonly part: AnswerPart; }
-    | { readonly kind: typeof SessionEventKind.CallerClosed; };
+    | { readonly kind: typeof SessionEventKind.CallerClosed; }
+    /** The time of the last Wake action has come. */
+    | { readonly kind: typeof SessionEventKind.Woken; }
+    | { readonly kind: typeof SessionEventKind.CancelRequested; };
 
 /** Constants for `SessionAction.kind`. */
 export const SessionActionKind = {
@@ -24,6 +30,8 @@
     Cancel: "cancel",
     EndTransaction: "endTransaction",
     Close: "close",
+    Wake: "wake",
+    Finished: "finished",
     Record: "record",
 } as const;
 
@@ -40,6 +48,10 @@
         readonly transactionId: string;
     }
     | { readonly kind: typeof SessionActionKind.Close; }
+    /** Sets the session's one timer anew. */
+    | { readonly kind: typeof SessionActionKind.Wake; readonly atMs: number; }
+    /** The caller has gone and nothing of the session is under way. */
+    | { readonly kind: typeof SessionActionKind.Finished; }
     | {
         readonly kind: typeof SessionActionKind.Record;
         readonly service: string;
@@ -56,6 +68,8 @@
     readonly vm: string;
     readonly failureDomain: string;
     readonly statuses: ReadonlyMap<string, InstanceStatus>;
+    /** Retries that a service may still make on this VM. */
+    retryBudget(service: string): RetryBudget;
     classify(text: string): StatementClass;
     /** Next request id of the process. */
     takeRequestId(): number;
--- a/packages/connection/session/src/stepSession.ts
+++ b/packages/connection/session/src/stepSession.ts
@@ -1,4 +1,6 @@
-import { receiveAnswer } from "./receiveAnswer.ts";
+import { TransactionStatus } from "@pomeloturn/types/Request";
+import { abandon, loseTransaction } from "./giveUp.ts";
+import { cancelCurrent, receiveAnswer, wake } from "./receiveAnswer.ts";
 import { receiveMessages } from "./receiveMessages.ts";
 import { type SessionAction, SessionActionKind, type SessionContext, type SessionEvent } from "./sessionMessages.ts";
 import type { SessionState } from "./SessionState.ts";
@@ -12,28 +14,29 @@
 
 type EventHandlers = { readonly [Kind in SessionEvent["kind"]]: EventHandler<Extract<SessionEvent, { kind: Kind; }>>; };
 
-const abandon = (state: SessionState): SessionAction[] => {
-    const actions: SessionAction[] = [];
-    const { current, transaction } = state;
-    if (current !== undefined) {
-        const { group, instance, transactionId, requestId } = current.request;
-        actions.push({ kind: SessionActionKind.Cancel, vm: current.vm, requestId });
-        actions.push({ kind: SessionActionKind.EndTransaction, vm: current.vm, group, instance, transactionId });
-    }
-    else if (transaction !== undefined) {
-        const { vm, group, instance, id } = transaction;
-        actions.push({ kind: SessionActionKind.EndTransaction, vm, group, instance, transactionId: id });
-    }
+/** The caller has gone: what runs is canceled, what is open is rolled back. */
+const closeSession = (state: SessionState): SessionAction[] => {
+    const { current } = state;
+    const actions = current === undefined ? [] : abandon(state, current, false);
+    actions.push(...loseTransaction(state));
+    state.isClosed = true;
+    state.collecting = [];
     state.waiting.length = 0;
     state.current = undefined;
     state.transaction = undefined;
+    state.status = TransactionStatus.Idle;
+    if (state.abandoned.size === 0) {
+        actions.push({ kind: SessionActionKind.Finished });
+    }
     return actions;
 };
 
 const handlers: EventHandlers = {
     messages: (state, event, context, nowMs) => receiveMessages(state, event.messages, context, nowMs),
     answer: (state, event, context, nowMs) => receiveAnswer(state, event.part, context, nowMs),
-    callerClosed: state => abandon(state),
+    callerClosed: state => closeSession(state),
+    woken: (state, _event, context, nowMs) => wake(state, context, nowMs),
+    cancelRequested: (state, _event, context, nowMs) => cancelCurrent(state, context, nowMs),
 };
 
 /**
--- a/packages/connection/wire-messages/src/buildMessage.ts
+++ b/packages/connection/wire-messages/src/buildMessage.ts
@@ -46,3 +46,6 @@
 
 /** Builds a message without a body, such as ParseComplete. */
 export const buildEmptyMessage = (type: number): Buffer => Buffer.from(writer.flush(type));
+
+/** Builds the ParameterDescription of a statement without parameters. */
+export const buildParameterDescription = (): Buffer => Buffer.from(writer.addInt16(0).flush(BackendType.ParameterDescription));
--- a/packages/process/instance-holder/src/InstanceHolder.ts
+++ b/packages/process/instance-holder/src/InstanceHolder.ts
@@ -42,6 +42,8 @@
     readonly instance: string;
     readonly groupConfiguration: GroupConfiguration;
     readonly instanceConfiguration: InstanceConfiguration;
+    /** Term of which this holder has written the marker into the primary. */
+    markedTerm?: number;
     groupView(): GroupView | undefined;
     nowMs(): number;
     /** Called after each probe of the instance. */
--- a/packages/process/instance-holder/src/checkRequest.ts
+++ b/packages/process/instance-holder/src/checkRequest.ts
@@ -16,14 +16,21 @@
     if (request.mode === RequestMode.ReplicaRead) {
         return ResultCode.Ok;
     }
-    if (view.primary !== request.instance) {
-        return ResultCode.TermChanged;
+    if (request.mode === RequestMode.TransactionStep && !isPinned) {
+        return ResultCode.TransactionLost;
     }
-    if (!isPinned && request.term !== 0 && request.term !== view.term) {
+    if (view.primary !== request.instance || request.requiredPosition.term > view.term) {
         return ResultCode.TermChanged;
     }
+    if (request.term !== 0 && request.term !== view.term) {
+        return isPinned ? ResultCode.TransactionLost : ResultCode.TermChanged;
+    }
     return checkLease(view, nowMs) ? ResultCode.Ok : ResultCode.LeaseLapsedBeforeSend;
 };
 
 /** Whether this VM may acknowledge writes of the group at `nowMs`. */
 export const checkLease = (view: GroupView, nowMs: number): boolean => view.leaseExpiresAtMs !== undefined && nowMs < view.leaseExpiresAtMs;
+
+/** Whether an answer of the primary, sent under `term`, may be acknowledged at `nowMs`. */
+export const checkAcknowledge = (instance: string, term: number, view: GroupView | undefined, nowMs: number): boolean =>
+    view !== undefined && view.term === term && view.primary === instance && checkLease(view, nowMs);
--- a/packages/request/choose-instance/src/chooseInstance.ts
+++ b/packages/request/choose-instance/src/chooseInstance.ts
@@ -1,14 +1,11 @@
 import type { GroupConfiguration } from "@pomeloturn/types/Configuration";
 import type { GroupView } from "@pomeloturn/types/ControlView";
 import { instanceKey, type InstanceStatus } from "@pomeloturn/types/InstanceStatus";
-import type { LogPosition } from "@pomeloturn/types/LogPosition";
+import { type FreshnessRequirement, proveFreshness } from "./proveFreshness.ts";
 
 /** A read that needs an instance. */
-export interface ReadRequirement {
+export interface ReadRequirement extends FreshnessRequirement {
     readonly group: string;
-    /** Position that the data must cover; undefined when any will do. */
-    readonly position: LogPosition | undefined;
-    readonly maximumAgeMs: number | undefined;
     /** Instances that were tried already. */
     readonly excluded: ReadonlySet<string>;
 }
@@ -19,6 +16,8 @@
     readonly groupView: GroupView;
     readonly statuses: ReadonlyMap<string, InstanceStatus>;
     readonly failureDomain: string;
+    /** Monotonic time in milliseconds. */
+    readonly nowMs: number;
 }
 
 /**
@@ -31,14 +30,7 @@
     const { groupConfiguration, groupView, failureDomain } = inputs;
     const candidates = Object.keys(groupConfiguration.instances)
         .filter(name => name !== groupView.primary && !read.excluded.has(name) && groupView.holders[name] !== undefined)
-        .filter(name => coversPosition(read, inputs.statuses.get(instanceKey(read.group, name))));
+        .filter(name => proveFreshness(read, inputs.statuses.get(instanceKey(read.group, name)), groupView, inputs.nowMs)?.isReported);
     const local = candidates.find(name => groupConfiguration.instances[name]!.failureDomain === failureDomain);
     return local ?? candidates[0] ?? (read.excluded.has(groupView.primary) ? undefined : groupView.primary);
 };
-
-const coversPosition = (read: ReadRequirement, status: InstanceStatus | undefined): boolean => {
-    if (read.position === undefined || status === undefined) {
-        return read.maximumAgeMs === undefined;
-    }
-    return status.isReachable && status.replayed.position >= read.position.position;
-};
--- a/packages/request/classify-statement/src/StatementClassifier.ts
+++ b/packages/request/classify-statement/src/StatementClassifier.ts
@@ -16,8 +16,11 @@
         return new StatementClassifier();
     }
 
-    /** Text that the parser refuses is a write, so that the primary answers it. */
+    /** Text that the parser refuses is a write, so that the primary answers it; one without a statement is a read. */
     classify(text: string): StatementClass {
+        if (text.trim() === "") {
+            return StatementClass.Read;
+        }
         const known = this.cache.get(text);
         if (known !== undefined) {
             return known;
--- a/packages/request/classify-statement/src/classifyParseTree.ts
+++ b/packages/request/classify-statement/src/classifyParseTree.ts
@@ -1,4 +1,6 @@
 import { StatementClass } from "@pomeloturn/types/StatementClass";
+import { combineClasses } from "./combineClasses.ts";
+import { READ_ONLY_FUNCTIONS } from "./readOnlyFunctions.ts";
 
 /** A node of the parser's tree, as JSON. */
 export type ParseNode = Readonly<Record<string, unknown>>;
@@ -8,45 +10,6 @@
     readonly stmts?: readonly { readonly stmt?: ParseNode; }[];
 }
 
-/** Functions without side effects that depend only on their arguments, the data and the time. */
-const READ_ONLY_FUNCTIONS: ReadonlySet<string> = new Set([
-    "abs",
-    "array_agg",
-    "avg",
-    "ceil",
-    "coalesce",
-    "concat",
-    "count",
-    "current_database",
-    "date_trunc",
-    "floor",
-    "json_agg",
-    "json_build_object",
-    "jsonb_agg",
-    "jsonb_build_object",
-    "least",
-    "left",
-    "length",
-    "lower",
-    "max",
-    "min",
-    "now",
-    "pg_sleep",
-    "repeat",
-    "replace",
-    "right",
-    "round",
-    "row_number",
-    "string_agg",
-    "substr",
-    "substring",
-    "sum",
-    "to_char",
-    "trim",
-    "upper",
-    "version",
-]);
-
 /** Tree nodes that make a SELECT more than a read. */
 const WRITING_NODES: ReadonlySet<string> = new Set([
     "InsertStmt",
@@ -69,27 +32,34 @@
     TRANS_STMT_ROLLBACK_PREPARED: StatementClass.Unsupported,
 };
 
+/** Commands that are part of a transaction, although the parser files them under settings. */
+const TRANSACTION_SETTING = "TRANSACTION";
+
+const classifyTransaction = (body: ParseNode): StatementClass => {
+    // COMMIT AND CHAIN leaves a transaction open that the session would not know of.
+    return body["chain"] === true ? StatementClass.Unsupported : TRANSACTION_CLASSES[String(body["kind"])] ?? StatementClass.Write;
+};
+
+const classifySetting = (body: ParseNode): StatementClass =>
+    body["is_local"] === true || body["name"] === TRANSACTION_SETTING ? StatementClass.Write : StatementClass.SessionSetting;
+
 const statementHandlers: Readonly<Record<string, StatementHandler>> = {
     SelectStmt: body => isReadOnlyTree(body) ? StatementClass.Read : StatementClass.Write,
-    TransactionStmt: body => TRANSACTION_CLASSES[String(body["kind"])] ?? StatementClass.Write,
-    VariableSetStmt: body => body["is_local"] === true ? StatementClass.Write : StatementClass.SessionSetting,
+    TransactionStmt: classifyTransaction,
+    VariableSetStmt: classifySetting,
     VariableShowStmt: () => StatementClass.Read,
+    DiscardStmt: () => StatementClass.SessionSetting,
+    DeallocateStmt: () => StatementClass.SessionSetting,
+    PrepareStmt: () => StatementClass.Unsupported,
+    ExecuteStmt: () => StatementClass.Unsupported,
     CopyStmt: () => StatementClass.Unsupported,
     ListenStmt: () => StatementClass.Unsupported,
     UnlistenStmt: () => StatementClass.Unsupported,
 };
 
-/** Classifies a text by its statements; several statements of different classes are a write. */
-export const classifyParseTree = (tree: ParseTree): StatementClass => {
-    const classes = new Set((tree.stmts ?? []).map(({ stmt }) => classifyStatement(stmt ?? {})));
-    if (classes.has(StatementClass.Unsupported)) {
-        return StatementClass.Unsupported;
-    }
-    if (classes.size === 0) {
-        return StatementClass.Read;
-    }
-    return classes.size === 1 ? [...classes][0]! : StatementClass.Write;
-};
+/** Classifies a text by its statements. */
+export const classifyParseTree = (tree: ParseTree): StatementClass =>
+    combineClasses(new Set((tree.stmts ?? []).map(({ stmt }) => classifyStatement(stmt ?? {}))));
 
 const classifyStatement = (statement: ParseNode): StatementClass => {
     const [entry] = Object.entries(statement);
--- a/packages/shared/errors/src/PomeloturnError.ts
+++ b/packages/shared/errors/src/PomeloturnError.ts
@@ -6,7 +6,7 @@
 export class PomeloturnError extends VError {
     readonly code: ResultCode;
 
-    private constructor(code: ResultCode, detail: string, cause: Error | undefined) {
+    private constructor(code: ResultCode, readonly detail: string, cause: Error | undefined) {
         const options: VError.Options = { name: "PomeloturnError" };
         if (cause !== undefined) {
             options.cause = cause;
--- a/packages/shared/types/src/Request.ts
+++ b/packages/shared/types/src/Request.ts
@@ -8,8 +8,10 @@
     ReplicaRead: 0,
     /** A read that relies on being at the primary: the lease must hold. */
     PrimaryRead: 1,
-    /** A write or a step of a transaction: the lease must hold and the term must match. */
+    /** A write or the first step of a transaction: the lease must hold and the term must match. */
     PrimaryWrite: 2,
+    /** A later step of a transaction: as a write, and only on the connection that the transaction has. */
+    TransactionStep: 3,
 } as const;
 export type RequestMode = typeof RequestMode[keyof typeof RequestMode];
 
--- a/packages/shared/types/src/StatementClass.ts
+++ b/packages/shared/types/src/StatementClass.ts
@@ -7,6 +7,8 @@
     Commit: "commit",
     Rollback: "rollback",
     SessionSetting: "sessionSetting",
+    /** Several statements of which some control a transaction. */
+    Mixed: "mixed",
     Unsupported: "unsupported",
 } as const;
 export type StatementClass = typeof StatementClass[keyof typeof StatementClass];
--- a/programs/proxy/src/CallerListener.ts
+++ b/programs/proxy/src/CallerListener.ts
@@ -1,34 +1,26 @@
-import { CallerStartup, StartupOutcome, type StartupResult } from "@pomeloturn/caller-connection/CallerStartup";
+import { type CallerIdentity, CallerStartup, StartupOutcome, type StartupResult } from "@pomeloturn/caller-connection/CallerStartup";
 import { PomeloturnError } from "@pomeloturn/errors/PomeloturnError";
 import { ResultCode } from "@pomeloturn/errors/ResultCode";
 import { decodeToken } from "@pomeloturn/session-token/decodeToken";
-import type { SessionToken } from "@pomeloturn/session-token/SessionToken";
+import { EMPTY_TOKEN, type SessionToken } from "@pomeloturn/session-token/SessionToken";
+import { findRank, findReadKind } from "@pomeloturn/session/findAttributes";
 import { readStartupOptions, toAttribute } from "@pomeloturn/session/readAttributes";
 import { createSession } from "@pomeloturn/session/SessionState";
 import type { ServiceConfiguration } from "@pomeloturn/types/Configuration";
 import type { ControlView } from "@pomeloturn/types/ControlView";
-import {
-    buildBackendKeyData,
-    buildErrorResponse,
-    buildParameterStatus,
-    buildReadyForQuery,
-    Severity,
-} from "@pomeloturn/wire-messages/buildMessage";
+import { buildErrorResponse, Severity } from "@pomeloturn/wire-messages/buildMessage";
+import { randomInt } from "node:crypto";
 import { createServer, type Server, type Socket } from "node:net";
+import { greetCaller } from "./greetCaller.ts";
 import { SessionActor, type SessionEnvironment } from "./SessionActor.ts";
 
 /** Value of `pomeloturn.token` by which a caller states that it has written nothing yet. */
 export const NEW_SESSION_TOKEN = "new";
 
-const PARAMETERS: readonly (readonly [name: string, value: string])[] = [
-    ["server_version", "15.0 (pomeloturn)"],
-    ["server_encoding", "UTF8"],
-    ["client_encoding", "UTF8"],
-    ["DateStyle", "ISO, MDY"],
-    ["integer_datetimes", "on"],
-    ["standard_conforming_strings", "on"],
-    ["TimeZone", "UTC"],
-];
+const STARTUP_TIMEOUT_MS = 10_000;
+
+/** Numbers that a signed 32-bit integer can hold without its sign. */
+const SECRET_KEY_RANGE = 2 ** 31 - 1;
 
 export interface CallerListenerOptions {
     readonly vm: string;
@@ -37,10 +29,17 @@
     environment(onClosed: () => void): SessionEnvironment;
 }
 
+/** A session with the key that cancels its requests. */
+interface CancelableSession {
+    readonly actor: SessionActor;
+    readonly secretKey: number;
+}
+
 /** Accepts callers and starts their sessions. */
 export class CallerListener {
     private readonly server: Server;
     private readonly sockets = new Set<Socket>();
+    private readonly sessions = new Map<number, CancelableSession>();
     private nextSession = 1;
 
     private constructor(private readonly options: CallerListenerOptions) {
@@ -78,36 +77,56 @@
         socket.on("close", () => this.sockets.delete(socket));
         socket.on("error", () => socket.destroy());
         CallerStartup.create(socket, {
-            findPassword: identity => this.findService(identity.service, identity.user)?.password,
-            onResult: result => this.startSession(result),
+            timeoutMs: STARTUP_TIMEOUT_MS,
+            findCredentials: service => this.findService(service),
+            onResult: result => this.receiveResult(result),
         });
     }
 
-    private findService(name: string, user: string): ServiceConfiguration | undefined {
-        const service = this.options.view().configuration.services[name];
-        return service?.user === user ? service : undefined;
+    private findService(name: string): ServiceConfiguration | undefined {
+        const { services } = this.options.view().configuration;
+        return Object.hasOwn(services, name) ? services[name] : undefined;
     }
 
-    private startSession(result: StartupResult): void {
-        if (result.outcome !== StartupOutcome.Accepted) {
+    private receiveResult(result: StartupResult): void {
+        if (result.outcome === StartupOutcome.Cancel) {
+            this.cancel(result.processId, result.secretKey);
             return;
         }
         const { socket, identity } = result;
         try {
-            const options = readStartupOptions(identity.parameters["options"] ?? "");
-            const token = this.readToken(identity.service, options.get("token"));
-            const attributes = Object.fromEntries([...options].flatMap(([name, value]) => {
-                const attribute = toAttribute(name);
-                return attribute === undefined ? [] : [[attribute, value]];
-            }));
-            const number = this.nextSession++;
-            const state = createSession(`${this.options.vm}-${number}`, identity.service, token, attributes);
-            SessionActor.create(state, socket, this.options.environment(() => undefined));
-            socket.write(greeting(number));
+            this.startSession(socket, identity);
         }
         catch (error) {
-            const code = error instanceof PomeloturnError ? error.code : ResultCode.MalformedStartup;
-            socket.end(buildErrorResponse(code, "", Severity.Fatal));
+            const isNumbered = error instanceof PomeloturnError;
+            const code = isNumbered ? error.code : ResultCode.MalformedStartup;
+            socket.end(buildErrorResponse(code, isNumbered ? error.detail : "", Severity.Fatal));
+        }
+    }
+
+    private startSession(socket: Socket, identity: CallerIdentity): void {
+        const options = readStartupOptions(identity.parameters["options"] ?? "");
+        const token = this.readToken(identity.service, options.get("token"));
+        const attributes = Object.fromEntries([...options].flatMap(([name, value]) => {
+            const attribute = toAttribute(name);
+            return attribute === undefined ? [] : [[attribute, value]];
+        }));
+        const service = this.findService(identity.service)!;
+        findRank(service, attributes);
+        findReadKind(service, attributes);
+        const number = this.nextSession++;
+        const secretKey = randomInt(SECRET_KEY_RANGE);
+        const state = createSession(`${this.options.vm}-${number}`, identity.service, token, attributes);
+        const actor = SessionActor.create(state, socket, this.options.environment(() => this.sessions.delete(number)));
+        this.sessions.set(number, { actor, secretKey });
+        socket.write(greetCaller(number, secretKey));
+    }
+
+    /** A key that does not fit is passed over in silence, as PostgreSQL does. */
+    private cancel(processId: number, secretKey: number): void {
+        const session = this.sessions.get(processId);
+        if (session?.secretKey === secretKey) {
+            session.actor.cancel();
         }
     }
 
@@ -116,15 +135,8 @@
             return undefined;
         }
         if (text === NEW_SESSION_TOKEN) {
-            return new Map();
+            return EMPTY_TOKEN;
         }
-        return decodeToken(text, service, this.options.view().configuration.services[service]!.tokenKey);
+        return decodeToken(text, service, this.findService(service)!.tokenKey);
     }
 }
-
-const greeting = (session: number): Buffer =>
-    Buffer.concat([
-        ...PARAMETERS.map(([name, value]) => buildParameterStatus(name, value)),
-        buildBackendKeyData(session, 0),
-        buildReadyForQuery("I"),
-    ]);
--- a/programs/proxy/src/Proxy.ts
+++ b/programs/proxy/src/Proxy.ts
@@ -12,6 +12,7 @@
 import { LocalHolders } from "./LocalHolders.ts";
 import type { ProxySettings } from "./ProxySettings.ts";
 import { RequestRouter } from "./RequestRouter.ts";
+import { RetryBudgets } from "./RetryBudgets.ts";
 import type { SessionEnvironment } from "./SessionActor.ts";
 import { StatusPuller } from "./StatusPuller.ts";
 
@@ -38,6 +39,7 @@
     private readonly router: RequestRouter;
     private readonly peerServer: PeerServer;
     private readonly callers: CallerListener;
+    private readonly retryBudgets = RetryBudgets.create();
     private readonly statusPuller: StatusPuller;
     private view: ControlView;
     private controlSource: ControlSource | undefined;
@@ -109,6 +111,7 @@
             view: this.view,
             vm: this.settings.vm,
             failureDomain: this.settings.failureDomain,
+            retryBudget: service => this.retryBudgets.find(service, monotonicNowMs()),
             statuses: this.statusPuller.statuses,
             classify: text => this.classifier.classify(text),
             takeRequestId: () => this.nextRequestId++,
--- a/programs/proxy/src/SessionActor.ts
+++ b/programs/proxy/src/SessionActor.ts
@@ -6,6 +6,9 @@
 import type { Socket } from "node:net";
 import type { RequestRouter } from "./RequestRouter.ts";
 
+/** Units that may wait in a session before it stops reading from the caller. */
+const WAITING_UNITS_LIMIT = 64;
+
 type RecordAction = Extract<SessionAction, { kind: "record"; }>;
 
 /** What a session's actor works with. */
@@ -25,11 +28,14 @@
     private readonly reference: Ref<SessionEvent>;
     private readonly connection: CallerConnection;
     private readonly handlers: ActionHandlers;
+    private timer: NodeJS.Timeout | undefined;
+    private timerAtMs = Infinity;
 
     private constructor(private readonly state: SessionState, socket: Socket, private readonly environment: SessionEnvironment) {
         this.reference = spawnStateless(environment.system, (event: SessionEvent) => this.step(event), state.sessionId);
         this.connection = CallerConnection.create(socket, {
             onMessages: messages => this.dispatch({ kind: SessionEventKind.Messages, messages }),
+            onDrained: () => undefined,
             onClosed: () => this.dispatch({ kind: SessionEventKind.CallerClosed }),
         });
         this.handlers = this.createHandlers();
@@ -40,6 +46,11 @@
         return new SessionActor(state, socket, environment);
     }
 
+    /** Cancels the request that is under way. */
+    cancel(): void {
+        this.dispatch({ kind: SessionEventKind.CancelRequested });
+    }
+
     private dispatch(event: SessionEvent): void {
         dispatch(this.reference, event);
     }
@@ -50,10 +61,7 @@
             const handler = this.handlers[action.kind] as (action: SessionAction) => void;
             handler(action);
         }
-        if (event.kind === SessionEventKind.CallerClosed) {
-            stop(this.reference);
-            this.environment.onClosed();
-        }
+        this.connection.setPaused(this.state.waiting.length > WAITING_UNITS_LIMIT);
     }
 
     private createHandlers(): ActionHandlers {
@@ -66,7 +74,28 @@
             cancel: action => router.cancel(action.vm, action.requestId),
             endTransaction: action => router.endTransaction(action.vm, action.group, action.instance, action.transactionId),
             close: () => this.connection.end(),
+            wake: action => this.setTimer(action.atMs),
+            finished: () => this.finish(),
             record: action => this.environment.onRecord(action),
         };
     }
+
+    /** Keeps the earliest time asked for; the session asks again when it is woken too early. */
+    private setTimer(atMs: number): void {
+        if (atMs >= this.timerAtMs) {
+            return;
+        }
+        clearTimeout(this.timer);
+        this.timerAtMs = atMs;
+        this.timer = setTimeout(() => {
+            this.timerAtMs = Infinity;
+            this.dispatch({ kind: SessionEventKind.Woken });
+        }, Math.max(0, atMs - this.environment.nowMs()));
+    }
+
+    private finish(): void {
+        clearTimeout(this.timer);
+        stop(this.reference);
+        this.environment.onClosed();
+    }
 }
--- /dev/null
+++ b/programs/proxy/src/greetCaller.ts
@@ -0,0 +1,19 @@
+import { buildBackendKeyData, buildParameterStatus, buildReadyForQuery } from "@pomeloturn/wire-messages/buildMessage";
+
+const PARAMETERS: readonly (readonly [name: string, value: string])[] = [
+    ["server_version", "15.0 (pomeloturn)"],
+    ["server_encoding", "UTF8"],
+    ["client_encoding", "UTF8"],
+    ["DateStyle", "ISO, MDY"],
+    ["integer_datetimes", "on"],
+    ["standard_conforming_strings", "on"],
+    ["TimeZone", "UTC"],
+];
+
+/** What a caller gets after its password: the settings in force, its cancel key and a ReadyForQuery. */
+export const greetCaller = (processId: number, secretKey: number): Buffer =>
+    Buffer.concat([
+        ...PARAMETERS.map(([name, value]) => buildParameterStatus(name, value)),
+        buildBackendKeyData(processId, secretKey),
+        buildReadyForQuery("I"),
+    ]);
--- a/programs/standin/src/database/executeStatement.ts
+++ b/programs/standin/src/database/executeStatement.ts
@@ -46,27 +46,38 @@
     }
 };
 
+/** Bookkeeping of the proxies is not work that the stand-in's slots model. */
+const isBookkeeping = (match: RegExpMatchArray): boolean => match[1]?.startsWith("pomeloturn_") === true;
+
 /** Runs a statement; outside a transaction it commits at once. */
 export const executeStatement = async (session: DatabaseSession, { form, match }: PreparedText): Promise<StatementResult> => {
     if (session.isFailed && !/^(?:commit|end|rollback|abort)/i.test(match[0])) {
         throw DatabaseError.create("25P02", "current transaction is aborted, commands ignored until end of transaction block");
     }
-    const { instance } = session;
     if (!form.isWork) {
         return form.run(session, match);
     }
+    return isBookkeeping(match) ? runForm(session, form, match) : runInSlot(session, form, match);
+};
+
+const runInSlot = async (session: DatabaseSession, form: StatementForm, match: RegExpMatchArray): Promise<StatementResult> => {
+    const { instance } = session;
     await acquireSlot(instance);
     try {
         if (instance.statementTimeMs > 0) {
             await new Promise(resolve => setTimeout(resolve, instance.statementTimeMs));
         }
-        const result = await form.run(session, match);
-        if (!session.isInTransaction) {
-            session.commit();
-        }
-        return result;
+        return await runForm(session, form, match);
     }
     finally {
         releaseSlot(instance);
     }
 };
+
+const runForm = async (session: DatabaseSession, form: StatementForm, match: RegExpMatchArray): Promise<StatementResult> => {
+    const result = await form.run(session, match);
+    if (!session.isInTransaction) {
+        session.commit();
+    }
+    return result;
+};
--- a/programs/standin/src/database/statements.ts
+++ b/programs/standin/src/database/statements.ts
@@ -126,6 +126,13 @@
     },
 };
 
+const maximumKey: StatementForm = {
+    pattern: pattern(`select max\\(key\\) from ${TABLE}`),
+    columns: () => ["max"],
+    isWork: true,
+    run: (session, match) => oneRow([...session.readAll(match[1]!).keys()].sort().at(-1)),
+};
+
 const sleep: StatementForm = {
     pattern: pattern("select pg_sleep\\(([0-9.]+)\\)"),
     columns: () => ["pg_sleep"],
@@ -209,6 +216,7 @@
     remove,
     count,
     selectAll,
+    maximumKey,
     sleep,
     repeat,
     literal,
