--- a/packages/shared/errors/src/ResultCode.ts
+++ b/packages/shared/errors/src/ResultCode.ts
@@ -58,5 +58,6 @@
     OperatorCommandFailed: 510,
     OperatorUnreachable: 511,
     BaseVersionUnknown: 512,
+    StoreUnavailableBeforeRun: 513,
 } as const;
 export type ResultCode = typeof ResultCode[keyof typeof ResultCode];
--- a/packages/shared/errors/src/resultTable.ts
+++ b/packages/shared/errors/src/resultTable.ts
@@ -77,6 +77,13 @@
         Effect.NotRun,
         "the version that the files were edited from is not stated or not kept",
     ],
+    [
+        ResultCode.StoreUnavailableBeforeRun,
+        "StoreUnavailableBeforeRun",
+        "F0000",
+        Effect.NotRun,
+        "the platform's store did not answer before anything was changed",
+    ],
 ];
 
 /** Every error result by its number. */
--- a/packages/version/merge-config/src/jsonPointer.ts
+++ b/packages/version/merge-config/src/jsonPointer.ts
@@ -16,3 +16,10 @@
     }
     return Object.entries(value).flatMap(([key, child]) => listLeaves(child, appendPointer(pointer, key)));
 };
+
+/** The value at a JSON pointer; undefined when there is none. */
+export const readPointer = (value: unknown, pointer: string): unknown =>
+    pointer.split("/").slice(1).reduce<unknown>((current, key) => {
+        const name = key.replaceAll("~1", "/").replaceAll("~0", "~");
+        return isJsonObject(current) && Object.hasOwn(current, name) ? current[name] : undefined;
+    }, value);
--- /dev/null
+++ b/programs/cli/src/config/show/ConfigShowCommand.ts
@@ -0,0 +1,33 @@
+import { readPointer } from "@pomeloturn/merge-config/jsonPointer";
+import { requireConfig } from "@pomeloturn/merge-config/mergeConfig";
+import { Command, Option } from "clipanion";
+import { OperatorCommand } from "../../shared/OperatorCommand.ts";
+import { readHead, readHeadFiles } from "../../shared/readHead.ts";
+
+/** `config show [--origin]`: prints the version in force. */
+export class ConfigShowCommand extends OperatorCommand {
+    static override paths = [["config", "show"]];
+    static override usage = Command.Usage({
+        category: "Configuration",
+        description: "Show the merged version in force, or with --origin which file set each value.",
+    });
+
+    readonly hasOrigins = Option.Boolean("--origin", false, { description: "one line a value: path, value, file and owner" });
+
+    protected async run(): Promise<void> {
+        const platform = this.createPlatform(this.loadSettings());
+        const { head } = await readHead(platform);
+        if (head.version === 0) {
+            this.print("no version was applied yet");
+            return;
+        }
+        const { configuration, origins } = requireConfig(await readHeadFiles(platform, head));
+        if (!this.hasOrigins) {
+            this.printJson({ version: head.version, configuration });
+            return;
+        }
+        for (const [pointer, { file, owner }] of origins.list()) {
+            this.print(`${pointer} = ${JSON.stringify(readPointer(configuration, pointer))} (${file}, ${owner})`);
+        }
+    }
+}
