--- a/programs/proxy/src/Proxy.ts
+++ b/programs/proxy/src/Proxy.ts
@@ -6,13 +6,14 @@
 import { PeerServer } from "@pomeloturn/peer-link/PeerServer";
 import type { SessionAction, SessionContext } from "@pomeloturn/session/sessionMessages";
 import type { ControlView } from "@pomeloturn/types/ControlView";
-import type { InstanceStatus } from "@pomeloturn/types/InstanceStatus";
 import { type ActorSystemRef, start, stop } from "nact";
 import { CallerListener } from "./CallerListener.ts";
+import { ControlSource } from "./ControlSource.ts";
 import { LocalHolders } from "./LocalHolders.ts";
 import type { ProxySettings } from "./ProxySettings.ts";
 import { RequestRouter } from "./RequestRouter.ts";
 import type { SessionEnvironment } from "./SessionActor.ts";
+import { StatusPuller } from "./StatusPuller.ts";
 
 const EMPTY_VIEW: ControlView = {
     configVersion: 0,
@@ -37,8 +38,9 @@
     private readonly router: RequestRouter;
     private readonly peerServer: PeerServer;
     private readonly callers: CallerListener;
-    private readonly statuses = new Map<string, InstanceStatus>();
+    private readonly statusPuller: StatusPuller;
     private view: ControlView;
+    private controlSource: ControlSource | undefined;
     private nextRequestId = 1;
 
     private constructor(private readonly settings: ProxySettings, private readonly classifier: StatementClassifier) {
@@ -47,7 +49,9 @@
         this.view = settings.view ?? EMPTY_VIEW;
         this.local = LocalHolders.create(settings.vm, view, monotonicNowMs);
         this.router = RequestRouter.create(settings.vm, this.local, view);
+        this.statusPuller = StatusPuller.create({ vm: settings.vm, router: this.router, local: this.local, view, nowMs: monotonicNowMs });
         this.peerServer = PeerServer.create(this.local);
+        this.peerServer.onStatusAsk = (vm, onStatus) => this.local.askStatus(vm, onStatus);
         this.callers = CallerListener.create({
             vm: settings.vm,
             callerLimit: settings.callerLimit,
@@ -61,6 +65,7 @@
         const proxy = new Proxy(settings, await StatementClassifier.create());
         await proxy.peerServer.listen(settings.peerHost, settings.peerPort);
         await proxy.callers.listen(settings.callerHost, settings.callerPort);
+        proxy.connectController();
         proxy.logger.info({ event: "listening", callerPort: settings.callerPort, peerPort: settings.peerPort });
         return proxy;
     }
@@ -71,13 +76,23 @@
     }
 
     close(): void {
+        this.controlSource?.close();
         this.callers.close();
+        this.statusPuller.close();
         this.router.close();
         this.peerServer.close();
         this.local.close();
         stop(this.system);
     }
 
+    private connectController(): void {
+        const { vm, peerHost, controllerPort } = this.settings;
+        if (controllerPort !== undefined) {
+            const address = `${peerHost}:${controllerPort}`;
+            this.controlSource = ControlSource.create({ vm, address, initialView: this.view, onView: view => this.setView(view) });
+        }
+    }
+
     private sessionEnvironment(onClosed: () => void): SessionEnvironment {
         return {
             system: this.system,
@@ -94,7 +109,7 @@
             view: this.view,
             vm: this.settings.vm,
             failureDomain: this.settings.failureDomain,
-            statuses: this.statuses,
+            statuses: this.statusPuller.statuses,
             classify: text => this.classifier.classify(text),
             takeRequestId: () => this.nextRequestId++,
             random: Math.random,
