Choose replicas by expected latency and by the lag estimate in the session

Cause: the session sent each read to a replica of its own failure domain, or to the primary until a report covered its write; after one late check an estimate never shrank, since withheld reads taught nothing. Change: chooseInstance takes the least expected latency among replicas that are reported or expected to cover the read; withheld reads shrink the estimate; losing policies live on only beside the replay.

--- a/packages/connection/session/src/SessionState.ts
+++ b/packages/connection/session/src/SessionState.ts
@@ -97,6 +97,8 @@
     current: CurrentRequest | undefined;
     /** By request id. */
     readonly abandoned: Map<number, AbandonedRequest>;
+    /** Monotonic time at which this session's last write to a group was acknowledged here, in milliseconds. */
+    readonly writtenAtMs: Map<string, number>;
     transaction: OpenTransaction | undefined;
     status: TransactionStatus;
     nextRequestNumber: number;
@@ -121,6 +123,7 @@
     waiting: [],
     current: undefined,
     abandoned: new Map(),
+    writtenAtMs: new Map(),
     transaction: undefined,
     status: TransactionStatus.Idle,
     nextRequestNumber: 1,
--- a/packages/connection/session/src/planRequest.ts
+++ b/packages/connection/session/src/planRequest.ts
@@ -137,18 +137,27 @@
         return { group, instance: view.primary, mode: RequestMode.PrimaryRead, proof };
     }
     const { maximumAgeMs } = findReadKind(service, attributes);
-    return routeRead({ group, position, maximumAgeMs, excluded }, proof, context, nowMs);
+    const sinceWriteMs = nowMs - (state.writtenAtMs.get(group) ?? nowMs);
+    return routeRead({ group, position, maximumAgeMs, excluded }, sinceWriteMs, proof, context, nowMs);
 };
 
 /** Routes a read of a session whose past in the group is known. */
-const routeRead = (read: ReadRequirement, primaryProof: FreshnessProof, context: SessionContext, nowMs: number): Route => {
+const routeRead = (
+    read: ReadRequirement,
+    sinceWriteMs: number,
+    primaryProof: FreshnessProof,
+    context: SessionContext,
+    nowMs: number,
+): Route => {
     const { group } = read;
     const view = groupView(group, context);
     const instance = chooseInstance(read, {
-        groupConfiguration: context.view.configuration.groups[group]!,
+        configuration: context.view.configuration,
         groupView: view,
         statuses: context.statuses,
+        knowledge: context.knowledge,
         failureDomain: context.failureDomain,
+        sinceWriteMs,
         nowMs,
     });
     if (instance === undefined) {
--- a/packages/connection/session/src/receiveAnswer.ts
+++ b/packages/connection/session/src/receiveAnswer.ts
@@ -2,6 +2,7 @@
 import { ResultCode } from "@pomeloturn/errors/ResultCode";
 import { planRetry, RetryDecisionKind } from "@pomeloturn/plan-retry/planRetry";
 import { mergePosition } from "@pomeloturn/session-token/mergePosition";
+import { instanceKey } from "@pomeloturn/types/InstanceStatus";
 import { type AnswerPart, RequestMode, TransactionStatus } from "@pomeloturn/types/Request";
 import { buildReadyForQuery } from "@pomeloturn/wire-messages/buildMessage";
 import { opensImplicit } from "./encloseUnit.ts";
@@ -67,8 +68,10 @@
     nowMs: number,
 ): SessionAction[] => {
     updateTransaction(state, current, part.transactionStatus);
+    learnLag(state, current, false, context, nowMs);
     if (part.position.term !== 0 && part.transactionStatus === TransactionStatus.Idle) {
         state.token = mergePosition(state.token, current.request.group, part.position);
+        state.writtenAtMs.set(current.request.group, nowMs);
         messages.push(buildTokenStatus(state, context));
     }
     if (!current.unit.isFlush) {
@@ -82,6 +85,15 @@
     ];
 };
 
+/** Tells routing how the replica's check of the session's last write went. */
+const learnLag = (state: SessionState, current: CurrentRequest, isBehind: boolean, context: SessionContext, nowMs: number): void => {
+    const { mode, group, instance } = current.request;
+    const writtenAtMs = state.writtenAtMs.get(group);
+    if (mode === RequestMode.ReplicaRead && writtenAtMs !== undefined) {
+        context.knowledge.learnLag(instanceKey(group, instance), nowMs - writtenAtMs, isBehind);
+    }
+};
+
 const updateTransaction = (state: SessionState, current: CurrentRequest, status: TransactionStatus): void => {
     state.status = status;
     if (status === TransactionStatus.Idle) {
@@ -101,6 +113,9 @@
     context: SessionContext,
     nowMs: number,
 ): SessionAction[] => {
+    if (code === ResultCode.ReplicaBehind) {
+        learnLag(state, current, true, context, nowMs);
+    }
     const decision = planRetry(
         {
             code,
--- a/packages/connection/session/src/sessionMessages.ts
+++ b/packages/connection/session/src/sessionMessages.ts
@@ -1,3 +1,4 @@
+import type { RoutingKnowledge } from "@pomeloturn/choose-instance/RoutingKnowledge";
 import type { ResultCode } from "@pomeloturn/errors/ResultCode";
 import type { RetryBudget } from "@pomeloturn/plan-retry/retryBudget";
 import type { ControlView } from "@pomeloturn/types/ControlView";
@@ -68,6 +69,8 @@
     readonly vm: string;
     readonly failureDomain: string;
     readonly statuses: ReadonlyMap<string, InstanceStatus>;
+    /** What this VM has learned from its own requests. */
+    readonly knowledge: RoutingKnowledge;
     /** Retries that a service may still make on this VM. */
     retryBudget(service: string): RetryBudget;
     classify(text: string): StatementClass;
--- a/packages/process/replay-trace/src/EntryModel.ts
+++ b/packages/process/replay-trace/src/EntryModel.ts
@@ -1,7 +1,6 @@
-import { initialLagEstimate, isLikelyReplayed, type LagEstimate, updateLagEstimate } from "@pomeloturn/choose-instance/lagEstimate";
-import type { RoutingCandidate } from "@pomeloturn/choose-instance/RoutingCandidate";
-import { routingPolicies, type RoutingPolicy } from "@pomeloturn/choose-instance/routingPolicies";
+import { RoutingKnowledge } from "@pomeloturn/choose-instance/RoutingKnowledge";
 import { oneWayMs, type ReplayDeployment } from "./ReplayDeployment.ts";
+import { routingPolicies, type RoutingPolicy, type WeighedCandidate } from "./routingPolicies.ts";
 
 /** What an entry VM knows of an instance from its holder's last report. */
 export interface KnownInstance {
@@ -30,9 +29,8 @@
 /** An entry VM: its reports on the instances, its own outstanding requests and its choice. */
 export class EntryModel {
     readonly known = new Map<string, KnownInstance>();
-    readonly ownOutstanding = new Map<string, number>();
+    readonly knowledge = RoutingKnowledge.create();
     private readonly samples: PrimarySample[] = [];
-    private readonly lagEstimates = new Map<string, LagEstimate>();
 
     private constructor(
         private readonly deployment: ReplayDeployment,
@@ -59,15 +57,6 @@
         }
     }
 
-    /** Learns from the check that the replica made for a read. */
-    learnLag(instance: string, sinceWriteMs: number, isBehind: boolean): void {
-        this.lagEstimates.set(instance, updateLagEstimate(this.lagEstimate(instance), sinceWriteMs, isBehind));
-    }
-
-    private lagEstimate(instance: string): LagEstimate {
-        return this.lagEstimates.get(instance) ?? initialLagEstimate;
-    }
-
     get failureDomain(): string {
         return this.deployment.vms[this.vm]!;
     }
@@ -86,7 +75,7 @@
         if (known === undefined) {
             return false;
         }
-        if (known.position < read.sessionPosition && !isLikelyReplayed(this.lagEstimate(instance), read.sinceWriteMs)) {
+        if (known.position < read.sessionPosition && !this.knowledge.expectsReplayed(instance, read.sinceWriteMs)) {
             return false;
         }
         return read.maximumAgeMs === undefined || this.provenAgeMs(known, nowMs) <= read.maximumAgeMs;
@@ -98,13 +87,13 @@
         return sample === undefined ? Infinity : nowMs - sample.sampledAtMs;
     }
 
-    private toCandidate(instance: string, read: ReadNeed, nowMs: number): RoutingCandidate {
+    private toCandidate(instance: string, read: ReadNeed, nowMs: number): WeighedCandidate {
         const { deployment, failureDomain } = this;
         const target = deployment.instances[instance]!;
         const isPaid = deployment.regions[target] !== deployment.regions[failureDomain];
         return {
             instance,
-            outstanding: Math.max(this.known.get(instance)?.outstanding ?? 0, this.ownOutstanding.get(instance) ?? 0),
+            outstanding: Math.max(this.known.get(instance)?.outstanding ?? 0, this.knowledge.outstandingOf(instance)),
             slots: deployment.slots,
             connections: deployment.connections,
             serviceTimeMs: DEFAULT_SERVICE_TIME_MS,
--- a/packages/process/replay-trace/src/replayTrace.test.ts
+++ b/packages/process/replay-trace/src/replayTrace.test.ts
@@ -1,10 +1,10 @@
-import { RoutingPolicy } from "@pomeloturn/choose-instance/routingPolicies";
 import { readFileSync } from "node:fs";
 import { describe, expect, it } from "vitest";
 import { checkOutcome, type StatedOutcome } from "./checkOutcome.ts";
 import { floodScenarios, generateTrace, traceScenarios } from "./generateTrace.ts";
 import { replayDeployments } from "./ReplayDeployment.ts";
 import { replayTrace } from "./replayTrace.ts";
+import { RoutingPolicy } from "./routingPolicies.ts";
 import type { TraceLine } from "./TraceLine.ts";
 
 const SEED = 1;
--- a/packages/process/replay-trace/src/replayTrace.ts
+++ b/packages/process/replay-trace/src/replayTrace.ts
@@ -1,4 +1,3 @@
-import type { RoutingPolicy } from "@pomeloturn/choose-instance/routingPolicies";
 import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { EntryModel } from "./EntryModel.ts";
@@ -9,6 +8,7 @@
 import { oneWayMs, type ReplayDeployment } from "./ReplayDeployment.ts";
 import { type FinishedRequest, type ReplayReport, reportRank, reportReplicaShares } from "./ReplayReport.ts";
 import { ReplicationModel } from "./ReplicationModel.ts";
+import type { RoutingPolicy } from "./routingPolicies.ts";
 import { type FaultLine, type RequestLine, type TraceLine, TraceLineKind } from "./TraceLine.ts";
 
 const STATUS_INTERVAL_MS = 200;
@@ -126,7 +126,7 @@
         const { line, entry } = attempt;
         const target = this.deployment.instances[instance]!;
         const delayMs = oneWayMs(this.deployment, entry.failureDomain, target);
-        entry.ownOutstanding.set(instance, (entry.ownOutstanding.get(instance) ?? 0) + 1);
+        entry.knowledge.countSent(instance);
         this.meter(entry.failureDomain, target, REQUEST_SIZE_BYTES, nowMs);
         this.events.at(nowMs + delayMs, arrivedMs => {
             if (
@@ -151,7 +151,7 @@
     private returnBehind(attempt: Attempt, instance: string, excluded: Set<string>, delayMs: number, nowMs: number): void {
         this.events.at(nowMs + delayMs, laterMs => {
             this.settle(attempt.entry, instance);
-            attempt.entry.learnLag(instance, nowMs - attempt.write.acknowledgedAtMs, true);
+            attempt.entry.knowledge.learnLag(instance, nowMs - attempt.write.acknowledgedAtMs, true);
             this.attempt(attempt, new Set([...excluded, instance]), laterMs);
         });
     }
@@ -165,7 +165,7 @@
                 this.sessionWrites.set(line.session, { position, acknowledgedAtMs: nowMs });
             }
             else if (instance !== this.replication.primary) {
-                entry.learnLag(instance, finishedMs - attempt.write.acknowledgedAtMs, false);
+                entry.knowledge.learnLag(instance, finishedMs - attempt.write.acknowledgedAtMs, false);
             }
             const isStale = !line.isWrite && position < attempt.write.position;
             this.finish(attempt, instance, nowMs, isStale, instance);
@@ -188,7 +188,7 @@
     }
 
     private settle(entry: EntryModel, instance: string): void {
-        entry.ownOutstanding.set(instance, entry.ownOutstanding.get(instance)! - 1);
+        entry.knowledge.countSettled(instance);
     }
 
     private deadlineAtMs({ line, arrivedAtMs }: Attempt): number {
--- a/packages/request/choose-instance/src/routingPolicies.ts
+++ b/packages/process/replay-trace/src/routingPolicies.ts
@@ -1,6 +1,15 @@
-import type { RoutingCandidate } from "./RoutingCandidate.ts";
+import { expectedLatencyMs, type RoutingCandidate } from "@pomeloturn/choose-instance/expectedLatencyMs";
 
-/** Constants for the ways to choose among instances that may serve a read. */
+/** A candidate with the resources that only the weighed ways look at. */
+export interface WeighedCandidate extends RoutingCandidate {
+    readonly connections: number;
+    /** Share of the paid link's approved rate that is in use, 0 to 1; 0 when no paid link is crossed. */
+    readonly linkUse: number;
+    /** Share of the approved rate that this answer would add; 0 when no paid link is crossed. */
+    readonly linkShare: number;
+}
+
+/** Constants for the ways that were weighed to choose among instances that may serve a read; `ExpectedLatency` is the one in use. */
 export const RoutingPolicy = {
     Nearest: "nearest",
     LeastOutstanding: "leastOutstanding",
@@ -12,12 +21,12 @@
 export type RoutingPolicy = typeof RoutingPolicy[keyof typeof RoutingPolicy];
 
 /** Lower is better. */
-type Score = (candidate: RoutingCandidate, candidateCount: number) => number;
+type Score = (candidate: WeighedCandidate, candidateCount: number) => number;
 
 /** Chooses one of at least one candidates. @param random gives numbers from 0 to 1 */
-type Choice = (candidates: readonly RoutingCandidate[], random: () => number) => RoutingCandidate;
+type Choice = (candidates: readonly WeighedCandidate[], random: () => number) => WeighedCandidate;
 
-const best = (candidates: readonly RoutingCandidate[], score: Score): RoutingCandidate => {
+const best = (candidates: readonly WeighedCandidate[], score: Score): WeighedCandidate => {
     let chosen = candidates[0]!;
     let chosenScore = score(chosen, candidates.length);
     for (const candidate of candidates.slice(1)) {
@@ -30,7 +39,7 @@
     return chosen;
 };
 
-const bestOfTwo = (candidates: readonly RoutingCandidate[], score: Score, random: () => number): RoutingCandidate => {
+const bestOfTwo = (candidates: readonly WeighedCandidate[], score: Score, random: () => number): WeighedCandidate => {
     if (candidates.length <= 2) {
         return best(candidates, score);
     }
@@ -43,12 +52,6 @@
 
 const outstandingPerSlot: Score = candidate => candidate.outstanding / candidate.slots;
 
-/** Time until the answer: the network, the work ahead in the queue, the statement itself. */
-export const expectedLatencyMs: Score = ({ outstanding, slots, serviceTimeMs, roundTripMs }) => {
-    const waitingAhead = Math.max(0, outstanding + 1 - slots);
-    return roundTripMs + serviceTimeMs * (1 + waitingAhead / slots);
-};
-
 /**
  * Marginal cost of the choice: the growth of the sum of n^utilization over slots, connections and the
  * paid link, with n the number of candidates.
--- a/packages/request/choose-instance/src/chooseInstance.ts
+++ b/packages/request/choose-instance/src/chooseInstance.ts
@@ -1,7 +1,9 @@
-import type { GroupConfiguration } from "@pomeloturn/types/Configuration";
+import type { Configuration } from "@pomeloturn/types/Configuration";
 import type { GroupView } from "@pomeloturn/types/ControlView";
 import { instanceKey, type InstanceStatus } from "@pomeloturn/types/InstanceStatus";
+import { expectedLatencyMs, type RoutingCandidate } from "./expectedLatencyMs.ts";
 import { type FreshnessRequirement, proveFreshness } from "./proveFreshness.ts";
+import type { RoutingKnowledge } from "./RoutingKnowledge.ts";
 
 /** A read that needs an instance. */
 export interface ReadRequirement extends FreshnessRequirement {
@@ -12,25 +14,72 @@
 
 /** What routing knows of the group. */
 export interface RoutingInputs {
-    readonly groupConfiguration: GroupConfiguration;
+    readonly configuration: Configuration;
     readonly groupView: GroupView;
     readonly statuses: ReadonlyMap<string, InstanceStatus>;
+    readonly knowledge: RoutingKnowledge;
     readonly failureDomain: string;
+    /** Time since the session's last write to the group was acknowledged. */
+    readonly sinceWriteMs: number;
     /** Monotonic time in milliseconds. */
     readonly nowMs: number;
 }
 
+/** Service time of an instance that has not reported one. */
+const DEFAULT_SERVICE_TIME_MS = 10;
+const MICROSECONDS_PER_MILLISECOND = 1_000;
+
 /**
- * Decides which instance serves a read: a replica that covers the session's position, the own failure
- * domain first, or else the primary.
+ * Decides which instance serves a read: among the replicas that cover the session's position, by their
+ * report or as the lag estimate expects, the one with the least expected latency; or else the primary.
  *
  * @returns the instance's name; undefined when none can serve
  */
 export const chooseInstance = (read: ReadRequirement, inputs: RoutingInputs): string | undefined => {
-    const { groupConfiguration, groupView, failureDomain } = inputs;
-    const candidates = Object.keys(groupConfiguration.instances)
-        .filter(name => name !== groupView.primary && !read.excluded.has(name) && groupView.holders[name] !== undefined)
-        .filter(name => proveFreshness(read, inputs.statuses.get(instanceKey(read.group, name)), groupView, inputs.nowMs)?.isReported);
-    const local = candidates.find(name => groupConfiguration.instances[name]!.failureDomain === failureDomain);
-    return local ?? candidates[0] ?? (read.excluded.has(groupView.primary) ? undefined : groupView.primary);
+    const { primary } = inputs.groupView;
+    let chosen: string | undefined;
+    let chosenLatencyMs = Infinity;
+    for (const name of Object.keys(inputs.configuration.groups[read.group]!.instances)) {
+        if (name === primary || !isUsable(name, read, inputs)) {
+            continue;
+        }
+        const latencyMs = expectedLatencyMs(describeCandidate(name, read.group, inputs));
+        if (latencyMs < chosenLatencyMs) {
+            chosen = name;
+            chosenLatencyMs = latencyMs;
+        }
+    }
+    return chosen ?? (read.excluded.has(primary) ? undefined : primary);
+};
+
+const isUsable = (name: string, read: ReadRequirement, inputs: RoutingInputs): boolean => {
+    if (read.excluded.has(name) || inputs.groupView.holders[name] === undefined) {
+        return false;
+    }
+    const key = instanceKey(read.group, name);
+    const proof = proveFreshness(read, inputs.statuses.get(key), inputs.groupView, inputs.nowMs);
+    return proof !== undefined && (proof.isReported || inputs.knowledge.expectsReplayed(key, inputs.sinceWriteMs));
+};
+
+const describeCandidate = (instance: string, group: string, inputs: RoutingInputs): RoutingCandidate => {
+    const key = instanceKey(group, instance);
+    const { failureDomain, slots } = inputs.configuration.groups[group]!.instances[instance]!;
+    const status = inputs.statuses.get(key);
+    const reported = status === undefined ? 0 : slots - status.freeSlots + status.queued.reduce((sum, count) => sum + count, 0);
+    const serviceTimeMs = (status?.serviceTimeUs ?? 0) / MICROSECONDS_PER_MILLISECOND;
+    return {
+        instance,
+        outstanding: Math.max(reported, inputs.knowledge.outstandingOf(key)),
+        slots,
+        serviceTimeMs: serviceTimeMs > 0 ? serviceTimeMs : DEFAULT_SERVICE_TIME_MS,
+        roundTripMs: 2 * oneWayMs(inputs.failureDomain, failureDomain, inputs.configuration),
+    };
+};
+
+/** One-way latency between two failure domains, in milliseconds. */
+const oneWayMs = (from: string, to: string, { failureDomains, latency }: Configuration): number => {
+    if (from === to) {
+        return 0;
+    }
+    return failureDomains[from] === failureDomains[to] ? latency.betweenFailureDomainsMs : latency.betweenRegionsMs;
 };
--- a/packages/request/choose-instance/src/RoutingCandidate.ts
+++ b/packages/request/choose-instance/src/expectedLatencyMs.ts
@@ -4,12 +4,13 @@
     /** Statements running or waiting there, as far as this VM knows. */
     readonly outstanding: number;
     readonly slots: number;
-    readonly connections: number;
     readonly serviceTimeMs: number;
     /** Network time there and back. */
     readonly roundTripMs: number;
-    /** Share of the paid link's approved rate that is in use, 0 to 1; 0 when no paid link is crossed. */
-    readonly linkUse: number;
-    /** Share of the approved rate that this answer would add; 0 when no paid link is crossed. */
-    readonly linkShare: number;
 }
+
+/** Time until the answer: the network, the work ahead in the queue, the statement itself; in milliseconds. */
+export const expectedLatencyMs = ({ outstanding, slots, serviceTimeMs, roundTripMs }: RoutingCandidate): number => {
+    const waitingAhead = Math.max(0, outstanding + 1 - slots);
+    return roundTripMs + serviceTimeMs * (1 + waitingAhead / slots);
+};
--- a/packages/request/choose-instance/src/lagEstimate.ts
+++ b/packages/request/choose-instance/src/lagEstimate.ts
@@ -10,6 +10,8 @@
 const HIGHEST_LAG_MS = 10_000;
 const GROWTH_FACTOR = 1.5;
 const DECAY_FACTOR = 0.98;
+/** Reads that were not tried shrink the estimate too, so that one late check does not hold for good. */
+const WITHHELD_DECAY_FACTOR = 0.95;
 
 export const initialLagEstimate: LagEstimate = { lagMs: INITIAL_LAG_MS };
 
@@ -28,3 +30,6 @@
     }
     return { lagMs: estimate.lagMs * DECAY_FACTOR };
 };
+
+/** Shrinks the estimate because a read was not tried at the replica. */
+export const decayLagEstimate = (estimate: LagEstimate): LagEstimate => ({ lagMs: estimate.lagMs * WITHHELD_DECAY_FACTOR });
--- a/programs/bench/src/routingTable.ts
+++ b/programs/bench/src/routingTable.ts
@@ -1,7 +1,7 @@
-import { RoutingPolicy } from "@pomeloturn/choose-instance/routingPolicies";
 import { floodScenarios, generateTrace, traceScenarios } from "@pomeloturn/replay-trace/generateTrace";
 import { replayDeployments } from "@pomeloturn/replay-trace/ReplayDeployment";
 import { replayTrace } from "@pomeloturn/replay-trace/replayTrace";
+import { RoutingPolicy } from "@pomeloturn/replay-trace/routingPolicies";
 
 const SEEDS = [1, 2, 3];
 const KILOBYTE = 1_000;
--- a/programs/proxy/src/Proxy.ts
+++ b/programs/proxy/src/Proxy.ts
@@ -1,3 +1,4 @@
+import { RoutingKnowledge } from "@pomeloturn/choose-instance/RoutingKnowledge";
 import { StatementClassifier } from "@pomeloturn/classify-statement/StatementClassifier";
 import { monotonicNowMs } from "@pomeloturn/clock/monotonicNowMs";
 import { LatencyHistograms } from "@pomeloturn/histograms/LatencyHistograms";
@@ -39,6 +40,7 @@
     private readonly router: RequestRouter;
     private readonly peerServer: PeerServer;
     private readonly callers: CallerListener;
+    private readonly knowledge = RoutingKnowledge.create();
     private readonly retryBudgets = RetryBudgets.create();
     private readonly statusPuller: StatusPuller;
     private view: ControlView;
@@ -113,6 +115,7 @@
             failureDomain: this.settings.failureDomain,
             retryBudget: service => this.retryBudgets.find(service, monotonicNowMs()),
             statuses: this.statusPuller.statuses,
+            knowledge: this.knowledge,
             classify: text => this.classifier.classify(text),
             takeRequestId: () => this.nextRequestId++,
             random: Math.random,
--- a/programs/proxy/src/SessionActor.ts
+++ b/programs/proxy/src/SessionActor.ts
@@ -2,6 +2,8 @@
 import { type SessionAction, type SessionContext, type SessionEvent, SessionEventKind } from "@pomeloturn/session/sessionMessages";
 import type { SessionState } from "@pomeloturn/session/SessionState";
 import { stepSession } from "@pomeloturn/session/stepSession";
+import { instanceKey } from "@pomeloturn/types/InstanceStatus";
+import type { ForwardRequest } from "@pomeloturn/types/Request";
 import { type ActorSystemRef, dispatch, type Ref, spawnStateless, stop } from "nact";
 import type { Socket } from "node:net";
 import type { RequestRouter } from "./RequestRouter.ts";
@@ -70,7 +72,7 @@
             reply: action => {
                 this.connection.write(action.messages);
             },
-            forward: action => router.send(action.vm, action.request, part => this.dispatch({ kind: SessionEventKind.Answer, part })),
+            forward: action => this.forward(action.vm, action.request),
             cancel: action => router.cancel(action.vm, action.requestId),
             endTransaction: action => router.endTransaction(action.vm, action.group, action.instance, action.transactionId),
             close: () => this.connection.end(),
@@ -80,6 +82,18 @@
         };
     }
 
+    private forward(vm: string, request: ForwardRequest): void {
+        const { knowledge } = this.environment.context();
+        const key = instanceKey(request.group, request.instance);
+        knowledge.countSent(key);
+        this.environment.router.send(vm, request, part => {
+            if (part.isLast) {
+                knowledge.countSettled(key);
+            }
+            this.dispatch({ kind: SessionEventKind.Answer, part });
+        });
+    }
+
     /** Keeps the earliest time asked for; the session asks again when it is woken too early. */
     private setTimer(atMs: number): void {
         if (atMs >= this.timerAtMs) {
