--- a/packages/version/promote-primary/src/leadGroup.ts
+++ b/packages/version/promote-primary/src/leadGroup.ts
@@ -6,10 +6,10 @@
 import { GroupActionKind } from "./GroupAction.ts";
 import type { GroupState, Step } from "./GroupState.ts";
 import { leaseExpiry } from "./leaseExpiryUnder.ts";
-import { ORDER_INTERVAL_MS, REPAIR_INTERVAL_MS, WITNESS_GONE_MS } from "./promotionTiming.ts";
+import { ORDER_INTERVAL_MS, PUBLISHED_LEASE_MS, REPAIR_INTERVAL_MS, WITNESS_GONE_MS } from "./promotionTiming.ts";
 import { startChange } from "./rowChange.ts";
 import { runElection, startElection } from "./runElection.ts";
-import { isPrimaryLost, isPromotable, probePrimary } from "./watchPrimary.ts";
+import { isPrimaryDoubtful, isPrimaryLost, isPromotable, probePrimary } from "./watchPrimary.ts";
 
 /** One run of the holder: renewals, the primary, its replacement, witnesses, the published lease. */
 export const leadGroup = (state: GroupState, step: Step, stored: StoredRow): void => {
@@ -110,9 +110,10 @@
 /** Lets this VM's proxy acknowledge until the lease ends, unless the primary fails or leadership is about to move. */
 const publishLease = (state: GroupState, step: Step, { version }: StoredRow): void => {
     const isStopped = state.election !== undefined || state.isHandingOver || state.releasedVersion === version
-        || state.change?.isContinuing === false || state.primary.failingSinceMs !== undefined;
+        || state.change?.isContinuing === false || isPrimaryDoubtful(state, step.nowMs);
     if (state.primary.isConfirmed && !isStopped) {
-        state.publishedUntilMs = Math.max(state.publishedUntilMs, leaseExpiry(state, step));
+        const untilMs = Math.min(leaseExpiry(state, step), step.nowMs + PUBLISHED_LEASE_MS);
+        state.publishedUntilMs = Math.max(state.publishedUntilMs, untilMs);
     }
 };
 
--- a/packages/version/promote-primary/src/promotionTiming.ts
+++ b/packages/version/promote-primary/src/promotionTiming.ts
@@ -4,10 +4,16 @@
 export const TICK_INTERVAL_MS = 50;
 /** Time between two ticks that shows that this VM was paused, so that its suspicions are void. */
 export const PAUSE_MS = 400;
+/** Time after a pause for the messages that waited, before others are suspected. */
+export const READ_MESSAGES_MS = 100;
 /** Time between two probes of a primary that answers. */
 export const PROBE_INTERVAL_MS = 400;
 /** Time between two probes of a primary whose answer is waited for. */
 export const FAST_PROBE_INTERVAL_MS = 50;
+/** Longest time ahead for which the proxy may acknowledge, so that a lost primary is not waited for longer than it is probed. */
+export const PUBLISHED_LEASE_MS = 1_200;
+/** Time after which a probe without an answer stops the publishing of the lease. */
+export const SLOW_PROBE_MS = 300;
 /** Time after which a probe without an answer no longer holds back the next. */
 export const PROBE_TIMEOUT_MS = 1_000;
 /** Silence of a holder after which its witnesses probe the primary. */
@@ -28,6 +34,8 @@
 export const PLANNED_LIMIT_MS = 3_000;
 /** Time between two tries of a change of the row. */
 export const WRITE_RETRY_MS = 250;
+/** Time after which the row is read while the answer to a change is awaited. */
+export const READ_BACK_MS = 400;
 /** Time that a change of witnesses waits for the grants of the new ones. */
 export const CHANGE_READY_LIMIT_MS = 2_000;
 /** Time for which a witness must be gone before it is replaced. */
--- a/packages/version/promote-primary/src/receiveMessage.ts
+++ b/packages/version/promote-primary/src/receiveMessage.ts
@@ -54,11 +54,11 @@
     if (message.knownVersion < knownVersion(state) && rowVersion === knownVersion(state)) {
         sendRow(state, step, from.vm);
     }
+    const named = state.stored?.row.witnesses.find(({ vm }) => vm === from.vm) ?? from;
     if (!isGranted) {
-        state.isRefused ||= rowVersion === knownVersion(state);
+        state.isRefused ||= rowVersion === knownVersion(state) && named.incarnation === from.incarnation;
         return;
     }
-    const named = state.stored?.row.witnesses.find(({ vm }) => vm === from.vm) ?? from;
     const key = grantKey(rowVersion, step.guards.isIncarnationChecked ? from : named);
     const countedFromMs = step.guards.isCountedFromSend ? sentAtMs : step.nowMs;
     state.grants.set(key, Math.max(state.grants.get(key) ?? -Infinity, countedFromMs));
--- a/packages/version/promote-primary/src/rowChange.ts
+++ b/packages/version/promote-primary/src/rowChange.ts
@@ -6,7 +6,7 @@
 import { GroupActionKind } from "./GroupAction.ts";
 import { createPrimaryWatch, type GroupState, isHolder, type RowChange, type Step } from "./GroupState.ts";
 import { leaseExpiryUnder } from "./leaseExpiryUnder.ts";
-import { CHANGE_READY_LIMIT_MS, WRITE_RETRY_MS } from "./promotionTiming.ts";
+import { CHANGE_READY_LIMIT_MS, READ_BACK_MS, WRITE_RETRY_MS } from "./promotionTiming.ts";
 
 const nextOperationId = (state: GroupState, { self }: Step): string =>
     `${groupRowKey(state.group)}/${self.vm}/${self.incarnation}/${++state.operationCount}`;
@@ -30,7 +30,11 @@
 /** Sends the change, or repeats it under the same operation id while its outcome is not known. */
 export const runChange = (state: GroupState, step: Step): void => {
     const { change } = state;
-    if (change === undefined || change.isOutstanding || step.nowMs < change.nextTryAtMs) {
+    if (change === undefined || step.nowMs < change.nextTryAtMs) {
+        return;
+    }
+    if (change.isOutstanding) {
+        readBack(change, step);
         return;
     }
     if (!change.isSent && !isReadyToSend(state, change, step)) {
@@ -41,10 +45,17 @@
     }
     change.isSent = true;
     change.isOutstanding = true;
+    change.nextTryAtMs = step.nowMs + READ_BACK_MS;
     const { operationId, expectedVersion, next } = change;
     step.actions.push({ kind: GroupActionKind.WriteRow, operationId, expectedVersion, value: formatGroupRow(next) });
 };
 
+/** Looks whether a change whose answer is late has taken effect. */
+const readBack = (change: RowChange, step: Step): void => {
+    change.nextTryAtMs = step.nowMs + READ_BACK_MS;
+    step.actions.push({ kind: GroupActionKind.ReadRow });
+};
+
 /** A lease that is already published must be covered by the new witnesses before the row can name them. */
 const isReadyToSend = (state: GroupState, change: RowChange, step: Step): boolean => {
     if (!change.isContinuing || !step.guards.areBothSetsNeeded || state.publishedUntilMs <= step.nowMs) {
@@ -88,8 +99,13 @@
         return;
     }
     const row = parseGroupRow(value);
-    if (row !== undefined) {
-        adoptRow(state, step, { version, row });
+    if (row === undefined) {
+        return;
+    }
+    const isOwnChange = state.change?.operationId === row.operationId;
+    adoptRow(state, step, { version, row });
+    if (isOwnChange) {
+        sendRowToAll(state, step);
     }
 };
 
@@ -115,7 +131,6 @@
     finishElection(state, step, stored.row.primary);
     state.isRefused = false;
     state.isHandingOver &&= isHolder(state, step);
-    state.witnessesGoneSinceMs = undefined;
     state.witness.heardAtMs = step.nowMs;
     state.renewedAtMs = -Infinity;
     state.repairedAtMs = -Infinity;
--- a/packages/version/promote-primary/src/runElection.ts
+++ b/packages/version/promote-primary/src/runElection.ts
@@ -78,12 +78,15 @@
     }
 };
 
-/** The row with this VM as its holder. */
-export const rowWithHolder = (state: GroupState, step: Step, row: GroupRow): GroupRow => ({
-    ...row,
-    holder: step.self,
-    witnesses: chooseWitnesses(state.group, step.self.vm, step.vms, row.witnesses),
-});
+/** The row with this VM as its holder. A candidate names only VMs that have promised, as others may be gone or paused. */
+export const rowWithHolder = (state: GroupState, step: Step, row: GroupRow): GroupRow => {
+    const { election } = state;
+    if (election?.isOwn !== false) {
+        return { ...row, holder: step.self };
+    }
+    const answering = step.vms.filter(({ vm }) => vm === step.self.vm || election.promises.has(vm));
+    return { ...row, holder: step.self, witnesses: chooseWitnesses(state.group, step.self.vm, answering, row.witnesses) };
+};
 
 const keepPrimary = (state: GroupState, step: Step, election: Election, { version, row }: StoredRow): void => {
     if (election.isOwn && state.releasedVersion !== version) {
--- a/packages/version/promote-primary/src/stepGroup.ts
+++ b/packages/version/promote-primary/src/stepGroup.ts
@@ -1,11 +1,12 @@
 import { ResultCode } from "@pomeloturn/errors/ResultCode";
 import { groupRowKey } from "@pomeloturn/group-lease/GroupRow";
+import { SUSPICION_MS } from "@pomeloturn/group-lease/leaseTiming";
 import { createFirstRow } from "./createFirstRow.ts";
 import { type GroupAction, GroupActionKind } from "./GroupAction.ts";
 import { type GroupEvent, GroupEventKind } from "./GroupEvent.ts";
 import { type GroupState, isHolder, type Step } from "./GroupState.ts";
 import { leadGroup } from "./leadGroup.ts";
-import { PAUSE_MS, READ_INTERVAL_MS, READ_RETRY_MS } from "./promotionTiming.ts";
+import { PAUSE_MS, READ_INTERVAL_MS, READ_MESSAGES_MS, READ_RETRY_MS } from "./promotionTiming.ts";
 import { receiveMessage } from "./receiveMessage.ts";
 import { receiveProbe } from "./receiveProbe.ts";
 import { runChange, settleChange, takeTableRow } from "./rowChange.ts";
@@ -15,10 +16,7 @@
 type Handler<Event> = (state: GroupState, step: Step, event: Event) => void;
 
 const tick: Handler<EventOf<typeof GroupEventKind.Tick>> = (state, step) => {
-    if (step.nowMs - state.tickedAtMs >= PAUSE_MS) {
-        state.witness.heardAtMs = Math.max(state.witness.heardAtMs, step.nowMs);
-        state.primary.failingSinceMs = undefined;
-    }
+    discountPause(state, step.nowMs, step.nowMs - state.tickedAtMs);
     state.tickedAtMs = step.nowMs;
     readWhenDue(state, step);
     runChange(state, step);
@@ -32,6 +30,18 @@
     (isHolder(state, step) ? leadGroup : standAsCandidate)(state, step, stored);
 };
 
+/** Time during which this VM itself was paused is no silence of others; messages that wait are read first. */
+const discountPause = (state: GroupState, nowMs: number, sinceTickMs: number): void => {
+    if (sinceTickMs < PAUSE_MS) {
+        return;
+    }
+    const heardAtMs = Math.min(nowMs, state.witness.heardAtMs + sinceTickMs);
+    state.witness.heardAtMs = Math.max(heardAtMs, nowMs - SUSPICION_MS + READ_MESSAGES_MS);
+    if (state.primary.failingSinceMs !== undefined) {
+        state.primary.failingSinceMs = Math.min(nowMs, state.primary.failingSinceMs + sinceTickMs);
+    }
+};
+
 const readWhenDue = (state: GroupState, step: Step): void => {
     const intervalMs = state.stored === undefined ? READ_RETRY_MS : READ_INTERVAL_MS;
     if (step.nowMs - state.readAtMs >= intervalMs) {
--- a/packages/version/promote-primary/src/watchPrimary.ts
+++ b/packages/version/promote-primary/src/watchPrimary.ts
@@ -1,7 +1,7 @@
 import type { InstanceProbe } from "@pomeloturn/types/Leadership";
 import { GroupActionKind } from "./GroupAction.ts";
 import type { GroupState, Step } from "./GroupState.ts";
-import { FAST_PROBE_INTERVAL_MS, PRIMARY_LOST_MS, PROBE_INTERVAL_MS, PROBE_TIMEOUT_MS } from "./promotionTiming.ts";
+import { FAST_PROBE_INTERVAL_MS, PRIMARY_LOST_MS, PROBE_INTERVAL_MS, PROBE_TIMEOUT_MS, SLOW_PROBE_MS } from "./promotionTiming.ts";
 
 /** Probes the row's primary when a probe is due. */
 export const probePrimary = (state: GroupState, step: Step, isUrgent: boolean): void => {
@@ -20,6 +20,10 @@
 export const isPrimaryLost = ({ primary }: GroupState, nowMs: number): boolean =>
     primary.failingSinceMs !== undefined && nowMs - primary.failingSinceMs >= PRIMARY_LOST_MS;
 
+/** Whether the last probe failed or is long without an answer. */
+export const isPrimaryDoubtful = ({ primary }: GroupState, nowMs: number): boolean =>
+    primary.failingSinceMs !== undefined || (primary.outstanding > 0 && nowMs - primary.probedAtMs >= SLOW_PROBE_MS);
+
 /** Whether the primary is a frozen replica that waits for the order to promote it. */
 export const isPromotable = (state: GroupState, probe: InstanceProbe): boolean => {
     const start = state.stored?.row.history.at(-1);
--- /dev/null
+++ b/tests/leases/support/LeaseSimulation.ts
@@ -0,0 +1,333 @@
+import { groupRowKey } from "@pomeloturn/group-lease/GroupRow";
+import { parseGroupRow } from "@pomeloturn/group-lease/groupRowCodec";
+import { ALL_GUARDS, type LeaseGuards } from "@pomeloturn/group-lease/LeaseGuards";
+import type { GroupAction } from "@pomeloturn/promote-primary/GroupAction";
+import { type GroupEvent, GroupEventKind } from "@pomeloturn/promote-primary/GroupEvent";
+import { TICK_INTERVAL_MS } from "@pomeloturn/promote-primary/promotionTiming";
+import type { GroupLeadership, InstanceProbe } from "@pomeloturn/types/Leadership";
+import type { TableResult } from "@pomeloturn/types/Platform";
+import { FakeInstance, type LogEntry } from "./FakeInstance.ts";
+import { FakeStore } from "./FakeStore.ts";
+import { FakeVm } from "./FakeVm.ts";
+import { LeadershipCheck } from "./LeadershipCheck.ts";
+import { VirtualClock } from "./VirtualClock.ts";
+
+export const STORE = "store";
+/** Region and failure domain of each place; the store is a place of its own in the first region. */
+const REGIONS: Readonly<Record<string, string>> = { "north-a": "north", "north-b": "north", "south-a": "south", [STORE]: "north" };
+export const DOMAINS = ["north-a", "north-b", "south-a"];
+const CALL_TIMEOUT_MS = 1_000;
+const PROMOTION_MS = 50;
+const MEMBERSHIP_MEMORY_MS = 3_000;
+
+const ROW_KEY = groupRowKey("ledger-1");
+
+type ActionHandler<Action> = (vm: FakeVm, action: Action) => void;
+
+interface SimulationOptions {
+    readonly seed: number;
+    readonly guards?: Partial<LeaseGuards>;
+    readonly vmCount?: number;
+    /** Share of messages between VMs that are lost, and that arrive twice. */
+    readonly lossRate?: number;
+}
+
+/** One group, its VMs, its instances and the store in virtual time. After every step the check looks at all of them. */
+export class LeaseSimulation {
+    readonly clock: VirtualClock;
+    readonly store = new FakeStore();
+    readonly vms = new Map<string, FakeVm>();
+    readonly instances = new Map<string, FakeInstance>();
+    readonly check: LeadershipCheck;
+    readonly promotionCodes: number[] = [];
+    lossRate: number;
+    /** Added to messages between VMs, at random up to this. */
+    messageDelayMs = 0;
+    private readonly cuts = new Set<string>();
+    private nextEntryId = 1;
+
+    constructor(options: SimulationOptions) {
+        this.clock = new VirtualClock(options.seed);
+        this.lossRate = options.lossRate ?? 0;
+        const domains = Object.fromEntries(DOMAINS.map((domain, index) => [`db-${index + 1}`, domain]));
+        for (const [name, domain] of Object.entries(domains)) {
+            this.instances.set(name, new FakeInstance(name, domain, name !== "db-1", name === "db-1" ? "" : "db-1"));
+        }
+        this.check = new LeadershipCheck(this.instances);
+        for (let index = 0; index < (options.vmCount ?? 6); index++) {
+            const rate = 1 + (this.clock.random() - 0.5) * 0.018;
+            const guards = { ...ALL_GUARDS, ...options.guards };
+            const vm = new FakeVm(`vm-${index + 1}`, DOMAINS[index % 3]!, rate, this.clock.random() * 1e6, domains, guards);
+            this.vms.set(vm.name, vm);
+            this.clock.after(this.clock.random() * TICK_INTERVAL_MS, () => this.tick(vm));
+        }
+        this.spreadMembership();
+        this.clock.every(200, () => this.spreadMembership());
+        this.clock.every(10, () => this.replicate());
+        this.clock.every(20, () => this.vms.forEach(vm => this.write(vm)));
+    }
+
+    run(durationMs: number): this {
+        this.clock.runUntil(this.clock.nowMs + durationMs);
+        return this;
+    }
+
+    /** Cuts every byte from the first places to the second; a place is a VM, an instance or the store. */
+    cut(from: readonly string[], to: readonly string[], isOneWay = false): void {
+        const pairs = from.flatMap(source =>
+            to.flatMap(target => isOneWay ? [`${source}>${target}`] : [`${source}>${target}`, `${target}>${source}`])
+        );
+        pairs.forEach(pair => this.cuts.add(pair));
+    }
+
+    heal(): void {
+        this.cuts.clear();
+    }
+
+    /** VMs and instances of failure domains. */
+    placesIn(domains: readonly string[]): string[] {
+        return [...this.vms.values(), ...this.instances.values()].filter(({ failureDomain }) => domains.includes(failureDomain))
+            .map(({ name }) => name);
+    }
+
+    allPlaces(): string[] {
+        return [...this.vms.keys(), ...this.instances.keys(), STORE];
+    }
+
+    isolate(places: readonly string[]): void {
+        this.cut(places, this.allPlaces().filter(place => !places.includes(place)));
+    }
+
+    crashVm(vm: FakeVm): void {
+        vm.isDown = true;
+        vm.proxy = undefined;
+    }
+
+    startVm(vm: FakeVm): void {
+        if (vm.isDown) {
+            vm.isDown = false;
+            vm.restartController(this.clock.nowMs);
+        }
+    }
+
+    leader(): FakeVm | undefined {
+        return [...this.vms.values()].find(vm => vm.isLeading(this.clock.nowMs));
+    }
+
+    send(vm: FakeVm, event: GroupEvent): void {
+        this.deliver(vm, vm.incarnation, event);
+    }
+
+    private latencyMs(from: string, to: string): number {
+        const domain = (place: string): string => (this.vms.get(place) ?? this.instances.get(place))?.failureDomain ?? STORE;
+        const [left, right] = [domain(from), domain(to)];
+        const baseMs = left === right ? 0.3 : REGIONS[left] === REGIONS[right] ? 1.5 : 12;
+        return baseMs * (1 + this.clock.random());
+    }
+
+    private isCut(from: string, to: string): boolean {
+        return this.cuts.has(`${from}>${to}`);
+    }
+
+    private tick(vm: FakeVm): void {
+        this.clock.after(TICK_INTERVAL_MS, () => this.tick(vm));
+        if (this.clock.nowMs >= vm.pausedUntilMs) {
+            this.deliver(vm, vm.incarnation, { kind: GroupEventKind.Tick });
+        }
+    }
+
+    /** Steps a VM; a paused one takes the event in when it goes on, a dead or restarted one never. */
+    private deliver(vm: FakeVm, incarnation: number, event: GroupEvent): void {
+        if (vm.isDown || vm.incarnation !== incarnation) {
+            return;
+        }
+        if (this.clock.nowMs < vm.pausedUntilMs) {
+            this.clock.at(vm.pausedUntilMs, () => this.deliver(vm, incarnation, event));
+            return;
+        }
+        const actions = vm.step(event, this.clock.nowMs);
+        this.checkNow();
+        actions.forEach(action => this.carryOut(vm, action));
+    }
+
+    private checkNow(): void {
+        this.check.check(this.leaders(), this.clock.nowMs);
+    }
+
+    private leaders(): [string, GroupLeadership][] {
+        const leaders: [string, GroupLeadership][] = [];
+        for (const vm of this.vms.values()) {
+            if (vm.isLeading(this.clock.nowMs)) {
+                leaders.push([vm.name, vm.proxy!]);
+            }
+        }
+        return leaders;
+    }
+
+    private carryOut(vm: FakeVm, action: GroupAction): void {
+        (this.handlers[action.kind] as ActionHandler<GroupAction> | undefined)?.(vm, action);
+    }
+
+    private readonly handlers: { readonly [Kind in GroupAction["kind"]]?: ActionHandler<Extract<GroupAction, { readonly kind: Kind; }>>; } =
+        {
+            send: (vm, { vm: to, message }) => this.transmit(vm, to, message),
+            readRow: vm => this.callStore(vm, () => this.store.read(ROW_KEY), row => ({ kind: GroupEventKind.RowRead, row })),
+            writeRow: (vm, { operationId, expectedVersion, value }) => {
+                this.check.checkChange(this.leaders(), expectedVersion, parseGroupRow(value)!, this.clock.nowMs);
+                const write = { key: ROW_KEY, expectedVersion, value };
+                const toEvent = (result: TableResult | undefined): GroupEvent => ({ kind: GroupEventKind.RowWritten, operationId, result });
+                this.callStore(vm, () => this.store.transact(operationId, write), toEvent);
+            },
+            probe: (vm, { instance }) => this.probe(vm, instance, GroupEventKind.Probed),
+            freeze: (vm, { instance }) => this.probe(vm, instance, GroupEventKind.Frozen),
+            follow: (vm, { instance, upstream }) => this.callInstance(vm, instance, target => target.follow(upstream), () => undefined),
+            promote: (vm, { instance }) => {
+                const run = (target: FakeInstance): void => this.clock.after(PROMOTION_MS, () => target.promote());
+                this.callInstance(vm, instance, run, () => ({ kind: GroupEventKind.Promoted, instance }));
+            },
+            finishPromotion: (_vm, { code }) => this.promotionCodes.push(code),
+        };
+
+    private probe(vm: FakeVm, instance: string, kind: typeof GroupEventKind.Probed | typeof GroupEventKind.Frozen): void {
+        const sentAtMs = vm.localMs(this.clock.nowMs);
+        const run = (target: FakeInstance): InstanceProbe => {
+            if (kind === GroupEventKind.Frozen) {
+                target.follow("");
+            }
+            return target.probe();
+        };
+        this.callInstance(vm, instance, run, probe => ({ kind, instance, sentAtMs, probe }));
+    }
+
+    private transmit(from: FakeVm, to: string, message: Extract<GroupAction, { kind: "send"; }>["message"]): void {
+        const target = this.vms.get(to)!;
+        const sender = { vm: from.name, incarnation: from.incarnation };
+        const copies = this.clock.random() < this.lossRate ? 0 : this.clock.random() < this.lossRate ? 2 : 1;
+        for (let copy = 0; copy < (from.name === to ? 1 : copies); copy++) {
+            const delayMs = from.name === to ? 0 : this.latencyMs(from.name, to) + this.clock.random() * this.messageDelayMs;
+            this.clock.after(delayMs, () => {
+                if (!this.isCut(from.name, to)) {
+                    this.deliver(target, target.incarnation, { kind: GroupEventKind.Message, from: sender, message });
+                }
+            });
+        }
+    }
+
+    /** Calls a place and answers once: with its result, or with undefined after a failure or the time limit. */
+    private call<Result>(
+        vm: FakeVm,
+        place: string,
+        delayMs: number,
+        run: () => Result | undefined,
+        answer: (result?: Result) => void,
+    ): void {
+        let isAnswered = false;
+        const finish = (result?: Result): void => {
+            if (!isAnswered) {
+                isAnswered = true;
+                answer(result);
+            }
+        };
+        this.clock.after(CALL_TIMEOUT_MS, () => finish());
+        this.clock.after(this.latencyMs(vm.name, place) + this.clock.random() * delayMs, () => {
+            const result = this.isCut(vm.name, place) ? undefined : run();
+            if (result !== undefined && !this.isCut(place, vm.name)) {
+                this.clock.after(this.latencyMs(place, vm.name), () => finish(result));
+            }
+        });
+    }
+
+    private callStore<Result>(vm: FakeVm, run: () => Result, toEvent: (result: Result | undefined) => GroupEvent): void {
+        const { incarnation } = vm;
+        const runOrLose = (): Result | undefined => {
+            if (this.store.isDown) {
+                return undefined;
+            }
+            const writes = this.store.writes;
+            const result = run();
+            if (this.store.writes > writes && this.store.lostAnswers > 0) {
+                this.store.lostAnswers--;
+                return undefined;
+            }
+            return result;
+        };
+        this.call(vm, STORE, this.store.delayMs, runOrLose, result => this.deliver(vm, incarnation, toEvent(result)));
+    }
+
+    private callInstance<Result>(
+        vm: FakeVm,
+        name: string,
+        run: (instance: FakeInstance) => Result,
+        toEvent: (result: Result | undefined) => GroupEvent | undefined,
+    ): void {
+        const { incarnation } = vm;
+        const instance = this.instances.get(name)!;
+        const answer = (result: Result | undefined): void => {
+            const event = toEvent(result);
+            if (event !== undefined) {
+                this.deliver(vm, incarnation, event);
+            }
+        };
+        const pauseMs = Math.max(0, instance.pausedUntilMs - this.clock.nowMs);
+        this.call(vm, name, pauseMs, () => (instance.isDown ? undefined : run(instance)), answer);
+    }
+
+    /** A VM whose lease runs writes once; the answer is acknowledged only when the lease still runs under the same term. */
+    private write(vm: FakeVm): void {
+        const { nowMs } = this.clock;
+        const sentUnder = vm.proxy;
+        if (!vm.isLeading(nowMs) || nowMs < vm.pausedUntilMs) {
+            return;
+        }
+        const instance = this.instances.get(sentUnder!.primary)!;
+        const commit = (): { entry: LogEntry; position: number; } | undefined => {
+            if (instance.isDown || instance.isReplica || this.clock.nowMs < instance.pausedUntilMs) {
+                return undefined;
+            }
+            const entry = { id: this.nextEntryId++, committedAtMs: this.clock.nowMs };
+            return { entry, position: instance.log.push(entry) };
+        };
+        this.call(vm, instance.name, 0, commit, result => this.acknowledge(vm, sentUnder!.term, result));
+    }
+
+    private acknowledge(vm: FakeVm, term: number, result: { entry: LogEntry; position: number; } | undefined): void {
+        if (result === undefined || vm.isDown) {
+            return;
+        }
+        if (this.clock.nowMs < vm.pausedUntilMs) {
+            this.clock.at(vm.pausedUntilMs, () => this.acknowledge(vm, term, result));
+            return;
+        }
+        if (vm.isLeading(this.clock.nowMs) && vm.proxy!.term === term) {
+            this.check.acknowledge(vm.name, vm.proxy!, result.position, result.entry, this.clock.nowMs);
+        }
+    }
+
+    private replicate(): void {
+        for (const instance of this.instances.values()) {
+            const upstream = this.instances.get(instance.upstream);
+            const isStopped = instance.isDown || this.clock.nowMs < instance.pausedUntilMs;
+            if (instance.isReplica && !isStopped && upstream?.isDown === false && !this.isCut(upstream.name, instance.name)) {
+                instance.replicate(upstream, this.clock.nowMs);
+            }
+        }
+    }
+
+    private spreadMembership(): void {
+        for (const observer of this.vms.values()) {
+            this.observe(observer);
+        }
+    }
+
+    private observe(observer: FakeVm): void {
+        const { nowMs } = this.clock;
+        for (const other of this.vms.values()) {
+            const isAlive = !other.isDown && nowMs >= other.pausedUntilMs && !this.isCut(other.name, observer.name);
+            if (isAlive) {
+                const { name, incarnation, failureDomain } = other;
+                observer.seen.set(name, { vm: { vm: name, incarnation, failureDomain, isLeaving: false }, atMs: nowMs });
+            }
+        }
+        observer.vms = [...observer.seen.values()].filter(({ atMs }) => nowMs - atMs < MEMBERSHIP_MEMORY_MS).map(({ vm }) => vm);
+    }
+}
--- /dev/null
+++ b/tests/leases/support/faultArbitrary.ts
@@ -0,0 +1,20 @@
+import fc from "fast-check";
+import { type Fault, faults } from "./faults.ts";
+
+/** Runs of up to six faults within ten seconds after the group has its first leader. */
+export const faultLists = fc.record({
+    seed: fc.integer({ min: 0, max: 2 ** 31 }),
+    lossRate: fc.constantFrom(0, 0.05, 0.2),
+    list: fc.array(
+        fc.record<Fault>({
+            kind: fc.constantFrom(...Object.keys(faults) as Fault["kind"][]),
+            target: fc.nat(5),
+            isLeader: fc.boolean(),
+            atMs: fc.integer({ min: 2_000, max: 12_000 }),
+            durationMs: fc.integer({ min: 100, max: 8_000 }),
+        }),
+        { minLength: 1, maxLength: 6 },
+    ),
+});
+export const HEAL_AT_MS = 16_000;
+export const END_MS = 30_000;
--- /dev/null
+++ b/tests/leases/support/faults.ts
@@ -0,0 +1,135 @@
+import { GroupEventKind } from "@pomeloturn/promote-primary/GroupEvent";
+import type { FakeInstance } from "./FakeInstance.ts";
+import type { FakeVm } from "./FakeVm.ts";
+import { DOMAINS, type LeaseSimulation, STORE } from "./LeaseSimulation.ts";
+
+/** A fault of a random run; `target` chooses what it hits, `isLeader` the leader and its primary. */
+export interface Fault {
+    readonly kind: keyof typeof faults;
+    readonly target: number;
+    readonly isLeader: boolean;
+    readonly atMs: number;
+    readonly durationMs: number;
+}
+
+type Act = (simulation: LeaseSimulation, vm: FakeVm, instance: FakeInstance, durationMs: number) => void;
+
+const later = (simulation: LeaseSimulation, durationMs: number, undo: () => void): void => simulation.clock.after(durationMs, undo);
+
+/** What each kind of fault does. Cuts end together at the next `heal`. */
+export const faults = {
+    pauseVm: ({ clock }, vm, _instance, durationMs) => {
+        vm.pausedUntilMs = clock.nowMs + durationMs;
+    },
+    pauseHolderAndWitnesses: ({ clock, vms }, vm, _instance, durationMs) => {
+        vm.pausedUntilMs = clock.nowMs + durationMs;
+        [...vms.values()].slice(0, 3).forEach(other => {
+            other.pausedUntilMs = clock.nowMs + durationMs / 2;
+        });
+    },
+    crashVm: (simulation, vm, _instance, durationMs) => {
+        simulation.crashVm(vm);
+        later(simulation, durationMs, () => simulation.startVm(vm));
+    },
+    restartController: ({ clock }, vm) => vm.restartController(clock.nowMs),
+    restartAll: ({ clock, vms }) => vms.forEach(vm => vm.restartController(clock.nowMs)),
+    crashInstance: (simulation, _vm, instance, durationMs) => {
+        instance.isDown = true;
+        later(simulation, durationMs, () => {
+            instance.isDown = false;
+        });
+    },
+    pauseInstance: ({ clock }, _vm, instance, durationMs) => {
+        instance.pausedUntilMs = clock.nowMs + durationMs;
+    },
+    lag: (simulation, _vm, instance, durationMs) => {
+        instance.lagMs = 500;
+        later(simulation, durationMs, () => {
+            instance.lagMs = 2;
+        });
+    },
+    isolateVm: (simulation, vm, _instance, durationMs) => {
+        simulation.isolate([vm.name]);
+        later(simulation, durationMs, () => simulation.heal());
+    },
+    isolateInstance: (simulation, _vm, instance, durationMs) => {
+        simulation.isolate([instance.name]);
+        later(simulation, durationMs, () => simulation.heal());
+    },
+    isolateHolderWithPrimary: (simulation, vm, instance, durationMs) => {
+        simulation.isolate([vm.name, instance.name]);
+        later(simulation, durationMs, () => simulation.heal());
+    },
+    isolateDomain: (simulation, _vm, { failureDomain }, durationMs) => {
+        simulation.isolate(simulation.placesIn([failureDomain]));
+        later(simulation, durationMs, () => simulation.heal());
+    },
+    isolateRegion: (simulation, _vm, _instance, durationMs) => {
+        simulation.isolate(simulation.placesIn([DOMAINS[2]!]));
+        later(simulation, durationMs, () => simulation.heal());
+    },
+    cutReplication: (simulation, _vm, instance, durationMs) => {
+        simulation.cut([instance.name], [...simulation.instances.keys()]);
+        later(simulation, durationMs, () => simulation.heal());
+    },
+    cutOneWay: (simulation, vm, _instance, durationMs) => {
+        simulation.cut([vm.name], [...simulation.vms.keys()].filter(name => name !== vm.name), true);
+        later(simulation, durationMs, () => simulation.heal());
+    },
+    cutFromStore: (simulation, vm, _instance, durationMs) => {
+        simulation.cut([vm.name], [STORE]);
+        later(simulation, durationMs, () => simulation.heal());
+    },
+    storeDown: (simulation, _vm, _instance, durationMs) => {
+        simulation.store.isDown = true;
+        later(simulation, durationMs, () => {
+            simulation.store.isDown = false;
+        });
+    },
+    storeSlow: (simulation, _vm, _instance, durationMs) => {
+        simulation.store.delayMs = durationMs;
+        later(simulation, durationMs * 2, () => {
+            simulation.store.delayMs = 0;
+        });
+    },
+    loseStoreAnswers: ({ store }) => {
+        store.lostAnswers += 2;
+    },
+    slowMessages: (simulation, _vm, _instance, durationMs) => {
+        simulation.messageDelayMs = durationMs;
+        later(simulation, durationMs, () => {
+            simulation.messageDelayMs = 0;
+        });
+    },
+    plannedPromotion: (simulation, vm, instance) =>
+        simulation.send(simulation.leader() ?? vm, { kind: GroupEventKind.PromotionRequested, instance: instance.name }),
+    handOver: (simulation, vm) => simulation.send(simulation.leader() ?? vm, { kind: GroupEventKind.HandOverRequested }),
+} satisfies Readonly<Record<string, Act>>;
+
+/** Lets a fault happen now. */
+export const applyFault = (simulation: LeaseSimulation, { kind, target, isLeader, durationMs }: Omit<Fault, "atMs">): void => {
+    const vms = [...simulation.vms.values()];
+    const leader = simulation.leader();
+    const vm = isLeader && leader !== undefined ? leader : vms[target % vms.length]!;
+    const primary = leader?.proxy?.primary ?? "";
+    const instances = [...simulation.instances.values()];
+    const instance = (isLeader ? simulation.instances.get(primary) : undefined) ?? instances[target % instances.length]!;
+    const act: Act = faults[kind];
+    act(simulation, vm, instance, durationMs);
+};
+
+/** Lets faults happen at their times, then heals all and waits. */
+export const runFaults = (simulation: LeaseSimulation, list: readonly Fault[], healAtMs: number, endMs: number): LeaseSimulation => {
+    for (const fault of list) {
+        simulation.clock.at(fault.atMs, () => applyFault(simulation, fault));
+    }
+    simulation.clock.at(healAtMs, () => {
+        simulation.heal();
+        simulation.lossRate = 0;
+        simulation.vms.forEach(vm => simulation.startVm(vm));
+        simulation.instances.forEach(instance => {
+            instance.isDown = false;
+        });
+    });
+    return simulation.run(endMs);
+};
