--- a/tests/leases/support/LeaseSimulation.ts
+++ b/tests/leases/support/LeaseSimulation.ts
@@ -10,14 +10,12 @@
 import { FakeStore } from "./FakeStore.ts";
 import { FakeVm } from "./FakeVm.ts";
 import { LeadershipCheck } from "./LeadershipCheck.ts";
+import { DOMAINS, oneWayLatencyMs, STORE } from "./places.ts";
 import { VirtualClock } from "./VirtualClock.ts";
 
-export const STORE = "store";
-/** Region and failure domain of each place; the store is a place of its own in the first region. */
-const REGIONS: Readonly<Record<string, string>> = { "north-a": "north", "north-b": "north", "south-a": "south", [STORE]: "north" };
-export const DOMAINS = ["north-a", "north-b", "south-a"];
 const CALL_TIMEOUT_MS = 1_000;
 const PROMOTION_MS = 50;
+const VM_COUNT = 6;
 const MEMBERSHIP_MEMORY_MS = 3_000;
 
 const ROW_KEY = groupRowKey("ledger-1");
@@ -27,7 +25,8 @@
 interface SimulationOptions {
     readonly seed: number;
     readonly guards?: Partial<LeaseGuards>;
-    readonly vmCount?: number;
+    /** Clock rate of a VM by its index; random within the margin when absent. */
+    readonly clockRate?: (index: number) => number;
     /** Share of messages between VMs that are lost, and that arrive twice. */
     readonly lossRate?: number;
 }
@@ -54,8 +53,9 @@
             this.instances.set(name, new FakeInstance(name, domain, name !== "db-1", name === "db-1" ? "" : "db-1"));
         }
         this.check = new LeadershipCheck(this.instances);
-        for (let index = 0; index < (options.vmCount ?? 6); index++) {
-            const rate = 1 + (this.clock.random() - 0.5) * 0.018;
+        for (let index = 0; index < VM_COUNT; index++) {
+            const randomRate = 1 + (this.clock.random() - 0.5) * 0.018;
+            const rate = options.clockRate?.(index) ?? randomRate;
             const guards = { ...ALL_GUARDS, ...options.guards };
             const vm = new FakeVm(`vm-${index + 1}`, DOMAINS[index % 3]!, rate, this.clock.random() * 1e6, domains, guards);
             this.vms.set(vm.name, vm);
@@ -120,9 +120,7 @@
 
     private latencyMs(from: string, to: string): number {
         const domain = (place: string): string => (this.vms.get(place) ?? this.instances.get(place))?.failureDomain ?? STORE;
-        const [left, right] = [domain(from), domain(to)];
-        const baseMs = left === right ? 0.3 : REGIONS[left] === REGIONS[right] ? 1.5 : 12;
-        return baseMs * (1 + this.clock.random());
+        return oneWayLatencyMs(domain(from), domain(to)) * (1 + this.clock.random());
     }
 
     private isCut(from: string, to: string): boolean {
--- a/tests/leases/support/faultTable.ts
+++ b/tests/leases/support/faultTable.ts
@@ -1,7 +1,8 @@
 import { GroupEventKind } from "@pomeloturn/promote-primary/GroupEvent";
 import type { FakeInstance } from "./FakeInstance.ts";
 import type { FakeVm } from "./FakeVm.ts";
-import { type LeaseSimulation, STORE } from "./LeaseSimulation.ts";
+import type { LeaseSimulation } from "./LeaseSimulation.ts";
+import { STORE } from "./places.ts";
 
 /** The largest gap that the users' targets allow while the store is up. */
 export const FAILOVER_LIMIT_MS = 8_000;
--- a/tests/leases/support/faults.ts
+++ b/tests/leases/support/faults.ts
@@ -1,7 +1,8 @@
 import { GroupEventKind } from "@pomeloturn/promote-primary/GroupEvent";
 import type { FakeInstance } from "./FakeInstance.ts";
 import type { FakeVm } from "./FakeVm.ts";
-import { DOMAINS, type LeaseSimulation, STORE } from "./LeaseSimulation.ts";
+import type { LeaseSimulation } from "./LeaseSimulation.ts";
+import { DOMAINS, STORE } from "./places.ts";
 
 /** A fault of a random run; `target` chooses what it hits, `isLeader` the leader and its primary. */
 export interface Fault {
--- /dev/null
+++ b/tests/leases/support/mutationTable.ts
@@ -0,0 +1,231 @@
+import type { LeaseGuards } from "@pomeloturn/group-lease/LeaseGuards";
+import { GroupEventKind } from "@pomeloturn/promote-primary/GroupEvent";
+import type { FakeVm } from "./FakeVm.ts";
+import type { Fault } from "./faults.ts";
+import { applyFault } from "./faults.ts";
+import { LeaseSimulation } from "./LeaseSimulation.ts";
+
+/** A guard, and a run that goes wrong without it. */
+export interface MutationRow {
+    readonly guard: keyof LeaseGuards;
+    /** What the run shows, for the table in the docs. */
+    readonly trap: string;
+    readonly seed: number;
+    readonly violation: RegExp;
+    /** Clock rate of a VM by its index; random within the margin when absent. */
+    readonly clockRate?: (index: number) => number;
+    readonly run: (simulation: LeaseSimulation, holder: FakeVm) => void;
+}
+
+const START_MS = 6_000;
+const TWO_LEADERS = /two leaders|is replaced while/;
+
+/** Runs with the guards given, from a group that has a leader. */
+export const runMutation = ({ seed, run, clockRate }: MutationRow, guards: Partial<LeaseGuards>): LeaseSimulation => {
+    const simulation = new LeaseSimulation({ seed, guards, ...(clockRate === undefined ? {} : { clockRate }) }).run(START_MS + seed * 13);
+    run(simulation, simulation.leader()!);
+    return simulation;
+};
+
+const fault = (simulation: LeaseSimulation, kind: Fault["kind"], durationMs: number): void =>
+    applyFault(simulation, { kind, target: 0, isLeader: true, durationMs });
+const othersOf = ({ vms }: LeaseSimulation, holder: FakeVm): FakeVm[] => [...vms.values()].filter(vm => vm !== holder);
+
+const cutFromVms = (simulation: LeaseSimulation, holder: FakeVm): void =>
+    simulation.cut([holder.name], othersOf(simulation, holder).map(({ name }) => name));
+
+/** One witness hears nothing of the holder and stands; then the holder is cut off from all, but goes on until its lease ends. */
+const cutWithWaitingCandidate = (simulation: LeaseSimulation, holder: FakeVm, onCut: (witnesses: readonly FakeVm[]) => void): void => {
+    const [candidate, ...witnesses] = othersOf(simulation, holder);
+    simulation.cut([holder.name], [candidate!.name], true);
+    simulation.run(3_000);
+    cutFromVms(simulation, holder);
+    onCut(witnesses);
+    simulation.run(5_000);
+};
+
+/** The holder is cut off while the store is down, so that a candidate has its majority but not the row; then it returns. */
+const returnBeforeRowChange = (simulation: LeaseSimulation, holder: FakeVm): void => {
+    cutFromVms(simulation, holder);
+    simulation.store.isDown = true;
+    simulation.run(4_000);
+    simulation.heal();
+};
+
+export const mutationTable: readonly MutationRow[] = [
+    {
+        guard: "isPromiseKept",
+        trap: "a candidate has its majority, the store is down, the holder returns and is granted the same version again",
+        seed: 1,
+        violation: TWO_LEADERS,
+        run: (simulation, holder) => {
+            returnBeforeRowChange(simulation, holder);
+            simulation.run(1_000);
+            simulation.store.isDown = false;
+            simulation.run(5_000);
+        },
+    },
+    {
+        guard: "isIncarnationChecked",
+        trap: "witnesses that promised restart, forget it and grant the holder that returns",
+        seed: 6,
+        violation: TWO_LEADERS,
+        run: (simulation, holder) => {
+            returnBeforeRowChange(simulation, holder);
+            const candidates = othersOf(simulation, holder).filter(({ state }) => state.change !== undefined);
+            const witnesses = othersOf(simulation, holder).filter(vm => !candidates.includes(vm));
+            witnesses.forEach(vm => vm.restartController(simulation.clock.nowMs));
+            simulation.run(1_000);
+            simulation.store.isDown = false;
+            simulation.run(5_000);
+        },
+    },
+    {
+        guard: "isRestartWaitedOut",
+        trap: "witnesses restart just after they granted, and a candidate that heard nothing before asks them",
+        seed: 1,
+        violation: TWO_LEADERS,
+        run: (simulation, holder) => {
+            cutWithWaitingCandidate(simulation, holder, witnesses => witnesses.forEach(vm => vm.restartController(simulation.clock.nowMs)));
+        },
+    },
+    {
+        guard: "areBothSetsNeeded",
+        trap: "the answer to a change from three witnesses to five is lost, and the old and the new majority have nobody in common",
+        seed: 49,
+        violation: TWO_LEADERS,
+        run: (simulation, holder) => {
+            const old = holder.proxy!.witnesses.filter(name => name !== holder.name).map(name => simulation.vms.get(name)!);
+            const gone = old.slice(0, 3);
+            gone.forEach(vm => simulation.crashVm(vm));
+            simulation.run(9_000);
+            gone.forEach(vm => simulation.startVm(vm));
+            simulation.store.lostAnswers = 100;
+            simulation.run(2_200);
+            const leader = simulation.leader() ?? holder;
+            const side = [leader.name, leader.state.stored!.row.primary, ...leader.state.stored!.row.witnesses.map(({ vm }) => vm)];
+            simulation.isolate(side.slice(0, 4));
+            simulation.store.lostAnswers = 0;
+            simulation.run(45_000);
+        },
+    },
+    {
+        guard: "isCountedFromSend",
+        trap: "grants come back late and the holder counts them from when they came",
+        seed: 2,
+        violation: TWO_LEADERS,
+        run: (simulation, holder) => {
+            simulation.messageDelayMs = 1_900;
+            simulation.run(3_000);
+            simulation.cut([holder.name], othersOf(simulation, holder).map(({ name }) => name), true);
+            simulation.run(6_000);
+        },
+    },
+    {
+        guard: "isLeaseWaitedOut",
+        trap: "a candidate takes the row as soon as it has its majority",
+        seed: 1,
+        violation: TWO_LEADERS,
+        run: (simulation, holder) => {
+            cutWithWaitingCandidate(simulation, holder, () => undefined);
+        },
+    },
+    {
+        guard: "isMajorityPromised",
+        trap: "a candidate that alone does not hear the holder takes the row",
+        seed: 1,
+        violation: TWO_LEADERS,
+        run: (simulation, holder) => {
+            const [candidate] = othersOf(simulation, holder);
+            simulation.cut([holder.name], [candidate!.name], true);
+            simulation.run(8_000);
+        },
+    },
+    {
+        guard: "isVersionCompared",
+        trap: "a candidate's change of the row arrives after the holder has moved the row",
+        seed: 1,
+        violation: TWO_LEADERS,
+        run: (simulation, holder) => {
+            returnBeforeRowChange(simulation, holder);
+            simulation.run(1_000);
+            simulation.store.isDown = false;
+            simulation.run(8_000);
+        },
+    },
+    {
+        guard: "isPromotionConfirmed",
+        trap: "the holder leads before the order to promote has worked",
+        seed: 1,
+        violation: /which is in recovery/,
+        run: (simulation, holder) => {
+            fault(simulation, "crashInstance", 60_000);
+            simulation.crashVm(holder);
+            simulation.run(8_000);
+        },
+    },
+    {
+        guard: "areReplicasFrozen",
+        trap: "a replica goes on following the old primary after its position was read",
+        seed: 1,
+        violation: /is told as lost, but|is missing|is replaced while/,
+        run: (simulation, holder) => {
+            simulation.instances.forEach(instance => {
+                instance.lagMs = 3_000;
+            });
+            for (let burst = 0; burst < 20; burst++) {
+                holder.pausedUntilMs = simulation.clock.nowMs + 150;
+                simulation.run(200);
+            }
+            simulation.cut([...simulation.vms.keys()], ["db-1"]);
+            simulation.run(12_000);
+        },
+    },
+    {
+        guard: "isHistoryChecked",
+        trap: "a replica that kept writes of the old primary beyond the promotion is chosen at the next one",
+        seed: 1,
+        violation: /is told as lost, but|is missing/,
+        run: (simulation, holder) => {
+            simulation.isolate([holder.name, "db-1", "db-3"]);
+            simulation.run(5_000);
+            simulation.heal();
+            simulation.run(1_000);
+            simulation.instances.get("db-2")!.isDown = true;
+            simulation.run(8_000);
+        },
+    },
+    {
+        guard: "isHolderIncarnationChecked",
+        trap: "a restarted holder hands over although its proxy still has the lease of before the restart",
+        seed: 1,
+        violation: TWO_LEADERS,
+        run: (simulation, holder) => {
+            simulation.cut([holder.name], [...simulation.instances.keys()]);
+            holder.restartController(simulation.clock.nowMs);
+            simulation.run(300);
+            simulation.send(holder, { kind: GroupEventKind.HandOverRequested });
+            simulation.run(3_000);
+        },
+    },
+    {
+        guard: "isOwnLeaseWaitedOut",
+        trap: "a holder hands over before its own published lease has run out",
+        seed: 1,
+        violation: TWO_LEADERS,
+        run: (simulation, holder) => {
+            simulation.send(holder, { kind: GroupEventKind.HandOverRequested });
+            simulation.run(3_000);
+        },
+    },
+    {
+        guard: "isClockMarginKept",
+        trap: "the holder's clock is slow, the witnesses' clocks are fast",
+        clockRate: index => (index === 0 ? 0.991 : 1.009),
+        seed: 1,
+        violation: TWO_LEADERS,
+        run: (simulation, holder) => {
+            cutWithWaitingCandidate(simulation, holder, () => undefined);
+        },
+    },
+];
