Admit requests by rank, floor and deadline, and bound connections

Cause: one first-come queue per rank starved the lower ranks, refused nothing early, let transactions take all connections and let a failover open as many connections as requests waited. Change: admit-request: urgent first; floors by an account of slot time that yields 500 ms to the most urgent rank; refusal by estimated wait; queues bounded in requests and bytes; statements of open transactions start at once and leave one slot to new work; cancel of a waiting request (new result 308 CanceledBeforeRun, not run); credits from holder to entry. connection-pool: warm minimum, few openings at a time, jittered backoff, a reserve for single statements, half of the limit for each holder so that two holders stay within it. instance-holder: DISCARD ALL on return of a tainted connection, CancelRequest, a canceled connection is not used again, deadlines of running statements, configuration in force at once.

--- a/packages/connection/backend-connection/src/BackendConnection.ts
+++ b/packages/connection/backend-connection/src/BackendConnection.ts
@@ -1,7 +1,7 @@
 import { PomeloturnError } from "@pomeloturn/errors/PomeloturnError";
 import { ResultCode } from "@pomeloturn/errors/ResultCode";
 import { MessageFramer } from "@pomeloturn/wire-messages/MessageFramer";
-import { BackendType } from "@pomeloturn/wire-messages/messageTypes";
+import { BackendType, HEADER_SIZE_BYTES } from "@pomeloturn/wire-messages/messageTypes";
 import { createConnection, type Socket } from "node:net";
 import { serialize } from "pg-protocol";
 import { answerAuthentication, type BackendCredentials } from "./answerAuthentication.ts";
@@ -18,6 +18,12 @@
     readonly applicationName: string;
 }
 
+/** Identifies a connection in a CancelRequest, from its BackendKeyData. */
+export interface CancelKey {
+    readonly processId: number;
+    readonly secretKey: number;
+}
+
 /** Receives the answer of one run. Exactly one of `onDone` and `onLost` ends it. */
 export interface RunHandler {
     /** @param step index of the ReadyForQuery that will close the part the message belongs to */
@@ -37,6 +43,10 @@
     private run: Run | undefined;
     private isClosed = false;
     private readonly framer = MessageFramer.create(MAXIMUM_ANSWER_MESSAGE_BYTES);
+    /** Whether the connection may keep state of a session, so that no other one may use it. */
+    isTainted = false;
+    /** Undefined when the backend server told none. */
+    cancelKey: CancelKey | undefined;
     /** Called once when the connection ends while no request runs. */
     onIdleLost: () => void = () => undefined;
 
@@ -107,6 +117,12 @@
                 if (reply !== undefined) {
                     this.socket.write(reply);
                 }
+                if (message[0] === BackendType.BackendKeyData) {
+                    this.cancelKey = {
+                        processId: message.readInt32BE(HEADER_SIZE_BYTES),
+                        secretKey: message.readInt32BE(HEADER_SIZE_BYTES + 4),
+                    };
+                }
                 if (message[0] === BackendType.ReadyForQuery) {
                     onReady();
                 }
--- /dev/null
+++ b/packages/connection/connection-pool/src/stepPool.test.ts
@@ -0,0 +1,133 @@
+import { ResultCode } from "@pomeloturn/errors/ResultCode";
+import fc from "fast-check";
+import { describe, expect, it } from "vitest";
+import { countConnections, createPool, type PoolState } from "./PoolState.ts";
+import { shareConnections } from "./shareConnections.ts";
+import { type PoolAction, type PoolEvent, stepPool } from "./stepPool.ts";
+
+const OPTIONS = { minimumWarm: 3, openingLimit: 2, statementReserve: 2 };
+const random = (): number => 0.5;
+const kinds = (actions: readonly PoolAction[]): string[] => actions.map(({ kind }) => kind);
+const wanted = (requestId: number, isTransaction = false): PoolEvent => ({ kind: "wanted", requestId, isTransaction });
+
+/** Opens all that the pool asks for. */
+const warm = (state: PoolState, nowMs: number): void => {
+    for (let step = 0; step < 100 && state.opening.size > 0; step++) {
+        stepPool(state, { kind: "opened", connectionId: [...state.opening][0]! }, nowMs, random);
+    }
+};
+
+describe("stepPool", () => {
+    it("opens few connections at a time and keeps the minimum warm", () => {
+        const state = createPool(OPTIONS, 8);
+        expect(kinds(stepPool(state, { kind: "tick" }, 0, random))).toEqual(["open", "open"]);
+        warm(state, 0);
+        expect(state.idle).toHaveLength(OPTIONS.minimumWarm);
+        expect(kinds(stepPool(state, wanted(1), 1, random))).toEqual(["assign", "open"]);
+    });
+
+    it("does not stampede when all connections are lost at once and the instance refuses", () => {
+        const state = createPool(OPTIONS, 8);
+        let attempts = 0;
+        let nowMs = 0;
+        for (let requestId = 1; requestId <= 2_000; requestId++, nowMs += 5) {
+            const opens = [...stepPool(state, wanted(requestId), nowMs, random), ...stepPool(state, { kind: "tick" }, nowMs, random)];
+            for (const action of opens.filter(({ kind }) => kind === "open")) {
+                attempts++;
+                stepPool(state, { kind: "openFailed", connectionId: (action as { connectionId: number; }).connectionId }, nowMs, random);
+            }
+            expect(state.waiting.length).toBeLessThanOrEqual(OPTIONS.openingLimit);
+        }
+        // 10 s of backoff from 50 ms, doubled up to 5 s.
+        expect(attempts).toBeLessThanOrEqual(12);
+    });
+
+    it("closes what is idle for long, but not the warm ones", () => {
+        const state = createPool({ ...OPTIONS, minimumWarm: 1 }, 8);
+        [1, 2, 3].forEach(requestId => stepPool(state, wanted(requestId), 0, random));
+        warm(state, 0);
+        [...state.inUse.keys()].forEach(connectionId => stepPool(state, { kind: "returned", connectionId }, 0, random));
+        expect(kinds(stepPool(state, { kind: "tick" }, 61_000, random))).toEqual(["close", "close", "close"]);
+        expect(state.idle).toHaveLength(1);
+    });
+
+    it("leaves connections to single statements whatever the transactions want", () => {
+        const state = createPool(OPTIONS, 5);
+        const actions = [1, 2, 3, 4].map(requestId => stepPool(state, wanted(requestId, true), 0, random));
+        warm(state, 0);
+        expect(actions[3]).toContainEqual({ kind: "fail", requestId: 4, code: ResultCode.ConnectionsExhausted });
+        const statement = stepPool(state, wanted(5), 1, random);
+        expect(statement).toContainEqual(expect.objectContaining({ kind: "assign", requestId: 5 }));
+    });
+
+    it("closes connections down to a smaller limit as they are returned", () => {
+        const state = createPool(OPTIONS, 4);
+        [1, 2, 3, 4].forEach(requestId => stepPool(state, wanted(requestId), 0, random));
+        warm(state, 0);
+        stepPool(state, { kind: "limitChanged", connectionLimit: 2 }, 1, random);
+        const closed = [...state.inUse.keys()].map(connectionId => kinds(stepPool(state, { kind: "returned", connectionId }, 2, random)));
+        expect(closed).toEqual([["close"], ["close"], [], []]);
+    });
+
+    it("gives a connection one owner until it is returned, within the limit", () => {
+        const step = fc.record({
+            kind: fc.constantFrom(
+                "wanted",
+                "wanted",
+                "forgotten",
+                "opened",
+                "opened",
+                "openFailed",
+                "returned",
+                "lost",
+                "limitChanged",
+                "tick",
+            ),
+            target: fc.nat(20),
+            isTransaction: fc.boolean(),
+            elapsedMs: fc.nat(30_000),
+        });
+        const run = fc.property(fc.array(step, { maxLength: 150 }), steps => {
+            const state = createPool(OPTIONS, 6);
+            const owners = new Map<number, number>();
+            const answered = new Set<number>();
+            let nowMs = 0;
+            let nextRequestId = 1;
+            let largestLimit = 6;
+            for (const { kind, target, isTransaction, elapsedMs } of steps) {
+                nowMs += elapsedMs;
+                if (kind === "returned" || kind === "lost") {
+                    owners.delete(target);
+                }
+                const event = kind === "wanted"
+                    ? wanted(nextRequestId++, isTransaction)
+                    : { kind, connectionId: target, requestId: target, connectionLimit: 1 + target % 8 } as PoolEvent;
+                largestLimit = kind === "limitChanged" ? Math.max(largestLimit, 1 + target % 8) : largestLimit;
+                for (const action of stepPool(state, event, nowMs, random)) {
+                    if (action.kind === "assign") {
+                        expect(owners.has(action.connectionId)).toBe(false);
+                        owners.set(action.connectionId, action.requestId);
+                    }
+                    if (action.kind === "close") {
+                        expect(owners.has(action.connectionId)).toBe(false);
+                    }
+                    if (action.kind === "assign" || action.kind === "fail") {
+                        expect(answered.has(action.requestId)).toBe(false);
+                        answered.add(action.requestId);
+                    }
+                }
+                expect(new Map([...state.inUse].map(([id, { requestId }]) => [id, requestId]))).toEqual(owners);
+                expect(countConnections(state)).toBeLessThanOrEqual(largestLimit);
+                expect(state.opening.size).toBeLessThanOrEqual(OPTIONS.openingLimit);
+            }
+        });
+        fc.assert(run, { seed: 44, numRuns: 500 });
+    });
+});
+
+describe("shareConnections", () => {
+    it.each([[16, 7], [35, 16], [2, 1]])("keeps two holders with their probes within %i connections", (limit, expected) => {
+        expect(shareConnections(limit)).toBe(expected);
+        expect(2 * (expected + 1)).toBeLessThanOrEqual(Math.max(limit, 4));
+    });
+});
--- a/packages/process/instance-holder/src/InstanceHolder.ts
+++ b/packages/process/instance-holder/src/InstanceHolder.ts
@@ -1,21 +1,11 @@
 import {
-    type AdmissionAction,
-    AdmissionActionKind,
-    AdmissionEventKind,
+    type AdmissionOptions,
+    type AdmissionRank,
     type AdmissionState,
     createAdmission,
-    stepAdmission,
-} from "@pomeloturn/admit-request/admission";
-import { BackendConnection } from "@pomeloturn/backend-connection/BackendConnection";
-import {
-    createPool,
-    type PoolAction,
-    PoolActionKind,
-    type PoolEvent,
-    PoolEventKind,
-    type PoolState,
-    stepPool,
-} from "@pomeloturn/connection-pool/pool";
+    setAdmissionOptions,
+} from "@pomeloturn/admit-request/AdmissionState";
+import { type AdmissionEvent, AdmissionEventKind, stepAdmission } from "@pomeloturn/admit-request/stepAdmission";
 import { ResultCode } from "@pomeloturn/errors/ResultCode";
 import type { pomeloturn } from "@pomeloturn/peer-messages/generated/peer";
 import type { GroupConfiguration, InstanceConfiguration } from "@pomeloturn/types/Configuration";
@@ -24,15 +14,20 @@
 import { checkRequest } from "./checkRequest.ts";
 import { describeInstance } from "./describeInstance.ts";
 import { failedAnswer } from "./failedAnswer.ts";
+import { HolderConnections } from "./HolderConnections.ts";
 import { InstanceProber } from "./InstanceProber.ts";
+import { opensTransaction } from "./opensTransaction.ts";
+import { PendingRequests } from "./PendingRequests.ts";
 import { RequestRun } from "./RequestRun.ts";
+import { SenderCredits } from "./SenderCredits.ts";
 
-const CONNECT_TIMEOUT_MS = 3_000;
-const QUEUE_LIMIT_REQUESTS = 1_000;
-const RANK_COUNT = 3;
+const TICK_INTERVAL_MS = 100;
+const QUEUE_LIMIT_REQUESTS = 500;
+const QUEUE_LIMIT_BYTES = 16 * 1024 * 1024;
 const SAMPLE_REUSE_MS = 100;
-/** The prober's connection is counted within the instance's limit. */
-const PROBE_CONNECTIONS = 1;
+/** Time that a canceled statement has to end before its connection is closed. */
+const CANCEL_GRACE_MS = 1_000;
+const MICROSECONDS_PER_MILLISECOND = 1_000;
 
 /** What an instance holder needs to know from outside, read anew for each decision. */
 export interface InstanceEnvironment {
@@ -42,39 +37,47 @@
     readonly instance: string;
     readonly groupConfiguration: GroupConfiguration;
     readonly instanceConfiguration: InstanceConfiguration;
+    /** Ranks of the service that uses the group. */
+    readonly ranks: readonly AdmissionRank[];
     groupView(): GroupView | undefined;
     nowMs(): number;
+    /** Seeded or system random number, 0 to 1. */
+    random(): number;
     /** Called after each probe of the instance. */
     onHealth(isReachable: boolean): void;
 }
 
-interface PendingRequest {
-    readonly request: ForwardRequest;
-    readonly onPart: (part: AnswerPart) => void;
-    connectionId?: number;
-}
-
-/** Owns the connections, slots and queue of one instance and runs requests on it. */
+/** Owns the connections, slots and queues of one instance and runs requests on it. */
 export class InstanceHolder {
     private readonly admission: AdmissionState;
-    private readonly pool: PoolState;
-    private readonly connections = new Map<number, BackendConnection>();
-    private readonly pending = new Map<number, PendingRequest>();
+    private readonly connections: HolderConnections;
+    private readonly pending = PendingRequests.create();
+    private readonly credits: SenderCredits;
     /** Connection of each open transaction. */
     private readonly transactions = new Map<string, number>();
     private readonly prober: InstanceProber;
-    private nextId = 1;
+    private readonly timer: NodeJS.Timeout;
 
     private constructor(private readonly environment: InstanceEnvironment) {
-        const { slots, connections } = environment.instanceConfiguration;
-        this.admission = createAdmission(slots, RANK_COUNT, QUEUE_LIMIT_REQUESTS);
-        this.pool = createPool(Math.max(1, connections - PROBE_CONNECTIONS));
+        this.admission = createAdmission(admissionOptions(environment), environment.nowMs());
+        this.credits = SenderCredits.create(environment.ranks.length);
+        this.connections = HolderConnections.create({
+            environment,
+            onAssigned: (id, connectionId) => this.run(id, connectionId),
+            onFailed: (id, code) => {
+                this.refuse(id, code);
+                this.step({ kind: AdmissionEventKind.Finished, id });
+            },
+            onIdleLost: connectionId => this.forgetTransaction(connectionId),
+        });
         this.prober = InstanceProber.create({
-            open: () => this.openConnection(),
+            open: () => this.connections.openConnection(),
             isPrimary: () => environment.groupView()?.primary === environment.instance,
             nowMs: () => environment.nowMs(),
             onHealth: isReachable => environment.onHealth(isReachable),
         });
+        this.timer = setInterval(() => this.tick(), TICK_INTERVAL_MS);
+        this.timer.unref();
     }
 
     static create(environment: InstanceEnvironment): InstanceHolder {
@@ -91,51 +94,70 @@
 
     /** Whether no request waits or runs and no transaction is open. */
     get isUnused(): boolean {
-        return this.pending.size === 0 && this.transactions.size === 0;
+        return this.pending.isEmpty && this.transactions.size === 0;
     }
 
     hasTransaction(transactionId: string): boolean {
         return this.transactions.has(transactionId);
     }
 
-    /** Runs a request; `onPart` gets its answer, the last part exactly once. */
-    submit(request: ForwardRequest, onPart: (part: AnswerPart) => void): void {
+    /**
+     * Runs a request; `onPart` gets its answer, the last part exactly once.
+     *
+     * @param sender VM that the request comes from
+     */
+    submit(request: ForwardRequest, onPart: (part: AnswerPart) => void, sender: string): void {
         const nowMs = this.environment.nowMs();
         const connectionId = this.transactions.get(request.transactionId);
-        const refusal = checkRequest(request, this.environment.groupView(), connectionId !== undefined, nowMs);
+        const isPinned = connectionId !== undefined;
+        const refusal = checkRequest(request, this.environment.groupView(), isPinned, nowMs);
         if (refusal !== ResultCode.Ok) {
             onPart(failedAnswer(request, refusal));
             return;
         }
-        const id = this.nextId++;
-        this.pending.set(id, { request, onPart });
-        if (connectionId !== undefined) {
-            this.run(id, connectionId);
+        const { rank, messages } = request;
+        const deadlineAtMs = nowMs + request.deadlineLeftMs;
+        this.credits.count(sender, rank, nowMs);
+        const id = this.pending.add({ request, onPart, sender, deadlineAtMs, connectionId });
+        this.step({
+            kind: AdmissionEventKind.Arrived,
+            item: { id, rank, deadlineAtMs, sizeBytes: messages.length, isPinned },
+        });
+    }
+
+    /** Refuses a request that waits, and has the backend server cancel one that runs. */
+    cancel(sender: string, requestId: number): void {
+        const id = this.pending.find(sender, requestId);
+        if (id === undefined) {
             return;
         }
-        const item = { id, rank: request.rank, deadlineAtMs: nowMs + request.deadlineLeftMs };
-        this.applyAdmission(stepAdmission(this.admission, { kind: AdmissionEventKind.Arrived, item }, nowMs));
+        this.step({ kind: AdmissionEventKind.Canceled, id });
+        const connectionId = this.pending.get(id)?.connectionId;
+        if (connectionId !== undefined) {
+            this.connections.cancel(connectionId);
+        }
     }
 
     /** Describes the instance for a proxy that asks, after a fresh sample of its position. */
-    async describe(_vm: string): Promise<pomeloturn.peer.IInstanceStatus> {
+    async describe(sender: string): Promise<pomeloturn.peer.IInstanceStatus> {
         const askedAtMs = this.environment.nowMs();
         await this.prober.refresh(SAMPLE_REUSE_MS);
-        const { slots } = this.environment.instanceConfiguration;
+        const nowMs = this.environment.nowMs();
+        const { running, ranks } = this.admission;
         return describeInstance(
             {
-                group: this.environment.group,
-                instance: this.environment.instance,
+                group: this.group,
+                instance: this.instance,
                 sample: this.prober.last,
                 isReachable: this.prober.isReachable,
-                freeSlots: Math.max(0, slots - this.admission.running.size),
-                queued: this.admission.queues.map(queue => queue.length),
-                credits: [],
-                serviceTimeUs: 0,
+                freeSlots: Math.max(0, this.environment.instanceConfiguration.slots - running.size),
+                queued: ranks.map(({ queue }) => queue.length),
+                credits: this.credits.grant(sender, this.admission, nowMs),
+                serviceTimeUs: Math.round(Math.min(...ranks.map(({ serviceTimeMs }) => serviceTimeMs)) * MICROSECONDS_PER_MILLISECOND),
             },
             this.environment.groupView(),
             askedAtMs,
-            this.environment.nowMs(),
+            nowMs,
         );
     }
 
@@ -144,125 +166,110 @@
         const connectionId = this.transactions.get(transactionId);
         if (connectionId !== undefined) {
             this.transactions.delete(transactionId);
-            this.connections.get(connectionId)?.close();
-            this.removeConnection(connectionId);
+            this.connections.discard(connectionId);
         }
     }
 
     /** Closes all connections. Requests that are running are lost. */
     close(): void {
+        clearInterval(this.timer);
         this.prober.close();
-        for (const connection of this.connections.values()) {
-            connection.close();
-        }
+        this.connections.close();
     }
 
-    private applyAdmission(actions: readonly AdmissionAction[]): void {
-        for (const action of actions) {
-            if (action.kind === AdmissionActionKind.Start) {
-                this.applyPool(stepPool(this.pool, { kind: PoolEventKind.Wanted, requestId: action.id }));
+    private step(event: AdmissionEvent): void {
+        for (const action of stepAdmission(this.admission, event, this.environment.nowMs())) {
+            if (action.kind === "refuse") {
+                this.refuse(action.id, action.code);
             }
             else {
-                this.finish(action.id, action.code);
+                this.start(action.id);
             }
         }
     }
 
-    private applyPool(actions: readonly PoolAction[]): void {
-        for (const action of actions) {
-            if (action.kind === PoolActionKind.Open) {
-                void this.open(action.connectionId);
-            }
-            else if (action.kind === PoolActionKind.Assign) {
-                this.run(action.requestId, action.connectionId);
-            }
-            else {
-                this.finish(action.requestId, action.code);
-                this.releaseSlot(action.requestId);
-            }
+    private start(id: number): void {
+        const { request, connectionId } = this.pending.get(id)!;
+        if (connectionId === undefined) {
+            this.connections.want(id, opensTransaction(request.messages));
         }
-    }
-
-    private openConnection(): Promise<BackendConnection> {
-        const { groupConfiguration, instanceConfiguration } = this.environment;
-        const { user, password, database } = groupConfiguration;
-        const { host, port } = instanceConfiguration;
-        return BackendConnection.open({
-            host,
-            port,
-            user,
-            password,
-            database,
-            connectTimeoutMs: CONNECT_TIMEOUT_MS,
-            applicationName: this.environment.vm,
-        });
-    }
-
-    private async open(connectionId: number): Promise<void> {
-        try {
-            const connection = await this.openConnection();
-            connection.onIdleLost = () => this.removeConnection(connectionId);
-            this.connections.set(connectionId, connection);
-            this.stepPool({ kind: PoolEventKind.Opened, connectionId });
-        }
-        catch {
-            this.stepPool({ kind: PoolEventKind.OpenFailed, connectionId });
+        else {
+            this.run(id, connectionId);
         }
     }
 
-    private stepPool(event: PoolEvent): void {
-        this.applyPool(stepPool(this.pool, event));
-    }
-
     private run(id: number, connectionId: number): void {
         const entry = this.pending.get(id)!;
         const connection = this.connections.get(connectionId);
         if (connection === undefined) {
-            this.finish(id, ResultCode.TransactionLost);
+            this.refuse(id, ResultCode.TransactionLost);
+            this.step({ kind: AdmissionEventKind.Finished, id });
             return;
         }
         entry.connectionId = connectionId;
-        const run = RequestRun.create(entry.request, this.environment, entry.onPart, status => this.complete(id, connectionId, status));
-        run.start(connection);
+        const onPart = (part: AnswerPart): void => entry.onPart(entry.isExpired ? toExpired(part) : part);
+        RequestRun.create(entry.request, this.environment, onPart, status => this.complete(id, connectionId, status)).start(connection);
     }
 
     private complete(id: number, connectionId: number, status: TransactionStatus | undefined): void {
-        const request = this.pending.get(id)!.request;
-        this.pending.delete(id);
-        this.settleConnection(request, connectionId, status);
-        this.releaseSlot(id);
-    }
-
-    private settleConnection(request: ForwardRequest, connectionId: number, status: TransactionStatus | undefined): void {
+        const { transactionId } = this.pending.remove(id)!.request;
         if (status === undefined) {
-            this.transactions.delete(request.transactionId);
-            this.connections.get(connectionId)?.close();
-            this.removeConnection(connectionId);
-            return;
+            this.transactions.delete(transactionId);
+            this.connections.discard(connectionId);
         }
-        if (status === TransactionStatus.Idle) {
-            this.transactions.delete(request.transactionId);
-            this.stepPool({ kind: PoolEventKind.Returned, connectionId });
-            return;
+        else if (status === TransactionStatus.Idle) {
+            this.transactions.delete(transactionId);
+            this.connections.giveBack(connectionId);
+        }
+        else {
+            this.transactions.set(transactionId, connectionId);
         }
-        this.transactions.set(request.transactionId, connectionId);
+        this.step({ kind: AdmissionEventKind.Finished, id });
     }
 
-    private releaseSlot(id: number): void {
-        this.applyAdmission(stepAdmission(this.admission, { kind: AdmissionEventKind.Finished, id }, this.environment.nowMs()));
+    private refuse(id: number, code: ResultCode): void {
+        const entry = this.pending.remove(id);
+        entry?.onPart(failedAnswer(entry.request, code));
     }
 
-    private removeConnection(connectionId: number): void {
-        if (this.connections.delete(connectionId)) {
-            this.stepPool({ kind: PoolEventKind.Lost, connectionId });
+    private forgetTransaction(connectionId: number): void {
+        for (const [transactionId, id] of this.transactions) {
+            if (id === connectionId) {
+                this.transactions.delete(transactionId);
+            }
         }
     }
 
-    private finish(id: number, code: ResultCode): void {
-        const entry = this.pending.get(id);
-        if (entry !== undefined) {
-            this.pending.delete(id);
-            entry.onPart(failedAnswer(entry.request, code));
+    private tick(): void {
+        const { environment } = this;
+        setAdmissionOptions(this.admission, admissionOptions(environment));
+        this.step({ kind: AdmissionEventKind.Tick });
+        this.connections.tick(environment.groupView()?.holders[environment.instance] === environment.vm);
+        this.expire(environment.nowMs());
+    }
+
+    /** Cancels what runs past its deadline and closes the connection when that does not help. */
+    private expire(nowMs: number): void {
+        for (const entry of this.pending.running()) {
+            const lateMs = nowMs - entry.deadlineAtMs;
+            if (lateMs >= CANCEL_GRACE_MS) {
+                entry.isExpired = true;
+                this.connections.get(entry.connectionId!)?.close();
+            }
+            else if (lateMs >= 0 && !entry.isCanceled) {
+                entry.isCanceled = true;
+                this.connections.cancel(entry.connectionId!);
+            }
         }
     }
 }
+
+const admissionOptions = ({ instanceConfiguration, ranks }: InstanceEnvironment): AdmissionOptions => ({
+    slots: instanceConfiguration.slots,
+    ranks,
+    queueLimit: QUEUE_LIMIT_REQUESTS,
+    queueLimitBytes: QUEUE_LIMIT_BYTES,
+});
+
+const toExpired = (part: AnswerPart): AnswerPart =>
+    part.resultCode === ResultCode.BackendLost ? { ...part, resultCode: ResultCode.DeadlineWhileRunning } : part;
--- a/packages/process/peer-link/src/PeerServer.ts
+++ b/packages/process/peer-link/src/PeerServer.ts
@@ -69,7 +69,7 @@
                     const { sequence } = message.statusAsk;
                     this.onStatusAsk(peerVm, status => writer.add({ instanceStatus: { ...status, sequence: sequence ?? 0 } }));
                 }
-                this.receive(message, writer, openTransactions);
+                this.receive(message, peerVm, writer, openTransactions);
             }
         });
         const end = (): void => {
@@ -86,6 +86,7 @@
 
     private receive(
         message: pomeloturn.peer.IPeerMessage,
+        peerVm: string,
         writer: BatchWriter,
         openTransactions: Map<string, pomeloturn.peer.IEndTransaction>,
     ): void {
@@ -100,10 +101,10 @@
                     openTransactions.delete(transactionId);
                 }
                 writer.add({ answer: part });
-            });
+            }, peerVm);
         }
         else if (message.cancel) {
-            this.target.cancel(message.cancel.requestId ?? 0);
+            this.target.cancel(message.cancel.requestId ?? 0, peerVm);
         }
         else if (message.endTransaction) {
             const { group, instance, transactionId } = message.endTransaction;
--- a/packages/request/plan-retry/src/planRetry.ts
+++ b/packages/request/plan-retry/src/planRetry.ts
@@ -20,6 +20,7 @@
     ResultCode.QueueFull,
     ResultCode.DeadlineBeforeRun,
     ResultCode.Canceled,
+    ResultCode.CanceledBeforeRun,
     ResultCode.TransactionLost,
     ResultCode.WriteLost,
 ]);
--- a/packages/shared/errors/src/ResultCode.ts
+++ b/packages/shared/errors/src/ResultCode.ts
@@ -39,6 +39,7 @@
     Draining: 305,
     RetryBudgetExhausted: 306,
     TooManyCallers: 307,
+    CanceledBeforeRun: 308,
     OutcomeUnknown: 401,
     LeaseLapsed: 402,
     BackendLost: 403,
--- a/packages/shared/errors/src/resultTable.ts
+++ b/packages/shared/errors/src/resultTable.ts
@@ -46,6 +46,7 @@
     [ResultCode.Draining, "Draining", "57P01", Effect.NotRun, "the proxy is shutting down"],
     [ResultCode.RetryBudgetExhausted, "RetryBudgetExhausted", "57P03", Effect.NotRun, "too many retries are under way"],
     [ResultCode.TooManyCallers, "TooManyCallers", "53300", Effect.NotRun, "too many callers are connected"],
+    [ResultCode.CanceledBeforeRun, "CanceledBeforeRun", "57014", Effect.NotRun, "the request was canceled while it waited"],
     [ResultCode.OutcomeUnknown, "OutcomeUnknown", "40003", Effect.OutcomeUnknown, "it is not known whether the request ran"],
     [ResultCode.LeaseLapsed, "LeaseLapsed", "40003", Effect.OutcomeUnknown, "the lease lapsed before the answer could be acknowledged"],
     [ResultCode.BackendLost, "BackendLost", "40003", Effect.OutcomeUnknown, "the connection to the backend server was lost"],
--- a/packages/shared/types/src/Request.ts
+++ b/packages/shared/types/src/Request.ts
@@ -65,9 +65,10 @@
 
 /** Where requests go: the local holder or a peer's. */
 export interface RequestTarget {
-    send(request: ForwardRequest, onPart: (part: AnswerPart) => void): void;
-    /** Asks the backend server to cancel the request if it is still running. */
-    cancel(requestId: number): void;
+    /** @param sender VM that the request comes from, when it is not this one */
+    send(request: ForwardRequest, onPart: (part: AnswerPart) => void, sender?: string): void;
+    /** Refuses the request if it still waits, and asks the backend server to cancel it if it runs. */
+    cancel(requestId: number, sender?: string): void;
     /** Closes the backend connection of a transaction whose caller has gone. */
     endTransaction(group: string, instance: string, transactionId: string): void;
 }
--- a/programs/proxy/src/LocalHolders.ts
+++ b/programs/proxy/src/LocalHolders.ts
@@ -1,12 +1,15 @@
+import type { AdmissionRank } from "@pomeloturn/admit-request/AdmissionState";
 import { ResultCode } from "@pomeloturn/errors/ResultCode";
 import { failedAnswer } from "@pomeloturn/instance-holder/failedAnswer";
 import { InstanceHolder } from "@pomeloturn/instance-holder/InstanceHolder";
 import type { pomeloturn } from "@pomeloturn/peer-messages/generated/peer";
+import type { GroupConfiguration } from "@pomeloturn/types/Configuration";
 import type { ControlView } from "@pomeloturn/types/ControlView";
 import { instanceKey } from "@pomeloturn/types/InstanceStatus";
 import type { AnswerPart, ForwardRequest, RequestTarget } from "@pomeloturn/types/Request";
 
 const REFRESH_INTERVAL_MS = 1_000;
+const DEFAULT_RANK: AdmissionRank = { floorShare: 0, deadlineMs: 5_000 };
 
 /** The instances that this VM holds. */
 export class LocalHolders implements RequestTarget {
@@ -24,16 +27,20 @@
         return new LocalHolders(vm, view, nowMs);
     }
 
-    send(request: ForwardRequest, onPart: (part: AnswerPart) => void): void {
+    send(request: ForwardRequest, onPart: (part: AnswerPart) => void, sender = this.vm): void {
         const holder = this.find(request.group, request.instance) ?? this.findPinned(request);
         if (holder === undefined) {
             onPart(failedAnswer(request, ResultCode.NotHolder));
             return;
         }
-        holder.submit(request, onPart);
+        holder.submit(request, onPart, sender);
     }
 
-    cancel(_requestId: number): void {}
+    cancel(requestId: number, sender = this.vm): void {
+        for (const holder of this.holders.values()) {
+            holder.cancel(sender, requestId);
+        }
+    }
 
     endTransaction(group: string, instance: string, transactionId: string): void {
         this.holders.get(instanceKey(group, instance))?.endTransaction(transactionId);
@@ -102,15 +109,31 @@
         if (groupConfiguration === undefined || instanceConfiguration === undefined) {
             return undefined;
         }
+        const findConfiguration = (): GroupConfiguration => this.view().configuration.groups[group] ?? groupConfiguration;
+        const findRanks = (): readonly AdmissionRank[] => this.findRanks(group);
         return InstanceHolder.create({
             vm: this.vm,
             group,
             instance,
-            groupConfiguration,
-            instanceConfiguration,
+            get groupConfiguration() {
+                return findConfiguration();
+            },
+            get instanceConfiguration() {
+                return findConfiguration().instances[instance] ?? instanceConfiguration;
+            },
+            get ranks() {
+                return findRanks();
+            },
             groupView: () => this.view().groups[group],
             nowMs: this.nowMs,
+            random: Math.random,
             onHealth: isReachable => this.onInstanceHealth(group, instance, isReachable),
         });
     }
+
+    /** Ranks of the service that uses the group; one rank without a floor when there is none. */
+    private findRanks(group: string): readonly AdmissionRank[] {
+        const services = Object.values(this.view().configuration.services);
+        return services.find(({ groups }) => groups.includes(group))?.ranks ?? [DEFAULT_RANK];
+    }
 }
