--- a/packages/shared/types/src/ControlView.ts
+++ b/packages/shared/types/src/ControlView.ts
@@ -7,6 +7,8 @@
     readonly term: number;
     /** Log position in bytes. */
     readonly position: number;
+    /** Timeline that the primary was on before the promotion that began the term; absent for the first term. */
+    readonly fromTimeline?: number;
 }
 
 /** A database group as the table service's row and the lease state it. */
@@ -18,6 +20,8 @@
     readonly history: readonly TermStart[];
     /** The VM that holds each instance, by the instance's name. */
     readonly holders: Readonly<Record<string, string>>;
+    /** Instances on backend VMs that are leaving: they get no new work. Absent means none. */
+    readonly leavingInstances?: readonly string[];
     /**
      * Monotonic time of this VM until which it may acknowledge writes of the group, in milliseconds.
      * Undefined on VMs that do not hold the group's primary.
--- /dev/null
+++ b/programs/bench/src/main.ts
@@ -0,0 +1,25 @@
+import { decisionCost } from "./decisionCost.ts";
+import { routingTable } from "./routingTable.ts";
+import { writeTraces } from "./writeTraces.ts";
+
+type Measurement = () => unknown;
+
+const measurements: Readonly<Record<string, Measurement>> = {
+    decisions: decisionCost,
+    routing: routingTable,
+    writeTraces,
+};
+
+/** Runs the named measurement and prints it as JSON. */
+const main = async (): Promise<void> => {
+    const name = process.argv[2] ?? "";
+    const measurement = measurements[name];
+    if (measurement === undefined) {
+        process.stderr.write(`usage: bench ${Object.keys(measurements).join(" | ")}\n`);
+        process.exitCode = 1;
+        return;
+    }
+    process.stdout.write(`${JSON.stringify(await measurement(), undefined, 4)}\n`);
+};
+
+void main();
--- a/scripts/build.js
+++ b/scripts/build.js
@@ -1,5 +1,5 @@
 import { build } from "esbuild";
-import { existsSync, mkdirSync, writeFileSync } from "node:fs";
+import { existsSync, mkdirSync, rmSync, writeFileSync } from "node:fs";
 
 const programs = ["proxy", "controller", "cli", "standin", "demo", "bench"];
 const entryPoints = Object.fromEntries(
@@ -8,6 +8,11 @@
         .filter(([, file]) => existsSync(file)),
 );
 
+for (const [name, file] of [["benchPath", "tests/bench/main.ts"], ["loadWorker", "tests/bench/loadWorker.ts"]]) {
+    entryPoints[name] = file;
+}
+
+rmSync("dist", { recursive: true, force: true });
 mkdirSync("dist", { recursive: true });
 writeFileSync("dist/package.json", "{ \"type\": \"commonjs\" }\n");
 
