--- a/packages/process/replay-trace/src/InstanceModel.ts
+++ b/packages/process/replay-trace/src/InstanceModel.ts
@@ -1,14 +1,11 @@
-import {
-    AdmissionActionKind,
-    AdmissionEventKind,
-    type AdmissionState,
-    createAdmission,
-    stepAdmission,
-} from "@pomeloturn/admit-request/admission";
+import { type AdmissionState, createAdmission } from "@pomeloturn/admit-request/AdmissionState";
+import { AdmissionActionKind, AdmissionEventKind, stepAdmission } from "@pomeloturn/admit-request/stepAdmission";
 import type { EventQueue } from "./EventQueue.ts";
 import type { ReplayDeployment } from "./ReplayDeployment.ts";
 
-const QUEUE_LIMIT_REQUESTS = 1_000;
+const QUEUE_LIMIT_REQUESTS = 500;
+const QUEUE_LIMIT_BYTES = 16 * 1024 * 1024;
+const REQUEST_BYTES = 200;
 
 /** A request at the holder of an instance. */
 export interface HeldRequest {
@@ -37,7 +34,8 @@
     private nextId = 1;
 
     private constructor(deployment: ReplayDeployment, private readonly events: EventQueue) {
-        this.admission = createAdmission(deployment.slots, deployment.ranks.length, QUEUE_LIMIT_REQUESTS);
+        const { slots, ranks } = deployment;
+        this.admission = createAdmission({ slots, ranks, queueLimit: QUEUE_LIMIT_REQUESTS, queueLimitBytes: QUEUE_LIMIT_BYTES }, 0);
     }
 
     static create(deployment: ReplayDeployment, events: EventQueue): InstanceModel {
@@ -54,7 +52,8 @@
         this.requests.set(id, request);
         const { rank, deadlineAtMs, serviceTimeMs } = request;
         this.offered.push({ rank, atMs: nowMs, lengthMs: serviceTimeMs });
-        this.apply(stepAdmission(this.admission, { kind: AdmissionEventKind.Arrived, item: { id, rank, deadlineAtMs } }, nowMs), nowMs);
+        const item = { id, rank, deadlineAtMs, sizeBytes: REQUEST_BYTES, isPinned: false };
+        this.apply(stepAdmission(this.admission, { kind: AdmissionEventKind.Arrived, item }, nowMs), nowMs);
     }
 
     private apply(actions: ReturnType<typeof stepAdmission>, nowMs: number): void {
--- a/programs/bench/src/decisionCost.ts
+++ b/programs/bench/src/decisionCost.ts
@@ -1,4 +1,5 @@
-import { AdmissionEventKind, createAdmission, stepAdmission } from "@pomeloturn/admit-request/admission";
+import { createAdmission } from "@pomeloturn/admit-request/AdmissionState";
+import { AdmissionEventKind, stepAdmission } from "@pomeloturn/admit-request/stepAdmission";
 import { StatementClassifier } from "@pomeloturn/classify-statement/StatementClassifier";
 import { type SessionContext, SessionEventKind } from "@pomeloturn/session/sessionMessages";
 import { createSession } from "@pomeloturn/session/SessionState";
@@ -12,7 +13,6 @@
 const MEASURED_COUNT = 20_000;
 const PORTS = [1, 2, 3];
 const NO_EXPIRY_MS = 1e15;
-const RANK_COUNT = 3;
 
 const createView = (groupCount: number): ControlView => {
     const sample = createSampleConfiguration(PORTS);
@@ -50,13 +50,15 @@
         random: () => 0.5,
     };
     const state = createSession("vm-1-1", SAMPLE_SERVICE, new Map(), {});
-    const admission = createAdmission(2, RANK_COUNT, 100);
+    const { ranks } = view.configuration.services[SAMPLE_SERVICE]!;
+    const admission = createAdmission({ slots: 2, ranks, queueLimit: 100, queueLimitBytes: 1e6 }, 0);
     const messages = [serialize.query("SELECT value FROM entries WHERE key = 'a' /*rank='lookup',key='a'*/")];
     const run = (count: number): void => {
         for (let turn = 0; turn < count; turn++) {
             stepSession(state, { kind: SessionEventKind.Messages, messages }, context, turn);
             const id = state.current!.request.requestId;
-            stepAdmission(admission, { kind: AdmissionEventKind.Arrived, item: { id, rank: 1, deadlineAtMs: turn + 1_000 } }, turn);
+            const item = { id, rank: 1, deadlineAtMs: turn + 1_000, sizeBytes: 100, isPinned: false };
+            stepAdmission(admission, { kind: AdmissionEventKind.Arrived, item }, turn);
             stepAdmission(admission, { kind: AdmissionEventKind.Finished, id }, turn);
             state.current = undefined;
         }
