Refuse at the entry what a holder has no room for

Cause: a flood crossed the link before its holder refused it. The first use of a group asks its holders at once.

--- a/programs/proxy/src/Proxy.ts
+++ b/programs/proxy/src/Proxy.ts
@@ -48,7 +48,7 @@
         this.logger = createLogger("pomeloturn-proxy", settings.vm);
         this.view = settings.view ?? EMPTY_VIEW;
         this.local = LocalHolders.create(settings.vm, view, monotonicNowMs);
-        this.router = RequestRouter.create(settings.vm, this.local, view);
+        this.router = RequestRouter.create(settings.vm, this.local, view, monotonicNowMs);
         this.statusPuller = StatusPuller.create({ vm: settings.vm, router: this.router, local: this.local, view, nowMs: monotonicNowMs });
         this.peerServer = PeerServer.create(this.local);
         this.peerServer.onStatusAsk = (vm, onStatus) => this.local.askStatus(vm, onStatus);
--- a/programs/proxy/src/RequestRouter.ts
+++ b/programs/proxy/src/RequestRouter.ts
@@ -1,22 +1,32 @@
+import { createCreditLedger, type CreditLedger, receiveCredits, settleCredit, takeCredit } from "@pomeloturn/admit-request/creditLedger";
 import { ResultCode } from "@pomeloturn/errors/ResultCode";
 import { failedAnswer } from "@pomeloturn/instance-holder/failedAnswer";
 import { PeerClient } from "@pomeloturn/peer-link/PeerClient";
 import type { pomeloturn } from "@pomeloturn/peer-messages/generated/peer";
 import type { ControlView } from "@pomeloturn/types/ControlView";
-import type { AnswerPart, ForwardRequest, RequestTarget } from "@pomeloturn/types/Request";
+import { instanceKey } from "@pomeloturn/types/InstanceStatus";
+import { type AnswerPart, type ForwardRequest, type RequestTarget, TransactionStatus } from "@pomeloturn/types/Request";
 
 /** Sends requests to the local holders or to the peer that holds the instance. */
 export class RequestRouter {
     private readonly peers = new Map<string, PeerClient>();
+    private readonly credits: CreditLedger = createCreditLedger();
+    /** Transactions of this entry that are open at peers. Their statements need no credit. */
+    private readonly openTransactions = new Set<string>();
     /** Called with the group of each request. */
     onGroupUsed: (group: string) => void = () => undefined;
     /** Called with each report of a peer on an instance that it holds. */
     onInstanceStatus: (vm: string, status: pomeloturn.peer.IInstanceStatus) => void = () => undefined;
 
-    private constructor(private readonly vm: string, private readonly local: RequestTarget, private readonly view: () => ControlView) {}
+    private constructor(
+        private readonly vm: string,
+        private readonly local: RequestTarget,
+        private readonly view: () => ControlView,
+        private readonly nowMs: () => number,
+    ) {}
 
-    static create(vm: string, local: RequestTarget, view: () => ControlView): RequestRouter {
-        return new RequestRouter(vm, local, view);
+    static create(vm: string, local: RequestTarget, view: () => ControlView, nowMs: () => number): RequestRouter {
+        return new RequestRouter(vm, local, view, nowMs);
     }
 
     send(vm: string, request: ForwardRequest, onPart: (part: AnswerPart) => void): void {
@@ -26,7 +36,16 @@
             onPart(failedAnswer(request, ResultCode.NotHolder));
             return;
         }
-        target.send(request, onPart);
+        if (target === this.local) {
+            target.send(request, onPart);
+            return;
+        }
+        this.sendToPeer(target, request, onPart);
+    }
+
+    /** Takes the credits of a peer's report. @param askedAtMs monotonic time at which this VM asked */
+    receiveCredits(group: string, instance: string, credits: readonly number[], askedAtMs: number): void {
+        receiveCredits(this.credits, instanceKey(group, instance), credits, askedAtMs, this.nowMs());
     }
 
     cancel(vm: string, requestId: number): void {
@@ -34,6 +53,7 @@
     }
 
     endTransaction(vm: string, group: string, instance: string, transactionId: string): void {
+        this.openTransactions.delete(transactionId);
         this.find(vm)?.endTransaction(group, instance, transactionId);
     }
 
@@ -48,6 +68,37 @@
         }
     }
 
+    /** Sends what the holder has room for and refuses the rest here, before it crosses the link. */
+    private sendToPeer(target: RequestTarget, request: ForwardRequest, onPart: (part: AnswerPart) => void): void {
+        const { group, instance, rank, transactionId } = request;
+        if (this.openTransactions.has(transactionId)) {
+            target.send(request, part => this.relay(part, transactionId, onPart));
+            return;
+        }
+        const key = instanceKey(group, instance);
+        const code = takeCredit(this.credits, key, rank, this.nowMs());
+        if (code !== ResultCode.Ok) {
+            onPart(failedAnswer(request, code));
+            return;
+        }
+        target.send(request, part => {
+            if (part.isLast) {
+                settleCredit(this.credits, key, rank);
+            }
+            this.relay(part, transactionId, onPart);
+        });
+    }
+
+    private relay(part: AnswerPart, transactionId: string, onPart: (part: AnswerPart) => void): void {
+        if (part.isLast && part.transactionStatus === TransactionStatus.Idle) {
+            this.openTransactions.delete(transactionId);
+        }
+        else if (part.isLast) {
+            this.openTransactions.add(transactionId);
+        }
+        onPart(part);
+    }
+
     private find(vm: string): RequestTarget | undefined {
         return vm === this.vm ? this.local : this.findPeer(vm);
     }
--- a/programs/proxy/src/StatusPuller.ts
+++ b/programs/proxy/src/StatusPuller.ts
@@ -29,11 +29,12 @@
 
     private constructor(private readonly options: StatusPullerOptions) {
         this.map = StatusMap.create(() => options.view());
-        options.router.onGroupUsed = group => this.groupUsedAtMs.set(group, options.nowMs());
+        options.router.onGroupUsed = group => this.useGroup(group);
         options.router.onInstanceStatus = (vm, status) => {
             const askedAtMs = this.askedAtMs.get(status.sequence ?? 0);
             if (askedAtMs !== undefined) {
                 this.map.receive(vm, status, askedAtMs, options.nowMs());
+                options.router.receiveCredits(status.group ?? "", status.instance ?? "", status.credits ?? [], askedAtMs);
             }
         };
         this.timer = setInterval(() => this.ask(), ASK_INTERVAL_MS);
@@ -53,6 +54,14 @@
         clearInterval(this.timer);
     }
 
+    private useGroup(group: string): void {
+        const isNew = !this.groupUsedAtMs.has(group);
+        this.groupUsedAtMs.set(group, this.options.nowMs());
+        if (isNew) {
+            this.ask();
+        }
+    }
+
     private ask(): void {
         const { vm, local, router } = this.options;
         const askedAtMs = this.options.nowMs();
