Settle each peer request once, and bound what a slow caller holds

Cause: a request held back by a failed connection was called unknown, and could still be sent on the next stream after it had been settled; a transaction whose BEGIN was answered after its caller or peer had gone stayed open; a silent peer was never noticed; a large answer was buffered without bound.

Change: a stream's messages wait for the peer's greeting and die with the stream, so what was never written is `not run` (PeerUnreachable), the rest unknown (PeerLost). Parts of an answer are acknowledged once the caller's socket has taken them (Relayed, also across the peer stream); reading from the backend server pauses beyond 1 MiB.

How much memory a 10 MB answer to a slow caller takes is not measured yet.

--- a/packages/process/instance-holder/src/AnswerRelay.ts
+++ b/packages/process/instance-holder/src/AnswerRelay.ts
@@ -7,6 +7,8 @@
 import type { InstanceEnvironment } from "./InstanceHolder.ts";
 
 const PART_SIZE_BYTES = 64 * 1024;
+/** Bytes that may be on their way to the caller before reading from the backend server pauses. */
+const UNRELAYED_LIMIT_BYTES = 1024 * 1024;
 const MICROSECONDS_PER_MILLISECOND = 1_000;
 
 /** Collects the answer to a request and relays it in parts, a primary's only while it may be acknowledged. */
@@ -18,6 +20,9 @@
     private messages: Buffer[] = [];
     private messagesBytes = 0;
     private isFenced = false;
+    private unrelayedBytes = 0;
+    /** Pauses or resumes reading the answer. */
+    onPause: (isPaused: boolean) => void = () => undefined;
     private readonly startedAtMs: number;
     readonly term: number;
 
@@ -86,7 +91,9 @@
     private relayPart(): void {
         if (this.isAcknowledgeable()) {
             this.isPartial = true;
-            this.onPart(this.takePart(false, 0));
+            const sizeBytes = this.messagesBytes;
+            this.countUnrelayed(sizeBytes);
+            this.onPart({ ...this.takePart(false, 0), onRelayed: () => this.countUnrelayed(-sizeBytes) });
         }
         else {
             this.isFenced = true;
@@ -94,6 +101,15 @@
         }
     }
 
+    private countUnrelayed(changeBytes: number): void {
+        const wasAbove = this.unrelayedBytes > UNRELAYED_LIMIT_BYTES;
+        this.unrelayedBytes += changeBytes;
+        const isAbove = this.unrelayedBytes > UNRELAYED_LIMIT_BYTES;
+        if (isAbove !== wasAbove) {
+            this.onPause(isAbove);
+        }
+    }
+
     private takePart(isLast: boolean, position: number): AnswerPart {
         const messages = this.collected;
         this.replace();
--- a/packages/process/instance-holder/src/RequestRun.ts
+++ b/packages/process/instance-holder/src/RequestRun.ts
@@ -48,6 +48,7 @@
     /** Runs the request. The lease is looked at again, as the request may have waited for the connection. */
     start(connection: BackendConnection): void {
         this.connection = connection;
+        this.relay.onPause = isPaused => connection.setPaused(isPaused);
         connection.isTainted ||= this.request.mode !== RequestMode.ReplicaRead && leavesSessionState(this.request.messages);
         const isStep = this.request.mode === RequestMode.TransactionStep;
         this.relay.status = isStep ? TransactionStatus.Open : TransactionStatus.Idle;
@@ -82,6 +83,8 @@
 
     /** A connection that may hold state of a caller's session is not used again after its transaction. */
     private complete(): void {
+        this.relay.onPause = () => undefined;
+        this.connection!.setPaused(false);
         const isSpent = this.connection!.isTainted && this.relay.status === TransactionStatus.Idle;
         this.onComplete(isSpent ? undefined : this.relay.status);
     }
--- a/packages/process/peer-link/src/BatchWriter.ts
+++ b/packages/process/peer-link/src/BatchWriter.ts
@@ -1,25 +1,46 @@
 import type { pomeloturn } from "@pomeloturn/peer-messages/generated/peer";
 
+type PeerMessage = pomeloturn.peer.IPeerMessage;
+
 /** Collects the messages of one turn of the event loop and writes them as one batch. */
 export class BatchWriter {
-    private queue: pomeloturn.peer.IPeerMessage[] = [];
+    private queue: PeerMessage[] = [];
+    private isScheduled = false;
 
-    private constructor(private readonly write: (batch: pomeloturn.peer.IPeerBatch) => void) {}
+    private constructor(private readonly write: (messages: PeerMessage[]) => void, private isHeld: boolean) {}
 
-    static create(write: (batch: pomeloturn.peer.IPeerBatch) => void): BatchWriter {
-        return new BatchWriter(write);
+    /** @param isHeld whether messages wait for `release` */
+    static create(write: (messages: PeerMessage[]) => void, isHeld = false): BatchWriter {
+        return new BatchWriter(write, isHeld);
     }
 
-    add(message: pomeloturn.peer.IPeerMessage): void {
+    add(message: PeerMessage): void {
         this.queue.push(message);
-        if (this.queue.length === 1) {
+        if (!this.isScheduled) {
+            this.isScheduled = true;
             setImmediate(() => this.flush());
         }
     }
 
+    /** Lets messages through from now on. */
+    release(): void {
+        this.isHeld = false;
+        this.flush();
+    }
+
+    /** Drops what has not been written, for good. */
+    discard(): void {
+        this.isHeld = true;
+        this.queue = [];
+    }
+
     private flush(): void {
+        this.isScheduled = false;
+        if (this.isHeld || this.queue.length === 0) {
+            return;
+        }
         const messages = this.queue;
         this.queue = [];
-        this.write({ messages });
+        this.write(messages);
     }
 }
--- a/packages/process/peer-link/src/PeerClient.ts
+++ b/packages/process/peer-link/src/PeerClient.ts
@@ -3,37 +3,42 @@
 import type { pomeloturn } from "@pomeloturn/peer-messages/generated/peer";
 import { type AnswerPart, type ForwardRequest, type RequestTarget, TransactionStatus } from "@pomeloturn/types/Request";
 import { BatchWriter } from "./BatchWriter.ts";
+import { CHANNEL_OPTIONS } from "./channelOptions.ts";
 import { toAnswerPart } from "./convertRequest.ts";
 import { EXCHANGE_PATH, peerService } from "./peerService.ts";
 
-const MAXIMUM_BATCH_BYTES = 512 * 1024 * 1024;
+/** Time in which a peer must greet on a new stream. */
+const HELLO_TIMEOUT_MS = 1_500;
 const EMPTY = new Uint8Array(0);
 
-type PeerStream = ClientDuplexStream<pomeloturn.peer.IPeerBatch, pomeloturn.peer.PeerBatch>;
+type PeerMessage = pomeloturn.peer.IPeerMessage;
+type DuplexStream = ClientDuplexStream<pomeloturn.peer.IPeerBatch, pomeloturn.peer.PeerBatch>;
 
 interface Outstanding {
     readonly attempt: number;
     readonly onPart: (part: AnswerPart) => void;
+    /** Whether the request has been handed to a stream that was open: it may have run. */
+    isWritten: boolean;
+}
+
+interface OpenStream {
+    readonly duplex: DuplexStream;
+    readonly writer: BatchWriter;
+    readonly helloTimer: NodeJS.Timeout;
 }
 
 /** The stream to one peer: requests go out, answers come back in any order. */
 export class PeerClient implements RequestTarget {
     private readonly client: Client;
     private readonly outstanding = new Map<number, Outstanding>();
-    private stream: PeerStream | undefined;
-    private readonly writer: BatchWriter;
+    private stream: OpenStream | undefined;
     /** Receives the peer's reports on the instances that it holds. */
     onInstanceStatus: (status: pomeloturn.peer.IInstanceStatus) => void = () => undefined;
     /** Called for an answer that matches no outstanding attempt. */
     onUnmatchedAnswer: () => void = () => undefined;
 
     private constructor(address: string, private readonly vm: string) {
-        this.client = new Client(address, credentials.createInsecure(), {
-            "grpc.max_receive_message_length": MAXIMUM_BATCH_BYTES,
-            "grpc.max_send_message_length": MAXIMUM_BATCH_BYTES,
-            "grpc.use_local_subchannel_pool": 1,
-        });
-        this.writer = BatchWriter.create(batch => this.openStream().write(batch));
+        this.client = new Client(address, credentials.createInsecure(), CHANNEL_OPTIONS);
     }
 
     /** @param address "host:port" of the peer; @param vm name of this VM */
@@ -41,25 +46,26 @@
         return new PeerClient(address, vm);
     }
 
+    /** A new attempt of a request takes the place of the earlier one, whose answer is then dropped. */
     send(request: ForwardRequest, onPart: (part: AnswerPart) => void): void {
-        this.outstanding.set(request.requestId, { attempt: request.attempt, onPart });
-        this.writer.add({ forward: request });
+        this.outstanding.set(request.requestId, { attempt: request.attempt, onPart, isWritten: false });
+        this.write({ forward: request });
     }
 
     cancel(requestId: number): void {
-        this.writer.add({ cancel: { requestId } });
+        this.write({ cancel: { requestId } });
     }
 
     endTransaction(group: string, instance: string, transactionId: string): void {
-        this.writer.add({ endTransaction: { group, instance, transactionId } });
+        this.write({ endTransaction: { group, instance, transactionId } });
     }
 
     /** Asks for the state of the instances that the peer holds; the answers echo the sequence. */
     askStatus(sequence: number): void {
-        this.writer.add({ statusAsk: { sequence } });
+        this.write({ statusAsk: { sequence } });
     }
 
-    /** Opens the stream, so that the peer starts to report on its instances. */
+    /** Opens the stream, so that the first request need not wait for it. */
     connect(): void {
         this.openStream();
     }
@@ -69,21 +75,42 @@
         this.client.close();
     }
 
-    private openStream(): PeerStream {
-        if (this.stream !== undefined) {
-            return this.stream;
-        }
+    private write(message: PeerMessage): void {
+        this.openStream().writer.add(message);
+    }
+
+    private openStream(): OpenStream {
+        this.stream ??= this.createStream();
+        return this.stream;
+    }
+
+    /** What is sent waits for the peer's greeting, so that what a failed connection held back is known not to have run. */
+    private createStream(): OpenStream {
         const { requestSerialize, responseDeserialize } = peerService.exchange;
-        const stream = this.client.makeBidiStreamRequest(EXCHANGE_PATH, requestSerialize, responseDeserialize);
-        this.stream = stream;
-        stream.on("data", (batch: pomeloturn.peer.PeerBatch) => this.receive(batch));
-        stream.on("error", () => this.loseStream(stream));
-        stream.on("end", () => this.loseStream(stream));
-        stream.write({ messages: [{ hello: { vm: this.vm } }] });
-        return stream;
+        const duplex = this.client.makeBidiStreamRequest(EXCHANGE_PATH, requestSerialize, responseDeserialize);
+        duplex.on("data", (batch: pomeloturn.peer.PeerBatch) => this.receive(batch, duplex));
+        duplex.on("error", () => this.loseStream(duplex));
+        duplex.on("end", () => this.loseStream(duplex));
+        duplex.write({ messages: [{ hello: { vm: this.vm } }] });
+        const helloTimer = setTimeout(() => this.loseStream(duplex), HELLO_TIMEOUT_MS);
+        helloTimer.unref();
+        return { duplex, helloTimer, writer: BatchWriter.create(messages => this.writeBatch(duplex, messages), true) };
+    }
+
+    private writeBatch(duplex: DuplexStream, messages: PeerMessage[]): void {
+        for (const { forward } of messages) {
+            const outstanding = this.outstanding.get(forward?.requestId ?? 0);
+            if (outstanding !== undefined && outstanding.attempt === forward?.attempt) {
+                outstanding.isWritten = true;
+            }
+        }
+        duplex.write({ messages });
     }
 
-    private receive(batch: pomeloturn.peer.PeerBatch): void {
+    private receive(batch: pomeloturn.peer.PeerBatch, duplex: DuplexStream): void {
+        if (this.stream?.duplex !== duplex) {
+            return;
+        }
         for (const message of batch.messages) {
             if (message.answer) {
                 this.receiveAnswer(toAnswerPart(message.answer));
@@ -91,40 +118,54 @@
             else if (message.instanceStatus) {
                 this.onInstanceStatus(message.instanceStatus);
             }
+            else if (message.hello) {
+                clearTimeout(this.stream.helloTimer);
+                this.stream.writer.release();
+            }
         }
     }
 
     private receiveAnswer(part: AnswerPart): void {
-        const outstanding = this.outstanding.get(part.requestId);
-        if (outstanding === undefined || outstanding.attempt !== part.attempt) {
+        const { requestId, attempt, isLast } = part;
+        const outstanding = this.outstanding.get(requestId);
+        const onRelayed = (): void => this.write({ relayed: { requestId, attempt } });
+        if (outstanding === undefined || outstanding.attempt !== attempt) {
             this.onUnmatchedAnswer();
+            if (!isLast) {
+                onRelayed();
+            }
             return;
         }
-        if (part.isLast) {
-            this.outstanding.delete(part.requestId);
+        if (isLast) {
+            this.outstanding.delete(requestId);
         }
-        outstanding.onPart(part);
+        outstanding.onPart(isLast ? part : { ...part, onRelayed });
     }
 
-    private loseStream(stream: PeerStream): void {
-        if (this.stream === stream) {
+    private loseStream(duplex: DuplexStream): void {
+        if (this.stream?.duplex === duplex) {
             this.lose();
         }
     }
 
-    /** Every outstanding request may or may not have run. */
+    /** Settles every outstanding request: what was written may have run, the rest did not. */
     private lose(): void {
-        this.stream?.cancel();
+        const stream = this.stream;
         this.stream = undefined;
+        if (stream !== undefined) {
+            clearTimeout(stream.helloTimer);
+            stream.writer.discard();
+            stream.duplex.cancel();
+        }
         const lost = [...this.outstanding];
         this.outstanding.clear();
-        for (const [requestId, { attempt, onPart }] of lost) {
+        for (const [requestId, { attempt, onPart, isWritten }] of lost) {
             onPart({
                 requestId,
                 attempt,
                 messages: EMPTY,
                 isLast: true,
-                resultCode: ResultCode.PeerLost,
+                resultCode: isWritten ? ResultCode.PeerLost : ResultCode.PeerUnreachable,
                 transactionStatus: TransactionStatus.Idle,
                 position: { term: 0, position: 0 },
                 serviceTimeUs: 0,
--- a/packages/process/peer-link/src/PeerServer.ts
+++ b/packages/process/peer-link/src/PeerServer.ts
@@ -1,27 +1,20 @@
-import { Server, ServerCredentials, type ServerDuplexStream } from "@grpc/grpc-js";
+import { Server, ServerCredentials } from "@grpc/grpc-js";
 import type { pomeloturn } from "@pomeloturn/peer-messages/generated/peer";
 import type { RequestTarget } from "@pomeloturn/types/Request";
-import { BatchWriter } from "./BatchWriter.ts";
-import { toForwardRequest } from "./convertRequest.ts";
+import { CHANNEL_OPTIONS } from "./channelOptions.ts";
 import { peerService } from "./peerService.ts";
-
-const MAXIMUM_BATCH_BYTES = 512 * 1024 * 1024;
-
-type PeerStream = ServerDuplexStream<pomeloturn.peer.PeerBatch, pomeloturn.peer.IPeerBatch>;
+import { ServedStream, type ServerStream } from "./ServedStream.ts";
 
 /** Accepts the streams of the other proxies and hands their requests to the local holders. */
 export class PeerServer {
     private readonly server: Server;
-    private readonly writers = new Set<BatchWriter>();
+    private readonly streams = new Set<ServedStream>();
     /** Answers a peer's ask for the state of the instances that this VM holds. */
     onStatusAsk: (vm: string, onStatus: (status: pomeloturn.peer.IInstanceStatus) => void) => void = () => undefined;
 
     private constructor(private readonly target: RequestTarget) {
-        this.server = new Server({
-            "grpc.max_receive_message_length": MAXIMUM_BATCH_BYTES,
-            "grpc.max_send_message_length": MAXIMUM_BATCH_BYTES,
-        });
-        this.server.addService(peerService, { exchange: (stream: PeerStream) => this.accept(stream) });
+        this.server = new Server(CHANNEL_OPTIONS);
+        this.server.addService(peerService, { exchange: (stream: ServerStream) => this.accept(stream) });
     }
 
     static create(target: RequestTarget): PeerServer {
@@ -44,7 +37,7 @@
 
     /** Tells all connected proxies the state of an instance. */
     broadcast(status: pomeloturn.peer.IInstanceStatus): void {
-        for (const writer of this.writers) {
+        for (const { writer } of this.streams) {
             writer.add({ instanceStatus: status });
         }
     }
@@ -53,28 +46,16 @@
         this.server.forceShutdown();
     }
 
-    private accept(stream: PeerStream): void {
-        const writer = BatchWriter.create(batch => {
-            if (!stream.destroyed) {
-                stream.write(batch);
-            }
-        });
-        this.writers.add(writer);
-        const openTransactions = new Map<string, pomeloturn.peer.IEndTransaction>();
-        let peerVm = "";
-        stream.on("data", (batch: pomeloturn.peer.PeerBatch) => {
-            for (const message of batch.messages) {
-                peerVm = message.hello?.vm ?? peerVm;
-                if (message.statusAsk) {
-                    const { sequence } = message.statusAsk;
-                    this.onStatusAsk(peerVm, status => writer.add({ instanceStatus: { ...status, sequence: sequence ?? 0 } }));
-                }
-                this.receive(message, writer, openTransactions);
-            }
+    private accept(stream: ServerStream): void {
+        const served = ServedStream.create(stream, {
+            target: this.target,
+            onStatusAsk: (vm, onStatus) => this.onStatusAsk(vm, onStatus),
         });
+        this.streams.add(served);
         const end = (): void => {
-            this.writers.delete(writer);
-            this.endTransactions(openTransactions);
+            if (this.streams.delete(served)) {
+                served.end();
+            }
         };
         stream.on("end", () => {
             stream.end();
@@ -83,39 +64,4 @@
         stream.on("error", end);
         stream.on("cancelled", end);
     }
-
-    private receive(
-        message: pomeloturn.peer.IPeerMessage,
-        writer: BatchWriter,
-        openTransactions: Map<string, pomeloturn.peer.IEndTransaction>,
-    ): void {
-        if (message.forward) {
-            const request = toForwardRequest(message.forward);
-            const { transactionId, group, instance } = request;
-            if (transactionId !== "") {
-                openTransactions.set(transactionId, { group, instance, transactionId });
-            }
-            this.target.send(request, part => {
-                if (part.isLast && part.transactionStatus === "I") {
-                    openTransactions.delete(transactionId);
-                }
-                writer.add({ answer: part });
-            });
-        }
-        else if (message.cancel) {
-            this.target.cancel(message.cancel.requestId ?? 0);
-        }
-        else if (message.endTransaction) {
-            const { group, instance, transactionId } = message.endTransaction;
-            this.target.endTransaction(group ?? "", instance ?? "", transactionId ?? "");
-        }
-    }
-
-    /** Rolls back what the peer left open when its stream ended. */
-    private endTransactions(openTransactions: Map<string, pomeloturn.peer.IEndTransaction>): void {
-        for (const { group, instance, transactionId } of openTransactions.values()) {
-            this.target.endTransaction(group ?? "", instance ?? "", transactionId ?? "");
-        }
-        openTransactions.clear();
-    }
 }
--- a/packages/shared/types/src/Request.ts
+++ b/packages/shared/types/src/Request.ts
@@ -63,6 +63,8 @@
     readonly position: LogPosition;
     /** Time spent at the backend server, in microseconds. */
     readonly serviceTimeUs: number;
+    /** To be called once a part that is not the last has been taken by the caller's socket, so that more is read. */
+    readonly onRelayed?: () => void;
 }
 
 /** Where requests go: the local holder or a peer's. */
--- a/programs/proxy/src/SessionActor.ts
+++ b/programs/proxy/src/SessionActor.ts
@@ -28,6 +28,10 @@
     private readonly reference: Ref<SessionEvent>;
     private readonly connection: CallerConnection;
     private readonly handlers: ActionHandlers;
+    /** Parts of answers that wait for the caller to read. */
+    private readonly unrelayed: (() => void)[] = [];
+    private unrelayedRequestId = 0;
+    private isCallerSlow = false;
     private timer: NodeJS.Timeout | undefined;
     private timerAtMs = Infinity;
 
@@ -35,7 +39,10 @@
         this.reference = spawnStateless(environment.system, (event: SessionEvent) => this.step(event), state.sessionId);
         this.connection = CallerConnection.create(socket, {
             onMessages: messages => this.dispatch({ kind: SessionEventKind.Messages, messages }),
-            onDrained: () => undefined,
+            onDrained: () => {
+                this.isCallerSlow = false;
+                this.releaseParts();
+            },
             onClosed: () => this.dispatch({ kind: SessionEventKind.CallerClosed }),
         });
         this.handlers = this.createHandlers();
@@ -61,6 +68,13 @@
             const handler = this.handlers[action.kind] as (action: SessionAction) => void;
             handler(action);
         }
+        if (event.kind === SessionEventKind.Answer && event.part.onRelayed !== undefined) {
+            this.unrelayed.push(event.part.onRelayed);
+            this.unrelayedRequestId = event.part.requestId;
+        }
+        if (!this.isCallerSlow || this.state.current?.request.requestId !== this.unrelayedRequestId) {
+            this.releaseParts();
+        }
         this.connection.setPaused(this.state.waiting.length > WAITING_UNITS_LIMIT);
     }
 
@@ -68,7 +82,7 @@
         const { router } = this.environment;
         return {
             reply: action => {
-                this.connection.write(action.messages);
+                this.isCallerSlow = !this.connection.write(action.messages);
             },
             forward: action => router.send(action.vm, action.request, part => this.dispatch({ kind: SessionEventKind.Answer, part })),
             cancel: action => router.cancel(action.vm, action.requestId),
@@ -93,7 +107,13 @@
         }, Math.max(0, atMs - this.environment.nowMs()));
     }
 
+    /** Lets the holder read on: the caller has taken the parts, or their request is over. */
+    private releaseParts(): void {
+        this.unrelayed.splice(0).forEach(onRelayed => onRelayed());
+    }
+
     private finish(): void {
+        this.releaseParts();
         clearTimeout(this.timer);
         stop(this.reference);
         this.environment.onClosed();
