--- a/programs/bench/src/decisionCost.ts
+++ b/programs/bench/src/decisionCost.ts
@@ -40,11 +40,10 @@
     };
 };
 
-const measureAt = (groupCount: number, classifier: StatementClassifier): Record<string, number> => {
-    const view = createView(groupCount);
+const createContext = (view: ControlView, classifier: StatementClassifier): SessionContext => {
     let requestId = 1;
     const retryBudget = createRetryBudget(0);
-    const context: SessionContext = {
+    return {
         view,
         vm: "vm-1",
         failureDomain: "cluj-a",
@@ -55,11 +54,15 @@
         takeRequestId: () => requestId++,
         random: () => 0.5,
     };
+};
+
+/** Routes and admits a statement many times over. */
+const createRun = (view: ControlView, context: SessionContext): (count: number) => void => {
     const state = createSession("vm-1-1", SAMPLE_SERVICE, EMPTY_TOKEN, {});
     const { ranks } = view.configuration.services[SAMPLE_SERVICE]!;
     const admission = createAdmission({ slots: 2, ranks, queueLimit: 100, queueLimitBytes: 1e6 }, 0);
     const messages = [serialize.query("SELECT value FROM entries WHERE key = 'a' /*rank='lookup',key='a'*/")];
-    const run = (count: number): void => {
+    return count => {
         for (let turn = 0; turn < count; turn++) {
             stepSession(state, { kind: SessionEventKind.Messages, messages }, context, turn);
             const id = state.current!.request.requestId;
@@ -69,6 +72,11 @@
             state.current = undefined;
         }
     };
+};
+
+const measureAt = (groupCount: number, classifier: StatementClassifier): Record<string, number> => {
+    const view = createView(groupCount);
+    const run = createRun(view, createContext(view, classifier));
     run(WARM_UP_COUNT);
     const beforeBytes = process.memoryUsage().heapUsed;
     const startedAt = process.hrtime.bigint();
