--- a/packages/process/settings/src/loadSettings.ts
+++ b/packages/process/settings/src/loadSettings.ts
@@ -27,5 +27,10 @@
     }
 };
 
-const formatErrors = (file: string, errors: readonly ErrorObject[]): string =>
-    errors.map(error => `${file} at ${error.instancePath || "/"}: ${error.message ?? error.keyword} (${error.schemaPath})`).join("; ");
+const formatErrors = (file: string, errors: readonly ErrorObject[]): string => errors.map(error => formatError(file, error)).join("; ");
+
+const formatError = (file: string, error: ErrorObject): string => {
+    const { additionalProperty } = error.params as Readonly<Record<string, string>>;
+    const path = additionalProperty === undefined ? error.instancePath : `${error.instancePath}/${additionalProperty}`;
+    return `${file} at ${path || "/"}: ${error.message ?? error.keyword} (${error.keyword})`;
+};
--- /dev/null
+++ b/programs/cli/src/drain/DrainCommand.ts
@@ -0,0 +1,20 @@
+import { Command, Option } from "clipanion";
+import { callVm } from "../shared/callProcesses.ts";
+import { OperatorCommand } from "../shared/OperatorCommand.ts";
+
+/** `drain VM`: takes a VM out of service without cutting a request. */
+export class DrainCommand extends OperatorCommand {
+    static override paths = [["drain"]];
+    static override usage = Command.Usage({
+        category: "System",
+        description: "Take a VM out of service: hand its instances over, finish its requests, then stop its processes.",
+    });
+
+    readonly vm = Option.String();
+
+    protected async run(): Promise<void> {
+        const { controllers, timeoutMs } = this.loadSettings();
+        const call = { command: "drain", arguments: { vm: this.vm } };
+        this.printJson(await callVm(controllers, this.vm, call, timeoutMs));
+    }
+}
--- /dev/null
+++ b/programs/cli/src/explain/ExplainCommand.ts
@@ -0,0 +1,62 @@
+import type { StatementExplanation } from "@pomeloturn/types/StatementExplanation";
+import { Command, Option } from "clipanion";
+import { callAny, callVm } from "../shared/callProcesses.ts";
+import { formatTable } from "../shared/formatTable.ts";
+import { OperatorCommand } from "../shared/OperatorCommand.ts";
+
+/** `explain SERVICE SQL`: shows where a proxy would send a statement now, and why. */
+export class ExplainCommand extends OperatorCommand {
+    static override paths = [["explain"]];
+    static override usage = Command.Usage({
+        category: "System",
+        description: "Show where a statement would go now, and why. It is not run.",
+        details: "The attributes are those that a caller sets for its session; a trailing comment of the statement counts too.",
+    });
+
+    readonly service = Option.String();
+    readonly sql = Option.String();
+    readonly vm = Option.String("--vm", { description: "ask this VM's proxy" });
+    readonly token = Option.String("--token", { description: "the caller's session token, or new" });
+    readonly rank = Option.String("--rank");
+    readonly readKind = Option.String("--read-kind");
+    readonly key = Option.String("--key");
+    readonly isJson = Option.Boolean("--json", false);
+
+    protected async run(): Promise<void> {
+        const { proxies, timeoutMs } = this.loadSettings();
+        const { service, sql, token, rank, readKind, key } = this;
+        const stated = Object.entries({ service, sql, token, rank, readKind, key }).filter(([, value]) => value !== undefined);
+        const call = { command: "explain", arguments: Object.fromEntries(stated) as Record<string, string> };
+        const explanation = this.vm === undefined
+            ? await callAny<StatementExplanation>(proxies, call, timeoutMs)
+            : await callVm<StatementExplanation>(proxies, this.vm, call, timeoutMs);
+        if (this.isJson) {
+            this.printJson(explanation);
+            return;
+        }
+        this.print(formatExplanation(explanation));
+    }
+}
+
+const formatExplanation = (explanation: StatementExplanation): string => {
+    const { statementClass, rank, group, instance, vm, reason, requiredPosition, maximumAgeMs, instances } = explanation;
+    const requirements = [
+        ...(requiredPosition.term === 0 ? [] : [`position ${requiredPosition.position} of term ${requiredPosition.term}`]),
+        ...(maximumAgeMs === 0 ? [] : [`an age of at most ${maximumAgeMs} ms`]),
+    ];
+    return [
+        `class ${statementClass}, rank ${rank}, group ${group}`,
+        `requires ${requirements.length === 0 ? "nothing of the data" : requirements.join(" and ")}`,
+        `goes to ${instance}, held by ${vm}: ${reason}`,
+        formatTable(
+            ["instance", "failure domain", "holder", "replayed", "outcome"],
+            Object.entries(instances).map(([name, { failureDomain, holder, isPrimary, isChosen, refusal, status }]) => [
+                isPrimary ? `${name} (primary)` : name,
+                failureDomain,
+                holder,
+                status === undefined ? undefined : `${status.replayed.term}/${status.replayed.position}`,
+                isChosen ? "chosen" : refusal ?? "could serve",
+            ]),
+        ),
+    ].join("\n");
+};
--- a/programs/cli/src/main.ts
+++ b/programs/cli/src/main.ts
@@ -5,6 +5,11 @@
 import { ConfigHistoryCommand } from "./config/history/ConfigHistoryCommand.ts";
 import { ConfigPullCommand } from "./config/pull/ConfigPullCommand.ts";
 import { ConfigShowCommand } from "./config/show/ConfigShowCommand.ts";
+import { DrainCommand } from "./drain/DrainCommand.ts";
+import { ExplainCommand } from "./explain/ExplainCommand.ts";
+import { HistogramsCommand } from "./histograms/HistogramsCommand.ts";
+import { PromoteCommand } from "./promote/PromoteCommand.ts";
+import { StatusCommand } from "./status/StatusCommand.ts";
 
 const commands = [
     Builtins.HelpCommand,
@@ -14,6 +19,11 @@
     ConfigShowCommand,
     ConfigHistoryCommand,
     ConfigPullCommand,
+    StatusCommand,
+    DrainCommand,
+    PromoteCommand,
+    HistogramsCommand,
+    ExplainCommand,
 ];
 
 const cli = new Cli({ binaryLabel: "pomeloturn", binaryName: "pomeloturn" });
--- /dev/null
+++ b/programs/cli/src/status/StatusCommand.ts
@@ -0,0 +1,30 @@
+import type { SystemStatus } from "@pomeloturn/types/SystemStatus";
+import { Command, Option } from "clipanion";
+import { callAny, callVm, type ProcessCall } from "../shared/callProcesses.ts";
+import { OperatorCommand } from "../shared/OperatorCommand.ts";
+import { formatStatus } from "./formatStatus.ts";
+
+/** `status [--json] [--vm VM]`: shows the system as one controller sees it. */
+export class StatusCommand extends OperatorCommand {
+    static override paths = [["status"]];
+    static override usage = Command.Usage({
+        category: "System",
+        description: "Show groups, replicas, VMs and links as one controller sees them: the first that answers, or that of --vm.",
+    });
+
+    readonly isJson = Option.Boolean("--json", false);
+    readonly vm = Option.String("--vm", { description: "ask this VM's controller" });
+
+    protected async run(): Promise<void> {
+        const { controllers, timeoutMs } = this.loadSettings();
+        const call: ProcessCall = { command: "status" };
+        const status = this.vm === undefined
+            ? await callAny<SystemStatus>(controllers, call, timeoutMs)
+            : await callVm<SystemStatus>(controllers, this.vm, call, timeoutMs);
+        if (this.isJson) {
+            this.printJson(status);
+            return;
+        }
+        this.print(formatStatus(status));
+    }
+}
--- a/programs/proxy/src/CallerListener.ts
+++ b/programs/proxy/src/CallerListener.ts
@@ -111,7 +111,7 @@
         }
     }
 
-    private readToken(service: string, text: string | undefined): SessionToken | undefined {
+    readToken(service: string, text: string | undefined): SessionToken | undefined {
         if (text === undefined) {
             return undefined;
         }
--- a/programs/proxy/src/Proxy.ts
+++ b/programs/proxy/src/Proxy.ts
@@ -3,6 +3,7 @@
 import { LatencyHistograms } from "@pomeloturn/histograms/LatencyHistograms";
 import { Counters } from "@pomeloturn/logger/Counters";
 import { createLogger, type ProcessLogger } from "@pomeloturn/logger/createLogger";
+import type { OperatorServer } from "@pomeloturn/operator-link/OperatorServer";
 import { PeerServer } from "@pomeloturn/peer-link/PeerServer";
 import type { SessionAction, SessionContext } from "@pomeloturn/session/sessionMessages";
 import type { ControlView } from "@pomeloturn/types/ControlView";
@@ -10,6 +11,7 @@
 import { CallerListener } from "./CallerListener.ts";
 import { ControlSource } from "./ControlSource.ts";
 import { LocalHolders } from "./LocalHolders.ts";
+import { createProxyOperator } from "./ProxyOperator.ts";
 import type { ProxySettings } from "./ProxySettings.ts";
 import { RequestRouter } from "./RequestRouter.ts";
 import type { SessionEnvironment } from "./SessionActor.ts";
@@ -41,6 +43,7 @@
     private readonly statusPuller: StatusPuller;
     private view: ControlView;
     private controlSource: ControlSource | undefined;
+    private operatorServer: OperatorServer | undefined;
     private nextRequestId = 1;
 
     private constructor(private readonly settings: ProxySettings, private readonly classifier: StatementClassifier) {
@@ -65,6 +68,7 @@
         const proxy = new Proxy(settings, await StatementClassifier.create());
         await proxy.peerServer.listen(settings.peerHost, settings.peerPort);
         await proxy.callers.listen(settings.callerHost, settings.callerPort);
+        await proxy.listenForOperators();
         proxy.connectController();
         proxy.logger.info({ event: "listening", callerPort: settings.callerPort, peerPort: settings.peerPort });
         return proxy;
@@ -77,6 +81,7 @@
 
     close(): void {
         this.controlSource?.close();
+        this.operatorServer?.close();
         this.callers.close();
         this.statusPuller.close();
         this.router.close();
@@ -85,6 +90,20 @@
         stop(this.system);
     }
 
+    private async listenForOperators(): Promise<void> {
+        const { peerHost, operatorPort } = this.settings;
+        if (operatorPort !== undefined) {
+            this.operatorServer = createProxyOperator({
+                counters: this.counters,
+                histograms: this.histograms,
+                context: () => this.sessionContext(),
+                readToken: (service, text) => this.callers.readToken(service, text),
+                nowMs: monotonicNowMs,
+            });
+            await this.operatorServer.listen(peerHost, operatorPort);
+        }
+    }
+
     private connectController(): void {
         const { vm, peerHost, controllerPort } = this.settings;
         if (controllerPort !== undefined) {
