--- a/programs/proxy/src/Proxy.ts
+++ b/programs/proxy/src/Proxy.ts
@@ -14,6 +14,7 @@
 import { createProxyOperator } from "./ProxyOperator.ts";
 import type { ProxySettings } from "./ProxySettings.ts";
 import { RequestRouter } from "./RequestRouter.ts";
+import { RetryBudgets } from "./RetryBudgets.ts";
 import type { SessionEnvironment } from "./SessionActor.ts";
 import { StatusPuller } from "./StatusPuller.ts";
 
@@ -40,6 +41,7 @@
     private readonly router: RequestRouter;
     private readonly peerServer: PeerServer;
     private readonly callers: CallerListener;
+    private readonly retryBudgets = RetryBudgets.create();
     private readonly statusPuller: StatusPuller;
     private view: ControlView;
     private controlSource: ControlSource | undefined;
@@ -128,6 +130,7 @@
             view: this.view,
             vm: this.settings.vm,
             failureDomain: this.settings.failureDomain,
+            retryBudget: service => this.retryBudgets.find(service, monotonicNowMs()),
             statuses: this.statusPuller.statuses,
             classify: text => this.classifier.classify(text),
             takeRequestId: () => this.nextRequestId++,
