--- a/programs/bench/src/decisionCost.ts
+++ b/programs/bench/src/decisionCost.ts
@@ -1,5 +1,7 @@
 import { AdmissionEventKind, createAdmission, stepAdmission } from "@pomeloturn/admit-request/admission";
 import { StatementClassifier } from "@pomeloturn/classify-statement/StatementClassifier";
+import { createRetryBudget } from "@pomeloturn/plan-retry/retryBudget";
+import { EMPTY_TOKEN } from "@pomeloturn/session-token/SessionToken";
 import { type SessionContext, SessionEventKind } from "@pomeloturn/session/sessionMessages";
 import { createSession } from "@pomeloturn/session/SessionState";
 import { stepSession } from "@pomeloturn/session/stepSession";
@@ -40,16 +42,18 @@
 const measureAt = (groupCount: number, classifier: StatementClassifier): Record<string, number> => {
     const view = createView(groupCount);
     let requestId = 1;
+    const retryBudget = createRetryBudget(0);
     const context: SessionContext = {
         view,
         vm: "vm-1",
         failureDomain: "cluj-a",
         statuses: new Map(),
+        retryBudget: () => retryBudget,
         classify: text => classifier.classify(text),
         takeRequestId: () => requestId++,
         random: () => 0.5,
     };
-    const state = createSession("vm-1-1", SAMPLE_SERVICE, new Map(), {});
+    const state = createSession("vm-1-1", SAMPLE_SERVICE, EMPTY_TOKEN, {});
     const admission = createAdmission(2, RANK_COUNT, 100);
     const messages = [serialize.query("SELECT value FROM entries WHERE key = 'a' /*rank='lookup',key='a'*/")];
     const run = (count: number): void => {
--- a/programs/proxy/src/explainStatement.ts
+++ b/programs/proxy/src/explainStatement.ts
@@ -19,6 +19,7 @@
     [RequestMode.ReplicaRead]: () => "a replica is known to have what the read requires",
     [RequestMode.PrimaryRead]: token => PRIMARY_REASONS[token === undefined ? "unknown" : "known"]!,
     [RequestMode.PrimaryWrite]: () => "writes and transactions run at the primary",
+    [RequestMode.TransactionStep]: () => "it belongs to a transaction that is open at the primary",
 };
 
 /** A statement as a caller would send it. */
