--- a/packages/connection/session/src/stepSession.test.ts
+++ b/packages/connection/session/src/stepSession.test.ts
@@ -1,3 +1,4 @@
+import { RoutingKnowledge } from "@pomeloturn/choose-instance/RoutingKnowledge";
 import { ResultCode } from "@pomeloturn/errors/ResultCode";
 import { createRetryBudget } from "@pomeloturn/plan-retry/retryBudget";
 import { EMPTY_TOKEN } from "@pomeloturn/session-token/SessionToken";
@@ -103,7 +104,8 @@
             view,
             vm: "vm-1",
             failureDomain: "cluj-a",
-            statuses: new Map(),
+            knowledge: RoutingKnowledge.create(),
+        statuses: new Map(),
             retryBudget: () => budget,
             classify: text => classes[text.split(" ")[0]!] ?? StatementClass.Write,
             takeRequestId: () => ++requestId,
