Run leases in the controllers and shut VMs down without cutting requests

Cause: the controllers named holders without leases, read configuration in a form of their own, and SIGTERM cut whatever a proxy was doing.

Change: LeaseRunner replaces UnwitnessedLeases; lease bytes travel as an opaque field of the control stream; orders to the databases go over one kept pg connection an instance. Configuration is opened and adopted by config-version. A graceful shutdown is two step functions (packages/process/drain): leave the membership, finish open transactions, hold new work at held primaries while what runs there ends, hand the leases over, tell idle callers 57P01 between statements, and exit. The session takes a `drain` event (drainSession.ts); RequestGate stands before the local holders. The stand-in knows pg_last_wal_receive_lsn.

--- a/packages/connection/session/src/SessionState.ts
+++ b/packages/connection/session/src/SessionState.ts
@@ -100,6 +100,10 @@
     transaction: OpenTransaction | undefined;
     status: TransactionStatus;
     nextRequestNumber: number;
+    /** Whether the session is to end when it is idle. */
+    isDraining: boolean;
+    /** Whether the caller has been told that the session ends; nothing is taken from it any more. */
+    isEnded: boolean;
     /** Whether the caller has gone. */
     isClosed: boolean;
 }
@@ -124,5 +128,7 @@
     transaction: undefined,
     status: TransactionStatus.Idle,
     nextRequestNumber: 1,
+    isDraining: false,
+    isEnded: false,
     isClosed: false,
 });
--- a/packages/connection/session/src/sessionMessages.ts
+++ b/packages/connection/session/src/sessionMessages.ts
@@ -10,6 +10,7 @@
     Messages: "messages",
     Answer: "answer",
     CallerClosed: "callerClosed",
+    Drain: "drain",
     Woken: "woken",
     CancelRequested: "cancelRequested",
 } as const;
@@ -19,6 +20,8 @@
     | { readonly kind: typeof SessionEventKind.Messages; readonly messages: readonly Buffer[]; }
     | { readonly kind: typeof SessionEventKind.Answer; readonly part: AnswerPart; }
     | { readonly kind: typeof SessionEventKind.CallerClosed; }
+    /** The proxy shuts down: the session ends when it is idle, or now if `isFinal`. */
+    | { readonly kind: typeof SessionEventKind.Drain; readonly isFinal: boolean; }
     /** The time of the last Wake action has come. */
     | { readonly kind: typeof SessionEventKind.Woken; }
     | { readonly kind: typeof SessionEventKind.CancelRequested; };
--- a/packages/connection/session/src/stepSession.ts
+++ b/packages/connection/session/src/stepSession.ts
@@ -1,8 +1,9 @@
 import { TransactionStatus } from "@pomeloturn/types/Request";
+import { drainSession, endWhenIdle } from "./drainSession.ts";
 import { abandon, loseTransaction } from "./giveUp.ts";
 import { cancelCurrent, receiveAnswer, wake } from "./receiveAnswer.ts";
 import { receiveMessages } from "./receiveMessages.ts";
-import { type SessionAction, SessionActionKind, type SessionContext, type SessionEvent } from "./sessionMessages.ts";
+import { type SessionAction, SessionActionKind, type SessionContext, type SessionEvent, SessionEventKind } from "./sessionMessages.ts";
 import type { SessionState } from "./SessionState.ts";
 
 type EventHandler<Event extends SessionEvent> = (
@@ -37,6 +38,7 @@
     callerClosed: state => closeSession(state),
     woken: (state, _event, context, nowMs) => wake(state, context, nowMs),
     cancelRequested: (state, _event, context, nowMs) => cancelCurrent(state, context, nowMs),
+    drain: (state, event) => drainSession(state, event.isFinal),
 };
 
 /**
@@ -47,5 +49,8 @@
  */
 export const stepSession = (state: SessionState, event: SessionEvent, context: SessionContext, nowMs: number): SessionAction[] => {
     const handler = handlers[event.kind] as EventHandler<SessionEvent>;
-    return handler(state, event, context, nowMs);
+    if (state.isEnded && event.kind === SessionEventKind.Messages) {
+        return [];
+    }
+    return [...handler(state, event, context, nowMs), ...endWhenIdle(state)];
 };
--- a/programs/controller/src/ConfigurationKeeper.ts
+++ b/programs/controller/src/ConfigurationKeeper.ts
@@ -1,8 +1,14 @@
+import { AdoptDecision, adoptVersion } from "@pomeloturn/config-version/adoptVersion";
+import { openConfiguration } from "@pomeloturn/config-version/ConfigBundle";
+import { HEAD_KEY, parseHead } from "@pomeloturn/config-version/ConfigHead";
 import type { Configuration } from "@pomeloturn/types/Configuration";
 import type { ObjectStore, TableService } from "@pomeloturn/types/Platform";
-import { type ConfigurationVersion, openConfiguration } from "./openConfiguration.ts";
 
-const HEAD_KEY = "config/head";
+interface ConfigurationVersion {
+    readonly version: number;
+    readonly objectName: string;
+    readonly configuration: Configuration;
+}
 
 /** What the keeper works with. */
 export interface ConfigurationKeeperOptions {
@@ -16,7 +22,6 @@
 /** The configuration version that is in force on this VM. It never goes back to a lower one. */
 export class ConfigurationKeeper {
     private current: ConfigurationVersion | undefined;
-    private objectName = "";
     private body = "";
 
     private constructor(private readonly options: ConfigurationKeeperOptions) {}
@@ -36,37 +41,40 @@
 
     /** What another controller needs to adopt this version. */
     describe(): { readonly version: number; readonly objectName: string; readonly body: string; } {
-        return { version: this.version, objectName: this.objectName, body: this.body };
+        return { version: this.version, objectName: this.current?.objectName ?? "", body: this.body };
     }
 
     /** Adopts the version that the head row names. @throws PomeloturnError with `StoreUnavailable` */
     async poll(): Promise<void> {
         const [row] = await this.options.table.read([HEAD_KEY]);
-        if (row === undefined || row.version === 0) {
-            return;
-        }
-        const { version, objectName } = JSON.parse(row.value) as { readonly version: number; readonly objectName: string; };
-        if (version > this.version) {
-            this.offer(version, objectName, await this.options.objects.get(objectName) ?? "");
+        const head = row === undefined ? undefined : parseHead(row);
+        if (head !== undefined && this.isWanted(head.version, head.objectName)) {
+            this.offer(head.version, head.objectName, await this.options.objects.get(head.objectName) ?? "");
         }
     }
 
     /** Adopts a version that the store or another controller offers, if it is higher. */
     offer(version: number, objectName: string, body: string): void {
-        if (version <= this.version || body === "") {
+        if (!this.isWanted(version, objectName) || body === "") {
             return;
         }
         try {
-            const opened = openConfiguration(objectName, body);
-            if (opened.version > this.version) {
-                this.current = opened;
-                this.objectName = objectName;
-                this.body = body;
-                this.options.onAdopted();
-            }
+            this.current = { ...openConfiguration(objectName, body), objectName };
+            this.body = body;
         }
         catch (error) {
             this.options.onInvalid(objectName, error as Error);
+            return;
+        }
+        this.options.onAdopted();
+    }
+
+    /** Whether a version is to replace the one in force. */
+    isWanted(version: number, objectName: string): boolean {
+        const decision = adoptVersion(this.current, { version, objectName });
+        if (decision === AdoptDecision.Conflicting) {
+            this.options.onInvalid(objectName, new Error(`version ${version} is already in force as another object`));
         }
+        return decision === AdoptDecision.Adopt;
     }
 }
--- a/programs/controller/src/Controller.ts
+++ b/programs/controller/src/Controller.ts
@@ -3,15 +3,18 @@
 import type { ControlStream } from "@pomeloturn/control-link/ControlStream";
 import { PeerStreams } from "@pomeloturn/control-link/PeerStreams";
 import type { pomeloturn } from "@pomeloturn/control-messages/generated/control";
+import { LeaseRunner } from "@pomeloturn/lease-runner/LeaseRunner";
 import { createLogger, type ProcessLogger } from "@pomeloturn/logger/createLogger";
 import { Condition, type Member } from "@pomeloturn/membership/Member";
 import { HEARTBEAT_INTERVAL_MS } from "@pomeloturn/membership/stepMembership";
 import { PlatformClient } from "@pomeloturn/platform-client/PlatformClient";
+import type { LeaseService } from "@pomeloturn/types/Leadership";
+import type { TableService } from "@pomeloturn/types/Platform";
 import { type ActorSystemRef, start, stop } from "nact";
+import { ControllerDrain } from "./ControllerDrain.ts";
 import { ControllerNode } from "./ControllerNode.ts";
 import type { ControllerSettings } from "./ControllerSettings.ts";
 import { DatabaseClient } from "./DatabaseClient.ts";
-import { UnwitnessedLeases } from "./UnwitnessedLeases.ts";
 
 type IControlMessage = pomeloturn.control.IControlMessage;
 
@@ -24,7 +27,11 @@
     private readonly system: ActorSystemRef = start();
     private readonly streams: PeerStreams;
     private readonly server: ControlServer;
+    private readonly database: DatabaseClient;
     private readonly timers: NodeJS.Timeout[] = [];
+    private controllerDrain: ControllerDrain | undefined;
+    /** Called when a graceful shutdown is complete. */
+    onDrained: () => void = () => undefined;
     /** Called when another process runs under this VM's name. */
     onSuperseded: () => void = () => undefined;
 
@@ -36,6 +43,7 @@
             onMessage: (from, message) => this.node.receive(from, message),
             nowMs: monotonicNowMs,
         });
+        this.database = DatabaseClient.create(settings.vm, () => this.node.configuration.configuration);
         this.server = ControlServer.create((hello, writer) => this.accept(hello, writer));
         this.node = this.createNode(incarnation);
     }
@@ -49,9 +57,27 @@
         return controller;
     }
 
+    /** Hands over what this VM has and shuts its proxy and this controller down without cutting requests. */
+    drain(durationMs: number): void {
+        if (this.controllerDrain !== undefined) {
+            return;
+        }
+        this.logger.info({ event: "draining", durationMs });
+        this.node.leave();
+        this.node.proxy.send({ drain: { deadlineLeftMs: durationMs } });
+        this.controllerDrain = ControllerDrain.create({
+            isProxyConnected: () => this.node.proxy.isConnected,
+            releaseLeases: () => this.node.leases.release(),
+            nowMs: monotonicNowMs,
+            onDrained: () => this.onDrained(),
+        }, durationMs);
+    }
+
     close(): void {
+        this.controllerDrain?.close();
         this.timers.forEach(timer => clearInterval(timer));
         this.node.close();
+        this.database.close();
         this.streams.close();
         this.server.close();
         stop(this.system);
@@ -68,10 +94,7 @@
             objects: platform,
             vmList: platform,
             transport: this.streams,
-            createLeases: node => {
-                const database = DatabaseClient.create(settings.vm, () => node.configuration.configuration);
-                return UnwitnessedLeases.create(settings.vm, database, monotonicNowMs, () => node.pushView());
-            },
+            createLeases: node => this.createLeases(node, incarnation, platform),
             nowMs: monotonicNowMs,
             onConfigurationInvalid: (objectName, error) =>
                 this.logger.error({ event: "configuration invalid", objectName, message: error.message }),
@@ -82,6 +105,19 @@
         });
     }
 
+    private createLeases(node: ControllerNode, incarnation: number, table: TableService): LeaseService {
+        return LeaseRunner.create({
+            vm: this.settings.vm,
+            incarnation,
+            table,
+            database: this.database,
+            send: (vm, payload) => this.streams.send(vm, { lease: { payload } }),
+            nowMs: monotonicNowMs,
+            random: Math.random,
+            onChange: () => node.pushView(),
+        });
+    }
+
     private startTimers(): void {
         this.node.tick();
         this.timers.push(
@@ -112,16 +148,24 @@
         };
     }
 
+    private receiveFromProxy({ instanceReport, drain, proxyState }: IControlMessage): void {
+        if (instanceReport) {
+            const { group, instance, isReachable } = instanceReport;
+            this.node.leases.reportInstance(group ?? "", instance ?? "", isReachable ?? false);
+        }
+        if (drain) {
+            this.drain(drain.deadlineLeftMs ?? 0);
+        }
+        if (proxyState?.isQuiet && this.controllerDrain !== undefined) {
+            this.controllerDrain.isProxyQuiet = true;
+        }
+    }
+
     private acceptProxy(writer: ControlStream): IncomingHandler {
         const sender = (message: IControlMessage): void => writer.send(message);
         this.node.proxy.connect(sender, this.node.view);
         return {
-            onMessage: ({ instanceReport }) => {
-                if (instanceReport) {
-                    const { group, instance, isReachable } = instanceReport;
-                    this.node.leases.reportInstance(group ?? "", instance ?? "", isReachable ?? false);
-                }
-            },
+            onMessage: message => this.receiveFromProxy(message),
             onLost: () => this.node.proxy.disconnect(sender),
         };
     }
--- /dev/null
+++ b/programs/controller/src/ControllerDrain.ts
@@ -0,0 +1,62 @@
+import {
+    ControllerDrainAction,
+    type ControllerDrainInputs,
+    type ControllerDrainState,
+    createControllerDrain,
+    stepControllerDrain,
+} from "@pomeloturn/drain/stepControllerDrain";
+
+const STEP_INTERVAL_MS = 20;
+
+/** What a controller's shutdown works with. */
+export interface ControllerDrainOptions {
+    isProxyConnected(): boolean;
+    releaseLeases(): Promise<void>;
+    nowMs(): number;
+    onDrained(): void;
+}
+
+/** Carries out a controller's graceful shutdown. */
+export class ControllerDrain {
+    private readonly state: ControllerDrainState;
+    private readonly timer: NodeJS.Timeout;
+    private isReleased = false;
+    isProxyQuiet = false;
+
+    private constructor(private readonly options: ControllerDrainOptions, durationMs: number) {
+        this.state = createControllerDrain(durationMs, options.nowMs());
+        this.timer = setInterval(() => this.step(), STEP_INTERVAL_MS);
+    }
+
+    static create(options: ControllerDrainOptions, durationMs: number): ControllerDrain {
+        return new ControllerDrain(options, durationMs);
+    }
+
+    close(): void {
+        clearInterval(this.timer);
+    }
+
+    private step(): void {
+        const inputs: ControllerDrainInputs = {
+            isProxyConnected: this.options.isProxyConnected(),
+            isProxyQuiet: this.isProxyQuiet,
+            isReleased: this.isReleased,
+        };
+        for (const action of stepControllerDrain(this.state, inputs, this.options.nowMs())) {
+            this.handlers[action]();
+        }
+    }
+
+    private readonly handlers: Readonly<Record<ControllerDrainAction, () => void>> = {
+        [ControllerDrainAction.ReleaseLeases]: () => void this.release(),
+        [ControllerDrainAction.Finish]: () => {
+            this.close();
+            this.options.onDrained();
+        },
+    };
+
+    private async release(): Promise<void> {
+        await this.options.releaseLeases().catch(() => undefined);
+        this.isReleased = true;
+    }
+}
--- a/programs/controller/src/ControllerNode.ts
+++ b/programs/controller/src/ControllerNode.ts
@@ -45,6 +45,7 @@
     view: ControlView | undefined;
     private holders: Holders = {};
     private vmsText = "";
+    private controllersText = "";
     private isPolling = false;
     private joinIndex = 0;
     private configurationRequestedAtMs = -Infinity;
@@ -127,10 +128,13 @@
     private refreshVms(): void {
         const vms = describeVms(this.members.state, this.options.nowMs());
         const text = JSON.stringify(vms);
-        if (text !== this.vmsText) {
+        const isChanged = text !== this.vmsText;
+        if (isChanged) {
             this.vmsText = text;
             this.vms = vms;
-            this.leases?.setVms(this.describeControllers());
+        }
+        this.refreshControllers();
+        if (isChanged) {
             this.reassign();
         }
         else {
@@ -138,6 +142,15 @@
         }
     }
 
+    private refreshControllers(): void {
+        const controllers = this.describeControllers();
+        const text = JSON.stringify(controllers);
+        if (text !== this.controllersText) {
+            this.controllersText = text;
+            this.leases.setVms(controllers);
+        }
+    }
+
     private reassign(): void {
         const { configuration } = this.configuration;
         if (configuration !== undefined) {
--- a/programs/controller/src/DatabaseClient.ts
+++ b/programs/controller/src/DatabaseClient.ts
@@ -1,17 +1,22 @@
 import { PomeloturnError } from "@pomeloturn/errors/PomeloturnError";
 import { ResultCode } from "@pomeloturn/errors/ResultCode";
 import type { Configuration, GroupConfiguration, InstanceConfiguration } from "@pomeloturn/types/Configuration";
+import { instanceKey } from "@pomeloturn/types/InstanceStatus";
 import type { DatabaseControl, InstanceProbe } from "@pomeloturn/types/Leadership";
 import { parseLogSequenceNumber } from "@pomeloturn/wire-messages/logSequenceNumber";
 import pg from "pg";
 
 const CONNECT_TIMEOUT_MS = 1_000;
 const QUERY_TIMEOUT_MS = 1_000;
+const REPLAY_TIMEOUT_MS = 800;
+const REPLAY_POLL_INTERVAL_MS = 20;
 const TIMELINE_HEX_DIGITS = 8;
 const HEXADECIMAL = 16;
 
 /** Probes and orders the database servers over the PostgreSQL protocol. */
 export class DatabaseClient implements DatabaseControl {
+    private readonly clients = new Map<string, Promise<pg.Client>>();
+
     private constructor(private readonly vm: string, private readonly configuration: () => Configuration | undefined) {}
 
     static create(vm: string, configuration: () => Configuration | undefined): DatabaseClient {
@@ -32,15 +37,37 @@
     }
 
     async follow(group: string, instance: string, upstream: string): Promise<void> {
-        const { database, user, password } = this.findGroup(group);
-        const { host, port } = this.find(group, upstream);
-        const target = `host=${host} port=${port} user=${user} password=${password} dbname=${database} application_name=${upstream}`;
         await this.run(group, instance, async client => {
-            await client.query(`ALTER SYSTEM SET primary_conninfo = '${target.replaceAll("'", "''")}'`);
+            await client.query(`ALTER SYSTEM SET primary_conninfo = '${this.describeUpstream(group, upstream).replaceAll("'", "''")}'`);
             await client.query("SELECT pg_reload_conf()");
+            if (upstream === "") {
+                await waitForReplay(client);
+            }
         });
     }
 
+    /** Ends the connections. */
+    close(): void {
+        for (const key of [...this.clients.keys()]) {
+            this.drop(key);
+        }
+    }
+
+    private drop(key: string): void {
+        const client = this.clients.get(key);
+        this.clients.delete(key);
+        void client?.then(each => each.end()).catch(() => undefined);
+    }
+
+    private describeUpstream(group: string, upstream: string): string {
+        if (upstream === "") {
+            return "";
+        }
+        const { database, user, password } = this.findGroup(group);
+        const { host, port } = this.find(group, upstream);
+        return `host=${host} port=${port} user=${user} password=${password} dbname=${database} application_name=${upstream}`;
+    }
+
     private findGroup(group: string): GroupConfiguration {
         const found = this.configuration()?.groups[group];
         if (found === undefined) {
@@ -59,6 +86,20 @@
 
     /** @throws PomeloturnError with `BackendUnreachable`; an order may have taken effect */
     private async run<Result>(group: string, instance: string, action: (client: pg.Client) => Promise<Result>): Promise<Result> {
+        const key = instanceKey(group, instance);
+        try {
+            const client = this.clients.get(key) ?? this.connect(group, instance);
+            this.clients.set(key, client);
+            return await action(await client);
+        }
+        catch (error) {
+            this.drop(key);
+            throw PomeloturnError.create(ResultCode.BackendUnreachable, key, error as Error);
+        }
+    }
+
+    /** One connection an instance, kept while it works. */
+    private async connect(group: string, instance: string): Promise<pg.Client> {
         const { database, user, password } = this.findGroup(group);
         const { host, port } = this.find(group, instance);
         const client = new pg.Client({
@@ -71,17 +112,9 @@
             connectionTimeoutMillis: CONNECT_TIMEOUT_MS,
             query_timeout: QUERY_TIMEOUT_MS,
         });
-        client.on("error", () => undefined);
-        try {
-            await client.connect();
-            return await action(client);
-        }
-        catch (error) {
-            throw PomeloturnError.create(ResultCode.BackendUnreachable, `${group}/${instance}`, error as Error);
-        }
-        finally {
-            void client.end().catch(() => undefined);
-        }
+        client.on("error", () => this.drop(instanceKey(group, instance)));
+        await client.connect();
+        return client;
     }
 }
 
@@ -104,3 +137,16 @@
 /** 0 when the replica receives nothing. */
 const readReplicaTimeline = async (client: pg.Client): Promise<number> =>
     Number(await readValue(client, "SELECT received_tli FROM pg_stat_wal_receiver"));
+
+/** Waits until what was received is replayed. @throws Error when that takes too long */
+const waitForReplay = async (client: pg.Client): Promise<void> => {
+    for (let waitedMs = 0; waitedMs <= REPLAY_TIMEOUT_MS; waitedMs += REPLAY_POLL_INTERVAL_MS) {
+        const received = parseLogSequenceNumber(await readValue(client, "SELECT pg_last_wal_receive_lsn()")) ?? 0;
+        const replayed = parseLogSequenceNumber(await readValue(client, "SELECT pg_last_wal_replay_lsn()")) ?? 0;
+        if (replayed >= received) {
+            return;
+        }
+        await new Promise(resolve => setTimeout(resolve, REPLAY_POLL_INTERVAL_MS));
+    }
+    throw new Error("the replica has not replayed what it received");
+};
--- a/programs/controller/src/main.ts
+++ b/programs/controller/src/main.ts
@@ -10,10 +10,11 @@
     const settings = loadSettings<ControllerSettings>(values.settings ?? "controller.json", controllerSettingsSchema);
     const controller = await Controller.create(settings);
     controller.onSuperseded = () => process.exit(EXIT_FAILURE);
-    process.on("SIGTERM", () => {
+    controller.onDrained = () => {
         controller.close();
         process.exit();
-    });
+    };
+    process.on("SIGTERM", () => controller.drain(settings.drainDeadlineMs));
 };
 
 main().catch((error: Error) => {
--- a/programs/proxy/src/CallerListener.ts
+++ b/programs/proxy/src/CallerListener.ts
@@ -39,6 +39,7 @@
 export class CallerListener {
     private readonly server: Server;
     private readonly sockets = new Set<Socket>();
+    private isDraining = false;
     private readonly sessions = new Map<number, CancelableSession>();
     private nextSession = 1;
 
@@ -61,6 +62,18 @@
         });
     }
 
+    get sessionCount(): number {
+        return this.sessions.size;
+    }
+
+    /** Takes no more callers and ends each session when it is idle, or all now if `isFinal`. */
+    drain(isFinal: boolean): void {
+        this.isDraining = true;
+        for (const { actor } of this.sessions.values()) {
+            actor.drain(isFinal);
+        }
+    }
+
     close(): void {
         this.server.close();
         for (const socket of this.sockets) {
@@ -69,8 +82,10 @@
     }
 
     private accept(socket: Socket): void {
-        if (this.sockets.size >= this.options.callerLimit) {
-            socket.end(buildErrorResponse(ResultCode.TooManyCallers, "", Severity.Fatal));
+        const refusal = this.isDraining ? ResultCode.Draining : ResultCode.TooManyCallers;
+        if (this.isDraining || this.sockets.size >= this.options.callerLimit) {
+            socket.on("error", () => socket.destroy());
+            socket.end(buildErrorResponse(refusal, "", Severity.Fatal));
             return;
         }
         this.sockets.add(socket);
@@ -120,6 +135,9 @@
         const actor = SessionActor.create(state, socket, this.options.environment(() => this.sessions.delete(number)));
         this.sessions.set(number, { actor, secretKey });
         socket.write(greetCaller(number, secretKey));
+        if (this.isDraining) {
+            actor.drain(false);
+        }
     }
 
     /** A key that does not fit is passed over in silence, as PostgreSQL does. */
--- a/programs/proxy/src/ControlSource.ts
+++ b/programs/proxy/src/ControlSource.ts
@@ -12,6 +12,8 @@
     readonly address: string;
     readonly initialView: ControlView;
     onView(view: ControlView): void;
+    /** The VM is to shut down within this time. */
+    onDrain(durationMs: number): void;
 }
 
 /** The proxy's stream to the controller of its VM. While the controller is away, the last view stands. */
@@ -41,13 +43,26 @@
         this.client.send({ instanceReport: { group, instance, isReachable } });
     }
 
+    /** Asks the controller to shut the VM down; it answers with an order to this proxy. */
+    requestDrain(durationMs: number): void {
+        this.client.send({ drain: { deadlineLeftMs: durationMs } });
+    }
+
+    /** Tells that nothing here needs the VM's leases any more. */
+    reportQuiet(): void {
+        this.client.send({ proxyState: { isQuiet: true } });
+    }
+
     close(): void {
         this.isClosed = true;
         clearTimeout(this.timer);
         this.client.close();
     }
 
-    private receive({ viewUpdate }: pomeloturn.control.IControlMessage): void {
+    private receive({ viewUpdate, drain }: pomeloturn.control.IControlMessage): void {
+        if (drain) {
+            this.options.onDrain(drain.deadlineLeftMs ?? 0);
+        }
         if (viewUpdate) {
             this.view = applyViewUpdate(this.view, viewUpdate);
             this.options.onView(this.view);
--- a/programs/proxy/src/Proxy.ts
+++ b/programs/proxy/src/Proxy.ts
@@ -10,7 +10,9 @@
 import { CallerListener } from "./CallerListener.ts";
 import { ControlSource } from "./ControlSource.ts";
 import { LocalHolders } from "./LocalHolders.ts";
+import { ProxyDrain } from "./ProxyDrain.ts";
 import type { ProxySettings } from "./ProxySettings.ts";
+import { RequestGate } from "./RequestGate.ts";
 import { RequestRouter } from "./RequestRouter.ts";
 import { RetryBudgets } from "./RetryBudgets.ts";
 import type { SessionEnvironment } from "./SessionActor.ts";
@@ -36,6 +38,7 @@
     private readonly logger: ProcessLogger;
     private readonly system: ActorSystemRef = start();
     private readonly local: LocalHolders;
+    private readonly gate: RequestGate;
     private readonly router: RequestRouter;
     private readonly peerServer: PeerServer;
     private readonly callers: CallerListener;
@@ -43,16 +46,20 @@
     private readonly statusPuller: StatusPuller;
     private view: ControlView;
     private controlSource: ControlSource | undefined;
+    private proxyDrain: ProxyDrain | undefined;
     private nextRequestId = 1;
+    /** Called when a graceful shutdown is complete. */
+    onDrained: () => void = () => undefined;
 
     private constructor(private readonly settings: ProxySettings, private readonly classifier: StatementClassifier) {
         const view = (): ControlView => this.view;
         this.logger = createLogger("pomeloturn-proxy", settings.vm);
         this.view = settings.view ?? EMPTY_VIEW;
         this.local = LocalHolders.create(settings.vm, view, monotonicNowMs);
-        this.router = RequestRouter.create(settings.vm, this.local, view);
+        this.gate = RequestGate.create(this.local, monotonicNowMs);
+        this.router = RequestRouter.create(settings.vm, this.gate, view);
         this.statusPuller = StatusPuller.create({ vm: settings.vm, router: this.router, local: this.local, view, nowMs: monotonicNowMs });
-        this.peerServer = PeerServer.create(this.local);
+        this.peerServer = PeerServer.create(this.gate);
         this.peerServer.onStatusAsk = (vm, onStatus) => this.local.askStatus(vm, onStatus);
         this.callers = CallerListener.create({
             vm: settings.vm,
@@ -77,7 +84,27 @@
         this.view = view;
     }
 
+    /** Shuts down without cutting requests; calls `onDrained` at the end. */
+    drain(durationMs: number): void {
+        if (this.proxyDrain !== undefined) {
+            return;
+        }
+        this.logger.info({ event: "draining", durationMs });
+        this.controlSource?.requestDrain(durationMs);
+        this.callers.drain(false);
+        this.proxyDrain = ProxyDrain.create({
+            gate: this.gate,
+            sessions: () => this.callers.sessionCount,
+            isHandedOver: () => this.isHandedOver(),
+            reportQuiet: () => this.controlSource?.reportQuiet(),
+            endSessions: () => this.callers.drain(true),
+            nowMs: monotonicNowMs,
+            onDrained: () => this.onDrained(),
+        }, durationMs);
+    }
+
     close(): void {
+        this.proxyDrain?.close();
         this.controlSource?.close();
         this.callers.close();
         this.statusPuller.close();
@@ -91,10 +118,23 @@
         const { vm, peerHost, controllerPort } = this.settings;
         if (controllerPort !== undefined) {
             const address = `${peerHost}:${controllerPort}`;
-            this.controlSource = ControlSource.create({ vm, address, initialView: this.view, onView: view => this.setView(view) });
+            this.controlSource = ControlSource.create({
+                vm,
+                address,
+                initialView: this.view,
+                onView: view => this.setView(view),
+                onDrain: durationMs => this.drain(durationMs),
+            });
+            this.local.onInstanceHealth = (group, instance, isReachable) =>
+                this.controlSource?.reportInstance(group, instance, isReachable);
         }
     }
 
+    private isHandedOver(): boolean {
+        const { vm, controllerPort } = this.settings;
+        return controllerPort === undefined || Object.values(this.view.groups).every(({ primary, holders }) => holders[primary] !== vm);
+    }
+
     private sessionEnvironment(onClosed: () => void): SessionEnvironment {
         return {
             system: this.system,
--- /dev/null
+++ b/programs/proxy/src/ProxyDrain.ts
@@ -0,0 +1,66 @@
+import { createProxyDrain, ProxyDrainAction, type ProxyDrainState, stepProxyDrain } from "@pomeloturn/drain/stepProxyDrain";
+import type { RequestGate } from "./RequestGate.ts";
+
+const STEP_INTERVAL_MS = 20;
+
+/** What a proxy's shutdown works with. */
+export interface ProxyDrainOptions {
+    readonly gate: RequestGate;
+    sessions(): number;
+    isHandedOver(): boolean;
+    /** Tells the controller that nothing here needs the leases any more. */
+    reportQuiet(): void;
+    /** Ends the remaining sessions with a numbered error. */
+    endSessions(): void;
+    nowMs(): number;
+    onDrained(): void;
+}
+
+/** Carries out a proxy's graceful shutdown. */
+export class ProxyDrain {
+    private readonly state: ProxyDrainState;
+    private readonly timer: NodeJS.Timeout;
+    private readonly handlers: Readonly<Record<ProxyDrainAction, () => void>>;
+
+    private constructor(private readonly options: ProxyDrainOptions, durationMs: number) {
+        const { gate } = options;
+        this.state = createProxyDrain(durationMs, options.nowMs());
+        this.handlers = {
+            [ProxyDrainAction.HoldNewWork]: () => gate.hold(),
+            [ProxyDrainAction.EndTransactions]: () => gate.endTransactions(),
+            [ProxyDrainAction.ReportQuiet]: () => options.reportQuiet(),
+            [ProxyDrainAction.ReleaseHeldWork]: () => gate.release(),
+            [ProxyDrainAction.EndSessions]: () => options.endSessions(),
+            [ProxyDrainAction.Finish]: () => this.finish(),
+        };
+        this.timer = setInterval(() => this.step(), STEP_INTERVAL_MS);
+    }
+
+    static create(options: ProxyDrainOptions, durationMs: number): ProxyDrain {
+        return new ProxyDrain(options, durationMs);
+    }
+
+    close(): void {
+        clearInterval(this.timer);
+    }
+
+    private step(): void {
+        const { options } = this;
+        const { gate } = options;
+        const work = {
+            sessions: options.sessions(),
+            openTransactions: gate.openTransactions,
+            runningRequests: gate.runningRequests,
+            isHandedOver: options.isHandedOver(),
+        };
+        for (const action of stepProxyDrain(this.state, work, options.nowMs())) {
+            this.handlers[action]();
+        }
+    }
+
+    private finish(): void {
+        this.close();
+        // The last answers leave before the process does.
+        setTimeout(() => this.options.onDrained(), STEP_INTERVAL_MS);
+    }
+}
--- a/programs/proxy/src/ProxySettings.ts
+++ b/programs/proxy/src/ProxySettings.ts
@@ -10,6 +10,8 @@
     readonly peerHost: string;
     readonly peerPort: number;
     readonly callerLimit: number;
+    /** Time that a graceful shutdown may take. */
+    readonly drainDeadlineMs?: number;
     /** TCP port of this VM's controller, from which the view comes. */
     readonly controllerPort?: number;
     /** A fixed view, for a proxy that runs without a controller. */
@@ -32,6 +34,7 @@
         peerHost: name,
         peerPort: port,
         callerLimit: { type: "integer", minimum: 1, default: 4_000 },
+        drainDeadlineMs: { type: "integer", minimum: 0 },
         controllerPort: port,
         view: { type: "object" },
     },
--- a/programs/proxy/src/SessionActor.ts
+++ b/programs/proxy/src/SessionActor.ts
@@ -46,6 +46,11 @@
         return new SessionActor(state, socket, environment);
     }
 
+    /** Ends the session when it is idle, or now if `isFinal`. */
+    drain(isFinal: boolean): void {
+        this.dispatch({ kind: SessionEventKind.Drain, isFinal });
+    }
+
     /** Cancels the request that is under way. */
     cancel(): void {
         this.dispatch({ kind: SessionEventKind.CancelRequested });
--- a/programs/proxy/src/main.ts
+++ b/programs/proxy/src/main.ts
@@ -4,14 +4,17 @@
 import { type ProxySettings, proxySettingsSchema } from "./ProxySettings.ts";
 
 const EXIT_FAILURE = 1;
+const DEFAULT_DRAIN_DEADLINE_MS = 30_000;
 
 const main = async (): Promise<void> => {
     const { values } = parseArgs({ options: { settings: { type: "string" } } });
-    const proxy = await Proxy.create(loadSettings<ProxySettings>(values.settings ?? "proxy.json", proxySettingsSchema));
-    process.on("SIGTERM", () => {
+    const settings = loadSettings<ProxySettings>(values.settings ?? "proxy.json", proxySettingsSchema);
+    const proxy = await Proxy.create(settings);
+    proxy.onDrained = () => {
         proxy.close();
         process.exit();
-    });
+    };
+    process.on("SIGTERM", () => proxy.drain(settings.drainDeadlineMs ?? DEFAULT_DRAIN_DEADLINE_MS));
 };
 
 main().catch((error: Error) => {
--- a/programs/standin/src/database/statements.ts
+++ b/programs/standin/src/database/statements.ts
@@ -185,6 +185,7 @@
     update,
     query("pg_current_wal_insert_lsn", session => formatLogSequenceNumber(session.instance.store.position)),
     query("pg_last_wal_replay_lsn", session => formatLogSequenceNumber(session.instance.store.position)),
+    query("pg_last_wal_receive_lsn", session => formatLogSequenceNumber(session.instance.store.position)),
     query("pg_is_in_recovery", session => session.instance.isReplica ? "t" : "f"),
     query("pg_promote", session => {
         session.instance.promote();
--- a/tests/support/ControlledDeployment.ts
+++ b/tests/support/ControlledDeployment.ts
@@ -1,4 +1,8 @@
-import type { ListedVm } from "@pomeloturn/types/Platform";
+import { packBundle } from "@pomeloturn/config-version/ConfigBundle";
+import { groupRowKey } from "@pomeloturn/group-lease/GroupRow";
+import { parseGroupRow } from "@pomeloturn/group-lease/groupRowCodec";
+import { Owner } from "@pomeloturn/merge-config/ConfigFile";
+import type { ListedVm, TableRow } from "@pomeloturn/types/Platform";
 import pg from "pg";
 import { findPorts } from "./findPorts.ts";
 import { ProgramProcess } from "./ProgramProcess.ts";
@@ -38,6 +42,14 @@
         return await response.json() as { readCount: number; writeCount: number; };
     }
 
+    /** Terms of the groups, from the table service. */
+    async terms(): Promise<number[]> {
+        const keys = Object.keys(this.small.configuration.groups).map(groupRowKey);
+        const response = await fetch(`${this.platformUrl}/table/read`, { method: "POST", body: JSON.stringify({ keys }) });
+        const rows = await response.json() as readonly TableRow[];
+        return rows.map(row => parseGroupRow(row.value)!.term);
+    }
+
     /** Starts the processes of a VM, again when they have ended. */
     async startVm(index: number): Promise<void> {
         const address = this.small.proxies[index]!;
@@ -52,26 +64,29 @@
             platformUrl: this.platformUrl,
             drainDeadlineMs: 5_000,
         }, controllerPort);
-        const proxy = await ProgramProcess.create("proxy", { ...address, controllerPort }, address.callerPort);
+        const proxy = await ProgramProcess.create("proxy", { ...address, controllerPort, drainDeadlineMs: 5_000 }, address.callerPort);
         this.vms[index] = { vm: address.vm, callerPort: address.callerPort, controller, proxy };
     }
 
     /** Connects a caller, again until the proxy knows the service. */
-    async connect(index: number, options = ""): Promise<pg.Client> {
-        return this.waitFor(async () => {
-            const client = new pg.Client({
-                host: LOCALHOST,
-                port: this.vms[index]!.callerPort,
-                user: "editor",
-                password: "secret",
-                database: "log-core",
-                ...(options === "" ? {} : { options }),
-            });
-            client.on("error", () => undefined);
-            await client.connect();
-            this.clients.push(client);
-            return client;
+    connect(index: number, options = ""): Promise<pg.Client> {
+        return this.waitFor(() => this.tryConnect(index, options));
+    }
+
+    /** Connects a caller, once. */
+    async tryConnect(index: number, options = ""): Promise<pg.Client> {
+        const client = new pg.Client({
+            host: LOCALHOST,
+            port: this.vms[index]!.callerPort,
+            user: "editor",
+            password: "secret",
+            database: "log-core",
+            ...(options === "" ? {} : { options }),
         });
+        client.on("error", () => undefined);
+        await client.connect();
+        this.clients.push(client);
+        return client;
     }
 
     /** Repeats an attempt until it succeeds. @throws its last error after a time limit */
@@ -112,8 +127,12 @@
     }
 
     private async applyConfiguration(): Promise<void> {
-        const objectName = "config/versions/1";
-        const body = JSON.stringify({ version: 1, configuration: this.small.configuration });
+        const { links, ...engineering } = this.small.configuration;
+        const files = [
+            { name: "10-engineering.json", text: JSON.stringify({ owner: Owner.Engineering, ...engineering }) },
+            { name: "20-finance.json", text: JSON.stringify({ owner: Owner.Finance, links }) },
+        ];
+        const { objectName, body } = packBundle({ version: 1, files });
         await fetch(`${this.platformUrl}/objects?name=${encodeURIComponent(objectName)}`, { method: "PUT", body });
         const writes = [{ key: "config/head", expectedVersion: 0, value: JSON.stringify({ version: 1, objectName, files: [] }) }];
         await fetch(`${this.platformUrl}/table/transact`, { method: "POST", body: JSON.stringify({ operationId: "apply-1", writes }) });
