--- a/packages/connection/session/src/stepSession.test.ts
+++ b/packages/connection/session/src/stepSession.test.ts
@@ -105,7 +105,7 @@
             vm: "vm-1",
             failureDomain: "cluj-a",
             knowledge: RoutingKnowledge.create(),
-        statuses: new Map(),
+            statuses: new Map(),
             retryBudget: () => budget,
             classify: text => classes[text.split(" ")[0]!] ?? StatementClass.Write,
             takeRequestId: () => ++requestId,
