Move leadership to the primary's failure domain and tell new VMs the row

Cause: after a failover the holder stayed wherever the candidate was; a VM that started in an outage of the store heard of no row; a hand-over in an outage would have stopped writes until its end. Change: a settled holder outside the primary's failure domain hands over to a witness that has just granted; the holder tells the row to each start of a VM; leadership stops for a move only while the table answers.

--- a/packages/version/promote-primary/src/GroupState.ts
+++ b/packages/version/promote-primary/src/GroupState.ts
@@ -71,7 +71,16 @@
     primary: PrimaryWatch;
     /** Planned promotion whose target is not yet probed. */
     plannedInstance: string | undefined;
+    /** Whether this VM was asked to name another holder. */
     isHandingOver: boolean;
+    /** Whether this VM has stopped to publish its lease, to name another holder once it has ended. */
+    isMoving: boolean;
+    /** When the table last answered a read. */
+    tableAnsweredAtMs: number;
+    /** Starts of VMs that this VM, as the holder, has told the present row. */
+    readonly told: Set<string>;
+    /** When this VM last knew a newer row. */
+    adoptedAtMs: number;
     /** Whether a witness refused to renew the present row version. */
     isRefused: boolean;
     witnessesGoneSinceMs: number | undefined;
@@ -126,6 +135,10 @@
     primary: createPrimaryWatch(),
     plannedInstance: undefined,
     isHandingOver: false,
+    isMoving: false,
+    tableAnsweredAtMs: -Infinity,
+    told: new Set(),
+    adoptedAtMs: nowMs,
     isRefused: false,
     witnessesGoneSinceMs: undefined,
     publishedUntilMs: -Infinity,
--- a/packages/version/promote-primary/src/leadGroup.ts
+++ b/packages/version/promote-primary/src/leadGroup.ts
@@ -3,17 +3,26 @@
 import type { StoredRow, VmIncarnation } from "@pomeloturn/group-lease/GroupRow";
 import { LeaseMessageKind } from "@pomeloturn/group-lease/LeaseMessage";
 import { RENEW_INTERVAL_MS, WITNESS_COUNT } from "@pomeloturn/group-lease/leaseTiming";
+import type { ControllerVm } from "@pomeloturn/types/Leadership";
 import { GroupActionKind } from "./GroupAction.ts";
 import type { GroupState, Step } from "./GroupState.ts";
-import { leaseExpiry } from "./leaseExpiryUnder.ts";
-import { ORDER_INTERVAL_MS, PUBLISHED_LEASE_MS, REPAIR_INTERVAL_MS, WITNESS_GONE_MS } from "./promotionTiming.ts";
-import { startChange } from "./rowChange.ts";
+import { grantKey, leaseExpiry } from "./leaseExpiryUnder.ts";
+import {
+    ORDER_INTERVAL_MS,
+    PLACEMENT_DELAY_MS,
+    PUBLISHED_LEASE_MS,
+    READ_RETRY_MS,
+    REPAIR_INTERVAL_MS,
+    WITNESS_GONE_MS,
+} from "./promotionTiming.ts";
+import { sendRowToAll, startChange } from "./rowChange.ts";
 import { runElection, startElection } from "./runElection.ts";
 import { isPrimaryDoubtful, isPrimaryLost, isPromotable, probePrimary } from "./watchPrimary.ts";
 
 /** One run of the holder: renewals, the primary, its replacement, witnesses, the published lease. */
 export const leadGroup = (state: GroupState, step: Step, stored: StoredRow): void => {
     renewLease(state, step, stored);
+    sendRowToAll(state, step);
     probePrimary(state, step, !state.primary.isConfirmed);
     confirmPrimary(state, step, stored);
     if (state.election === undefined && state.change === undefined) {
@@ -66,8 +75,8 @@
         startElection(state, step, true);
         return;
     }
-    if (state.isHandingOver) {
-        handOver(state, step, stored);
+    if (state.isHandingOver || state.isMoving || isHolderMisplaced(state, step, stored)) {
+        moveLeadership(state, step, stored);
         return;
     }
     const witnesses = chooseMissingWitnesses(state, step, stored);
@@ -77,15 +86,49 @@
     }
 };
 
+/** Whether a VM in the primary's failure domain could hold the primary, while this one is elsewhere. */
+const isHolderMisplaced = (state: GroupState, step: Step, stored: StoredRow): boolean => {
+    const domain = state.instances[stored.row.primary];
+    const self = step.vms.find(({ vm }) => vm === step.self.vm);
+    const isSettled = step.nowMs - state.adoptedAtMs >= PLACEMENT_DELAY_MS && state.publishedUntilMs > step.nowMs;
+    return isSettled && self !== undefined && self.failureDomain !== domain
+        && answeringWitnesses(state, step, stored).some(({ failureDomain }) => failureDomain === domain);
+};
+
+/** Other VMs that have just granted a renewal, so that leadership can move to them without a gap. */
+const answeringWitnesses = (state: GroupState, step: Step, { version, row }: StoredRow): ControllerVm[] =>
+    step.vms.filter(({ vm, incarnation, isLeaving }) => {
+        const grantedAtMs = state.grants.get(grantKey(version, { vm, incarnation })) ?? -Infinity;
+        const isNamed = row.witnesses.some(witness => witness.vm === vm);
+        return isNamed && !isLeaving && vm !== step.self.vm && step.nowMs - grantedAtMs < 2 * RENEW_INTERVAL_MS;
+    });
+
+/** Leadership stops only while the table answers; in an outage of the store this VM goes on leading. */
+const moveLeadership = (state: GroupState, step: Step, stored: StoredRow): void => {
+    if (state.isMoving) {
+        handOver(state, step, stored);
+        return;
+    }
+    state.isMoving = step.nowMs - state.tableAnsweredAtMs < READ_RETRY_MS;
+    if (!state.isMoving && step.nowMs - state.readAtMs >= READ_RETRY_MS) {
+        state.readAtMs = step.nowMs;
+        step.actions.push({ kind: GroupActionKind.ReadRow });
+    }
+};
+
 /** Names another VM as the holder, once nobody leads under the present row. */
-const handOver = (state: GroupState, step: Step, { row }: StoredRow): void => {
+const handOver = (state: GroupState, step: Step, stored: StoredRow): void => {
+    const { row } = stored;
     const others = step.vms.filter(({ vm }) => vm !== step.self.vm);
-    const next = chooseHolder(state.group, state.instances[row.primary] ?? "", others);
+    const answering = answeringWitnesses(state, step, stored);
+    const next = chooseHolder(state.group, state.instances[row.primary] ?? "", answering.length > 0 ? answering : others);
     if (next === undefined || (step.nowMs < state.publishedUntilMs && step.guards.isOwnLeaseWaitedOut)) {
         return;
     }
     const holder = { vm: next.vm, incarnation: next.incarnation };
-    startChange(state, step, { ...row, holder, witnesses: chooseWitnesses(state.group, next.vm, others) }, false);
+    const self = step.vms.find(({ vm }) => vm === step.self.vm);
+    const usable = self?.isLeaving === false ? step.vms : others;
+    startChange(state, step, { ...row, holder, witnesses: chooseWitnesses(state.group, next.vm, usable, row.witnesses) }, false);
 };
 
 /** @returns new witnesses when one has been gone for a while or more VMs could take part */
@@ -109,7 +152,7 @@
 
 /** Lets this VM's proxy acknowledge until the lease ends, unless the primary fails or leadership is about to move. */
 const publishLease = (state: GroupState, step: Step, { version }: StoredRow): void => {
-    const isStopped = state.election !== undefined || state.isHandingOver || state.releasedVersion === version
+    const isStopped = state.election !== undefined || state.isMoving || state.releasedVersion === version
         || state.change?.isContinuing === false || isPrimaryDoubtful(state, step.nowMs);
     if (state.primary.isConfirmed && !isStopped) {
         const untilMs = Math.min(leaseExpiry(state, step), step.nowMs + PUBLISHED_LEASE_MS);
--- a/packages/version/promote-primary/src/promotionTiming.ts
+++ b/packages/version/promote-primary/src/promotionTiming.ts
@@ -48,3 +48,5 @@
 export const REPAIR_INTERVAL_MS = 5_000;
 /** Delay between two VMs that would create a row. */
 export const CREATE_STAGGER_MS = 500;
+/** Time that leadership stays where a failure has brought it, before it moves to the primary's failure domain. */
+export const PLACEMENT_DELAY_MS = 10_000;
--- a/packages/version/promote-primary/src/rowChange.ts
+++ b/packages/version/promote-primary/src/rowChange.ts
@@ -116,6 +116,8 @@
     }
     const isSamePrimary = before?.row.term === stored.row.term && before.row.primary === stored.row.primary;
     state.stored = stored;
+    state.adoptedAtMs = step.nowMs;
+    state.told.clear();
     state.missingSinceMs = undefined;
     if (state.change !== undefined && state.change.expectedVersion < stored.version && step.guards.isVersionCompared) {
         state.change = undefined;
@@ -131,6 +133,7 @@
     finishElection(state, step, stored.row.primary);
     state.isRefused = false;
     state.isHandingOver &&= isHolder(state, step);
+    state.isMoving = false;
     state.witness.heardAtMs = step.nowMs;
     state.renewedAtMs = -Infinity;
     state.repairedAtMs = -Infinity;
@@ -146,10 +149,12 @@
     }
 };
 
-/** Tells all VMs the row, as they need it for routing and as witnesses. */
-const sendRowToAll = (state: GroupState, step: Step): void => {
-    for (const { vm } of step.vms) {
-        if (vm !== step.self.vm) {
+/** Tells the row to all VMs that have not been told, as they need it for routing and as witnesses. */
+export const sendRowToAll = (state: GroupState, step: Step): void => {
+    for (const { vm, incarnation } of step.vms) {
+        const start = `${vm}/${incarnation}`;
+        if (vm !== step.self.vm && !state.told.has(start)) {
+            state.told.add(start);
             sendRow(state, step, vm);
         }
     }
--- a/packages/version/promote-primary/src/stepGroup.ts
+++ b/packages/version/promote-primary/src/stepGroup.ts
@@ -52,6 +52,7 @@
 
 const readRow: Handler<EventOf<typeof GroupEventKind.RowRead>> = (state, step, { row }) => {
     if (row !== undefined && row.key === groupRowKey(state.group)) {
+        state.tableAnsweredAtMs = step.nowMs;
         takeTableRow(state, step, row);
     }
 };
--- a/tests/leases/faultTable.test.ts
+++ b/tests/leases/faultTable.test.ts
@@ -19,6 +19,9 @@
             if (row.primary !== undefined) {
                 expect(simulation.leader()?.proxy?.primary).toBe(row.primary);
             }
+            if (row.holderDomain !== undefined) {
+                expect(simulation.leader()?.failureDomain).toBe(row.holderDomain);
+            }
             if (row.mayLose !== true) {
                 expect(simulation.check.lost.size).toBe(0);
             }
--- a/tests/leases/support/faultTable.ts
+++ b/tests/leases/support/faultTable.ts
@@ -32,6 +32,8 @@
     readonly term?: number;
     /** Instance that the group must end with. */
     readonly primary?: string;
+    /** Failure domain in which the holder must be in the end. */
+    readonly holderDomain?: string;
     /** Whether acknowledged writes may be told as lost, as replication is asynchronous. */
     readonly mayLose?: boolean;
     /** Whether the old holder's acknowledgements reach only the isolated side, so that they don't shorten the gap. */
@@ -245,6 +247,22 @@
         limitMs: PLANNED_LIMIT_MS,
         term: 1,
     },
+    {
+        name: "the VM of the holder leaves during an outage of the store",
+        act: scene => {
+            stopStore(scene, 20_000);
+            scene.after(100, () => scene.simulation.send(scene.holder, { kind: GroupEventKind.HandOverRequested }));
+        },
+        limitMs: PLANNED_LIMIT_MS,
+        term: 1,
+    },
+    {
+        name: "leadership returns to the failure domain of the primary",
+        act: ({ promote }) => promote("db-2"),
+        limitMs: PLANNED_LIMIT_MS,
+        term: 2,
+        holderDomain: "north-b",
+    },
     failover("the only replica with the last writes answers late", scene => {
         const ahead = scene.simulation.instances.get("db-3")!;
         scene.simulation.instances.get("db-2")!.lagMs = 60_000;
