--- a/programs/proxy/src/Proxy.ts
+++ b/programs/proxy/src/Proxy.ts
@@ -1,3 +1,4 @@
+import { RoutingKnowledge } from "@pomeloturn/choose-instance/RoutingKnowledge";
 import { StatementClassifier } from "@pomeloturn/classify-statement/StatementClassifier";
 import { monotonicNowMs } from "@pomeloturn/clock/monotonicNowMs";
 import { LatencyHistograms } from "@pomeloturn/histograms/LatencyHistograms";
@@ -8,9 +9,11 @@
 import type { ControlView } from "@pomeloturn/types/ControlView";
 import { type ActorSystemRef, start, stop } from "nact";
 import { CallerListener } from "./CallerListener.ts";
+import { ControlSource } from "./ControlSource.ts";
 import { LocalHolders } from "./LocalHolders.ts";
 import type { ProxySettings } from "./ProxySettings.ts";
 import { RequestRouter } from "./RequestRouter.ts";
+import { RetryBudgets } from "./RetryBudgets.ts";
 import type { SessionEnvironment } from "./SessionActor.ts";
 import { StatusPuller } from "./StatusPuller.ts";
 
@@ -37,8 +40,11 @@
     private readonly router: RequestRouter;
     private readonly peerServer: PeerServer;
     private readonly callers: CallerListener;
+    private readonly knowledge = RoutingKnowledge.create();
+    private readonly retryBudgets = RetryBudgets.create();
     private readonly statusPuller: StatusPuller;
     private view: ControlView;
+    private controlSource: ControlSource | undefined;
     private nextRequestId = 1;
 
     private constructor(private readonly settings: ProxySettings, private readonly classifier: StatementClassifier) {
@@ -63,6 +69,7 @@
         const proxy = new Proxy(settings, await StatementClassifier.create());
         await proxy.peerServer.listen(settings.peerHost, settings.peerPort);
         await proxy.callers.listen(settings.callerHost, settings.callerPort);
+        proxy.connectController();
         proxy.logger.info({ event: "listening", callerPort: settings.callerPort, peerPort: settings.peerPort });
         return proxy;
     }
@@ -73,6 +80,7 @@
     }
 
     close(): void {
+        this.controlSource?.close();
         this.callers.close();
         this.statusPuller.close();
         this.router.close();
@@ -81,6 +89,14 @@
         stop(this.system);
     }
 
+    private connectController(): void {
+        const { vm, peerHost, controllerPort } = this.settings;
+        if (controllerPort !== undefined) {
+            const address = `${peerHost}:${controllerPort}`;
+            this.controlSource = ControlSource.create({ vm, address, initialView: this.view, onView: view => this.setView(view) });
+        }
+    }
+
     private sessionEnvironment(onClosed: () => void): SessionEnvironment {
         return {
             system: this.system,
@@ -97,7 +113,9 @@
             view: this.view,
             vm: this.settings.vm,
             failureDomain: this.settings.failureDomain,
+            retryBudget: service => this.retryBudgets.find(service, monotonicNowMs()),
             statuses: this.statusPuller.statuses,
+            knowledge: this.knowledge,
             classify: text => this.classifier.classify(text),
             takeRequestId: () => this.nextRequestId++,
             random: Math.random,
