--- a/packages/process/lease-runner/src/LeaseRunner.test.ts
+++ b/packages/process/lease-runner/src/LeaseRunner.test.ts
@@ -73,7 +73,7 @@
 
 const waitFor = (isReached: () => boolean): Promise<boolean> => vi.waitUntil(isReached, { timeout: 30_000, interval: 20 });
 
-test("the first row is created, promoted on request and handed over at a shutdown", async () => {
+test("the first row is created, promoted on request, remembered by a witness whose group returns, and handed over at a shutdown", async () => {
     runners = startRunners();
     await waitFor(() => leaders().length === 1);
     const [first] = leaders();
@@ -83,6 +83,13 @@
     await waitFor(() => leaders().length === 1);
     expect(runners.get(first!)!.leadership().get(GROUP)).toMatchObject({ term: 2, primary: "two", holder: first });
 
+    const witness = runners.get(other)!;
+    const remembered = witness.leadership().get(GROUP);
+    witness.setGroups({});
+    expect(witness.leadership().size).toBe(0);
+    witness.setGroups({ [GROUP]: INSTANCES });
+    expect(witness.leadership().get(GROUP)).toEqual(remembered);
+
     await runners.get(first!)!.release();
     await waitFor(() => leaders().length === 1);
     expect(leaders()).not.toContain(first);
--- a/packages/process/lease-runner/src/LeaseRunner.ts
+++ b/packages/process/lease-runner/src/LeaseRunner.ts
@@ -17,6 +17,8 @@
 /** Runs the leases of all groups at one VM: one actor that takes events in turn and carries out what is decided. */
 export class LeaseRunner implements LeaseService {
     private readonly groups = new Map<string, GroupState>();
+    /** Groups that the configuration has dropped; what their witness has promised must outlast their return. */
+    private readonly retired = new Map<string, GroupState>();
     private readonly planned = new Map<string, (code: number) => void>();
     private readonly startedAtMs: number;
     private readonly system: ActorSystemRef = start();
@@ -41,18 +43,18 @@
     }
 
     setGroups(groups: Readonly<Record<string, Readonly<Record<string, string>>>>): void {
-        for (const group of this.groups.keys()) {
+        for (const [group, state] of this.groups) {
             if (!(group in groups)) {
+                this.retired.set(group, state);
                 this.groups.delete(group);
             }
         }
         for (const [group, instances] of Object.entries(groups)) {
-            const state = this.groups.get(group);
-            if (state === undefined) {
-                this.groups.set(group, createGroup(group, instances, this.startedAtMs, this.options.nowMs()));
-                continue;
-            }
+            const known = this.groups.get(group) ?? this.retired.get(group);
+            const state = known ?? createGroup(group, instances, this.startedAtMs, this.options.nowMs());
             state.instances = instances;
+            this.groups.set(group, state);
+            this.retired.delete(group);
         }
     }
 
