Publish no lease before the first grant

Cause: a holder that was not granted yet stated a lease of minus infinity, which JSON turns into null. Change: readLeadership leaves the lease out until one was published. Conclusion: the view carries a lease or none.

--- a/packages/version/promote-primary/src/readLeadership.ts
+++ b/packages/version/promote-primary/src/readLeadership.ts
@@ -7,7 +7,8 @@
         return undefined;
     }
     const { version, row } = state.stored;
-    const isLeading = isHolder(state, { ...context, actions: [] }) && state.primary.isConfirmed;
+    const hasPublished = state.publishedUntilMs !== -Infinity;
+    const isLeading = isHolder(state, { ...context, actions: [] }) && state.primary.isConfirmed && hasPublished;
     return {
         group: state.group,
         rowVersion: version,
