--- a/packages/request/plan-retry/src/planRetry.ts
+++ b/packages/request/plan-retry/src/planRetry.ts
@@ -37,6 +37,7 @@
     ResultCode.DeadlineWhileRunning,
     ResultCode.LinkBudgetExhausted,
     ResultCode.Canceled,
+    ResultCode.CanceledBeforeRun,
     ResultCode.TransactionLost,
     ResultCode.WriteLost,
     ResultCode.AlreadyRan,
