Charge paid links by leases of the approved rate and amount

Cause: nothing bounded what crossed a paid link. Change: charge-link: token buckets that start empty; leases of rate and month bytes in a row of the table service by compare-and-set with operation ids; a lease counts from when its change was sent, others wait 1.2 times its length on their own clock; 5% set aside as a static share for 512 VMs without a lease; less urgent ranks leave a reserve. link-budget renews leases; the proxy charges requests at the entry and expected answers at the holder before the request runs (304, not run), and pays larger answers off afterwards. In force when the proxy's settings name platformUrl. An answer larger than expected may pass the rate once and is paid off: not strict.

--- /dev/null
+++ b/packages/process/link-budget/src/LinkBudgets.ts
@@ -0,0 +1,126 @@
+import { chargeLink, createLinkAccount, type LinkAccount, settleLink } from "@pomeloturn/charge-link/LinkAccount";
+import { EMPTY_LINK_ROW, type LinkRow } from "@pomeloturn/charge-link/LinkLease";
+import { splitApproved } from "@pomeloturn/charge-link/LinkLimits";
+import { isRenewalDue, planRenewal, receiveRenewal } from "@pomeloturn/charge-link/renewLease";
+import { ResultCode } from "@pomeloturn/errors/ResultCode";
+import type { LinkConfiguration } from "@pomeloturn/types/Configuration";
+import type { TableService } from "@pomeloturn/types/Platform";
+
+const RENEWAL_CHECK_MS = 200;
+/** Entry VMs that may send over a link at the same time; sets the rate that each has without a lease. */
+const MAXIMUM_VMS = 512;
+
+/** What the budgets work with. */
+export interface LinkBudgetsOptions {
+    /** Unique for each start of a process. */
+    readonly processId: string;
+    readonly table: TableService;
+    links(): readonly LinkConfiguration[];
+    nowMs(): number;
+    /** Months since the year 0, in UTC. */
+    month(): number;
+}
+
+/** Use of one link by this process. */
+export interface LinkUse {
+    readonly fromRegion: string;
+    readonly toRegion: string;
+    readonly sentBytes: number;
+    readonly refusedCount: number;
+    readonly leasedBytesPerSecond: number;
+}
+
+const keyOf = (fromRegion: string, toRegion: string): string => `link/${fromRegion}/${toRegion}`;
+
+/** The accounts of all paid links at one process, and their leases from the table service. */
+export class LinkBudgets {
+    private readonly accounts = new Map<string, LinkAccount>();
+    private readonly renewing = new Set<string>();
+    private readonly timer: NodeJS.Timeout;
+
+    private constructor(private readonly options: LinkBudgetsOptions) {
+        this.timer = setInterval(() => this.renewAll(), RENEWAL_CHECK_MS);
+        this.timer.unref();
+    }
+
+    static create(options: LinkBudgetsOptions): LinkBudgets {
+        return new LinkBudgets(options);
+    }
+
+    /** @returns `ResultCode.Ok` also for regions without a paid link between them */
+    charge(fromRegion: string, toRegion: string, rank: number, sizeBytes: number): ResultCode {
+        const account = this.find(fromRegion, toRegion);
+        return account === undefined ? ResultCode.Ok : chargeLink(account, rank, sizeBytes, this.options.month(), this.options.nowMs());
+    }
+
+    /** Charges what an answer was larger than was charged for it. */
+    settle(fromRegion: string, toRegion: string, extraBytes: number): void {
+        const account = this.find(fromRegion, toRegion);
+        if (account !== undefined) {
+            settleLink(account, extraBytes);
+        }
+    }
+
+    uses(): LinkUse[] {
+        return this.options.links().flatMap(({ fromRegion, toRegion }) => {
+            const account = this.accounts.get(keyOf(fromRegion, toRegion));
+            if (account === undefined) {
+                return [];
+            }
+            const { sentBytes, refusedCount, lease } = account;
+            return [{ fromRegion, toRegion, sentBytes, refusedCount, leasedBytesPerSecond: lease.bytesPerSecond }];
+        });
+    }
+
+    close(): void {
+        clearInterval(this.timer);
+    }
+
+    private find(fromRegion: string, toRegion: string): LinkAccount | undefined {
+        if (fromRegion === toRegion) {
+            return undefined;
+        }
+        const link = this.options.links().find(each => each.fromRegion === fromRegion && each.toRegion === toRegion);
+        return link === undefined ? undefined : this.open(link);
+    }
+
+    private open({ fromRegion, toRegion, approvedBytesPerSecond, approvedBytesPerMonth }: LinkConfiguration): LinkAccount {
+        const limits = splitApproved(approvedBytesPerSecond, approvedBytesPerMonth, MAXIMUM_VMS);
+        const known = this.accounts.get(keyOf(fromRegion, toRegion));
+        if (known !== undefined) {
+            known.limits = limits;
+            return known;
+        }
+        const created = createLinkAccount(this.options.processId, limits, this.options.nowMs());
+        this.accounts.set(keyOf(fromRegion, toRegion), created);
+        return created;
+    }
+
+    private renewAll(): void {
+        for (const [key, account] of this.accounts) {
+            const isDue = account.lease.pending !== undefined || isRenewalDue(account, this.options.nowMs());
+            if (isDue && !this.renewing.has(key)) {
+                this.renewing.add(key);
+                void this.renew(key, account).catch(() => undefined).finally(() => this.renewing.delete(key));
+            }
+        }
+    }
+
+    /** A change without an answer stays pending and is sent again under the same operation id. */
+    private async renew(key: string, account: LinkAccount): Promise<void> {
+        const { table, month, nowMs } = this.callbacks();
+        if (account.lease.pending === undefined) {
+            const [row] = await table.read([key]);
+            const value = row === undefined || row.value === "" ? EMPTY_LINK_ROW : JSON.parse(row.value) as LinkRow;
+            planRenewal(account, value, row?.version ?? 0, month(), nowMs());
+        }
+        const { operationId, expectedVersion, row } = account.lease.pending!;
+        const result = await table.transact(operationId, [{ key, expectedVersion, value: JSON.stringify(row) }]);
+        receiveRenewal(account, result.isApplied, nowMs());
+    }
+
+    private callbacks(): { table: TableService; month: () => number; nowMs: () => number; } {
+        const { options } = this;
+        return { table: options.table, month: () => options.month(), nowMs: () => options.nowMs() };
+    }
+}
--- /dev/null
+++ b/packages/request/charge-link/src/renewLease.test.ts
@@ -0,0 +1,193 @@
+import { ResultCode } from "@pomeloturn/errors/ResultCode";
+import fc from "fast-check";
+import { describe, expect, it } from "vitest";
+import { chargeLink, createLinkAccount, type LinkAccount } from "./LinkAccount.ts";
+import { EMPTY_LINK_ROW, type LinkRow } from "./LinkLease.ts";
+import { splitApproved } from "./LinkLimits.ts";
+import { isRenewalDue, planRenewal, receiveRenewal } from "./renewLease.ts";
+import { BURST_S } from "./TokenBucket.ts";
+
+const RATE = 100_000;
+const MONTH_BYTES = 30_000_000;
+const VM_COUNT = 4;
+const STEP_MS = 100;
+
+/** The table service with one row and remembered operations. */
+class FakeTable {
+    row: LinkRow = EMPTY_LINK_ROW;
+    version = 0;
+    writeCount = 0;
+    private readonly outcomes = new Map<string, boolean>();
+
+    change(operationId: string, expectedVersion: number, row: LinkRow): boolean {
+        const known = this.outcomes.get(operationId);
+        if (known !== undefined) {
+            return known;
+        }
+        const isApplied = expectedVersion === this.version;
+        if (isApplied) {
+            this.row = row;
+            this.version++;
+            this.writeCount++;
+        }
+        this.outcomes.set(operationId, isApplied);
+        return isApplied;
+    }
+}
+
+/** Checks all windows at once: a bucket of the approved rate and the stated burst must never overflow. */
+class WindowCheck {
+    private level = 0;
+    private atMs = 0;
+    totalBytes = 0;
+
+    add(sizeBytes: number, nowMs: number): void {
+        this.level = Math.max(0, this.level - RATE * (nowMs - this.atMs) / 1_000) + sizeBytes;
+        this.atMs = nowMs;
+        this.totalBytes += sizeBytes;
+        expect(this.level).toBeLessThanOrEqual(RATE * BURST_S);
+        expect(this.totalBytes).toBeLessThanOrEqual(MONTH_BYTES);
+    }
+}
+
+interface Proxy {
+    account: LinkAccount;
+    /** Messages to and from the store are lost while true. */
+    isCut: boolean;
+    pausedUntilMs: number;
+}
+
+const limits = splitApproved(RATE, MONTH_BYTES, VM_COUNT * 2);
+let starts = 0;
+const createProxy = (nowMs: number): Proxy => ({
+    account: createLinkAccount(`vm#${starts++}`, limits, nowMs),
+    isCut: false,
+    pausedUntilMs: 0,
+});
+
+/** One exchange with the store; either direction may lose its message. */
+const exchange = (proxy: Proxy, table: FakeTable, nowMs: number, lost?: "requestLost" | "answerLost"): void => {
+    const { account } = proxy;
+    if (proxy.isCut || (account.lease.pending === undefined && !isRenewalDue(account, nowMs))) {
+        return;
+    }
+    const { operationId, expectedVersion, row } = account.lease.pending ?? planRenewal(account, table.row, table.version, 1, nowMs);
+    const isApplied = lost !== "requestLost" && table.change(operationId, expectedVersion, row);
+    if (lost === undefined) {
+        receiveRenewal(account, isApplied, nowMs);
+    }
+};
+
+describe("leases of a paid link", () => {
+    it("never pass the approved rate and amount under cuts, pauses, lost answers and double restarts", () => {
+        const fault = fc.record({
+            vm: fc.nat(VM_COUNT - 1),
+            kind: fc.constantFrom("none", "cut", "heal", "pause", "restart", "zombie", "answerLost", "requestLost"),
+            steps: fc.integer({ min: 1, max: 300 }),
+            sizeBytes: fc.integer({ min: 100, max: 30_000 }),
+            sender: fc.nat(VM_COUNT),
+        });
+        let largestUse = 0;
+        const run = fc.property(fc.array(fault, { minLength: 10, maxLength: 40 }), faults => {
+            const table = new FakeTable();
+            const check = new WindowCheck();
+            const proxies = Array.from({ length: VM_COUNT }, () => createProxy(0));
+            const zombies: Proxy[] = [];
+            let nowMs = 0;
+            for (const { vm, kind, steps, sizeBytes, sender } of faults) {
+                const proxy = proxies[vm]!;
+                proxy.isCut = kind === "cut" || (proxy.isCut && kind !== "heal");
+                proxy.pausedUntilMs = kind === "pause" ? nowMs + steps * STEP_MS * 2 : proxy.pausedUntilMs;
+                if (kind === "restart" || kind === "zombie") {
+                    zombies.push(...(kind === "zombie" && zombies.length < VM_COUNT ? [proxy] : []));
+                    proxies[vm] = createProxy(nowMs);
+                }
+                for (let step = 0; step < steps; step++) {
+                    nowMs += STEP_MS;
+                    for (const [index, each] of [...proxies, ...zombies].entries()) {
+                        if (nowMs < each.pausedUntilMs) {
+                            continue;
+                        }
+                        const isLost = (kind === "requestLost" || kind === "answerLost") && step % 8 !== 0;
+                        exchange(each, table, nowMs, isLost ? kind : undefined);
+                        // All demand sits at one sender, or is spread when `sender` names none.
+                        const isSending = sender === VM_COUNT || index % VM_COUNT === sender;
+                        for (let turn = 0; isSending && turn < 4; turn++) {
+                            if (chargeLink(each.account, turn % 3, sizeBytes, 1, nowMs) === ResultCode.Ok) {
+                                check.add(sizeBytes, nowMs);
+                            }
+                        }
+                    }
+                }
+            }
+            largestUse = Math.max(largestUse, check.totalBytes);
+        });
+        fc.assert(run, { seed: 45, numRuns: 60 });
+        // The property says something only when the link was really used.
+        expect(largestUse).toBeGreaterThan(MONTH_BYTES / 4);
+    });
+
+    it("uses the smaller rate until the outcome of a change is known", () => {
+        const table = new FakeTable();
+        const proxy = createProxy(0);
+        const { account } = proxy;
+        account.demandBytesPerSecond = 10_000;
+        exchange(proxy, table, 0);
+        const firstRate = account.lease.bytesPerSecond;
+        account.demandBytesPerSecond = 50_000;
+        exchange(proxy, table, 3_000, "answerLost");
+        expect([firstRate, account.lease.bytesPerSecond]).toEqual([12_500, 12_500]);
+        exchange(proxy, table, 3_100);
+        expect(account.lease.bytesPerSecond).toBeGreaterThan(25_000);
+        account.demandBytesPerSecond = 20_000;
+        exchange(proxy, table, account.lease.renewAtMs, "requestLost");
+        expect(account.lease.bytesPerSecond).toBeLessThanOrEqual(25_000);
+    });
+
+    it("lets one proxy with all the demand use 90% of the approved rate, and of the amount", () => {
+        const table = new FakeTable();
+        const check = new WindowCheck();
+        const proxies = Array.from({ length: VM_COUNT }, () => createProxy(0));
+        const fromMs = 20_000;
+        const toMs = 120_000;
+        let measuredBytes = 0;
+        for (let nowMs = 0; nowMs < 400_000; nowMs += STEP_MS) {
+            proxies.forEach(proxy => exchange(proxy, table, nowMs));
+            for (let turn = 0; turn < 20; turn++) {
+                if (chargeLink(proxies[0]!.account, 0, 1_000, 1, nowMs) === ResultCode.Ok) {
+                    check.add(1_000, nowMs);
+                    measuredBytes += nowMs >= fromMs && nowMs < toMs ? 1_000 : 0;
+                }
+            }
+        }
+        expect(measuredBytes / (RATE * (toMs - fromMs) / 1_000)).toBeGreaterThanOrEqual(0.9);
+        expect(check.totalBytes / MONTH_BYTES).toBeGreaterThanOrEqual(0.9);
+    });
+
+    it("refuses the most urgent rank last", () => {
+        const account = createLinkAccount("vm#a", { ...limits, safeBytesPerSecond: 1_000 }, 0);
+        const served = [0, 0, 0];
+        for (let nowMs = 1_000; nowMs < 101_000; nowMs += STEP_MS) {
+            for (const rank of [2, 1, 0]) {
+                served[rank]! += Number(chargeLink(account, rank, 50, 1, nowMs) === ResultCode.Ok);
+            }
+        }
+        expect(served[0]).toBe(1_000);
+        expect(served[1]).toBeGreaterThan(served[2]!);
+    });
+
+    it("writes a link's row at most about 4 times a second at 225 senders", () => {
+        const table = new FakeTable();
+        const proxies = Array.from({ length: 225 }, () => createProxy(0));
+        const measuredFromMs = 200_000;
+        let before = 0;
+        for (let nowMs = 0; nowMs < 400_000; nowMs += STEP_MS) {
+            proxies.forEach(proxy => {
+                chargeLink(proxy.account, 0, 100, 1, nowMs);
+                exchange(proxy, table, nowMs);
+            });
+            before = nowMs < measuredFromMs ? table.writeCount : before;
+        }
+        expect((table.writeCount - before) / ((400_000 - measuredFromMs) / 1_000)).toBeLessThanOrEqual(5);
+    });
+});
--- a/programs/proxy/src/Proxy.ts
+++ b/programs/proxy/src/Proxy.ts
@@ -9,6 +9,7 @@
 import { type ActorSystemRef, start, stop } from "nact";
 import { CallerListener } from "./CallerListener.ts";
 import { ControlSource } from "./ControlSource.ts";
+import { createLinkBudgets, type ProxyLinks } from "./createLinkBudgets.ts";
 import { LocalHolders } from "./LocalHolders.ts";
 import type { ProxySettings } from "./ProxySettings.ts";
 import { RequestRouter } from "./RequestRouter.ts";
@@ -39,6 +40,7 @@
     private readonly peerServer: PeerServer;
     private readonly callers: CallerListener;
     private readonly statusPuller: StatusPuller;
+    private readonly links: ProxyLinks | undefined;
     private view: ControlView;
     private controlSource: ControlSource | undefined;
     private nextRequestId = 1;
@@ -50,7 +52,9 @@
         this.local = LocalHolders.create(settings.vm, view, monotonicNowMs);
         this.router = RequestRouter.create(settings.vm, this.local, view, monotonicNowMs);
         this.statusPuller = StatusPuller.create({ vm: settings.vm, router: this.router, local: this.local, view, nowMs: monotonicNowMs });
-        this.peerServer = PeerServer.create(this.local);
+        this.links = createLinkBudgets(settings, view);
+        this.router.chargeLink = this.links?.chargeRequest ?? this.router.chargeLink;
+        this.peerServer = PeerServer.create(this.links?.meter(this.local) ?? this.local);
         this.peerServer.onStatusAsk = (vm, onStatus) => this.local.askStatus(vm, onStatus);
         this.callers = CallerListener.create({
             vm: settings.vm,
@@ -79,6 +83,7 @@
         this.controlSource?.close();
         this.callers.close();
         this.statusPuller.close();
+        this.links?.close();
         this.router.close();
         this.peerServer.close();
         this.local.close();
--- a/programs/proxy/src/ProxySettings.ts
+++ b/programs/proxy/src/ProxySettings.ts
@@ -12,6 +12,8 @@
     readonly callerLimit: number;
     /** TCP port of this VM's controller, from which the view comes. */
     readonly controllerPort?: number;
+    /** Base URL of the platform, for leases of paid links. Without it no link is charged. */
+    readonly platformUrl?: string;
     /** A fixed view, for a proxy that runs without a controller. */
     readonly view?: ControlView;
 }
@@ -33,6 +35,7 @@
         peerPort: port,
         callerLimit: { type: "integer", minimum: 1, default: 4_000 },
         controllerPort: port,
+        platformUrl: name,
         view: { type: "object" },
     },
 } as const;
--- a/programs/proxy/src/RequestRouter.ts
+++ b/programs/proxy/src/RequestRouter.ts
@@ -7,6 +7,9 @@
 import { instanceKey } from "@pomeloturn/types/InstanceStatus";
 import { type AnswerPart, type ForwardRequest, type RequestTarget, TransactionStatus } from "@pomeloturn/types/Request";
 
+/** Bytes of a request's fields and framing. */
+const REQUEST_OVERHEAD_BYTES = 128;
+
 /** Sends requests to the local holders or to the peer that holds the instance. */
 export class RequestRouter {
     private readonly peers = new Map<string, PeerClient>();
@@ -18,6 +21,9 @@
     /** Called with each report of a peer on an instance that it holds. */
     onInstanceStatus: (vm: string, status: pomeloturn.peer.IInstanceStatus) => void = () => undefined;
 
+    /** Charges a request to the paid link to a VM. */
+    chargeLink: (vm: string, rank: number, sizeBytes: number) => ResultCode = () => ResultCode.Ok;
+
     private constructor(
         private readonly vm: string,
         private readonly local: RequestTarget,
@@ -40,6 +46,11 @@
             target.send(request, onPart);
             return;
         }
+        const linkCode = this.chargeLink(vm, request.rank, request.messages.length + REQUEST_OVERHEAD_BYTES);
+        if (linkCode !== ResultCode.Ok) {
+            onPart(failedAnswer(request, linkCode));
+            return;
+        }
         this.sendToPeer(target, request, onPart);
     }
 
