--- a/packages/connection/backend-connection/src/BackendConnection.ts
+++ b/packages/connection/backend-connection/src/BackendConnection.ts
@@ -8,6 +8,9 @@
 
 const MAXIMUM_ANSWER_MESSAGE_BYTES = 256 * 1024 * 1024;
 
+/** Messages that a backend server may send at any time; they concern no request. */
+const UNASKED_TYPES: ReadonlySet<number> = new Set([BackendType.ParameterStatus, BackendType.NotificationResponse]);
+
 /** Where and how to connect. */
 export interface BackendConnectionOptions extends BackendCredentials {
     readonly host: string;
@@ -152,6 +155,9 @@
     }
 
     private receiveMessage(message: Buffer): void {
+        if (UNASKED_TYPES.has(message[0]!)) {
+            return;
+        }
         const run = this.run;
         if (run === undefined) {
             // An answer that nobody asked for: the connection's state is not known any more.
--- a/packages/process/instance-holder/src/InstanceHolder.ts
+++ b/packages/process/instance-holder/src/InstanceHolder.ts
@@ -37,6 +37,8 @@
     readonly instance: string;
     readonly groupConfiguration: GroupConfiguration;
     readonly instanceConfiguration: InstanceConfiguration;
+    /** Term of which this holder has written the marker into the primary. */
+    markedTerm?: number;
     /** Ranks of the service that uses the group. */
     readonly ranks: readonly AdmissionRank[];
     groupView(): GroupView | undefined;
--- a/packages/shared/errors/src/ResultCode.ts
+++ b/packages/shared/errors/src/ResultCode.ts
@@ -25,6 +25,8 @@
     MalformedComment: 112,
     UnknownPreparedStatement: 113,
     UnsupportedSessionSetting: 114,
+    RequestIdReused: 115,
+    StartupTimedOut: 116,
     WriteLost: 201,
     NoInstance: 202,
     ReplicaBehind: 203,
@@ -32,6 +34,8 @@
     LeaseLapsedBeforeSend: 205,
     TermChanged: 206,
     TransactionLost: 207,
+    SchemaMissing: 208,
+    FreshnessLapsed: 209,
     DeadlineBeforeRun: 301,
     QueueFull: 302,
     ConnectionsExhausted: 303,
@@ -47,6 +51,8 @@
     Canceled: 405,
     DeadlineWhileRunning: 406,
     BackendUnreachable: 407,
+    AlreadyRan: 408,
+    PeerUnreachable: 409,
     SettingsUnreadable: 501,
     SettingsInvalid: 502,
     ConfigurationInvalid: 503,
@@ -59,5 +65,6 @@
     OperatorCommandFailed: 510,
     OperatorUnreachable: 511,
     BaseVersionUnknown: 512,
+    StoreUnavailableBeforeRun: 513,
 } as const;
 export type ResultCode = typeof ResultCode[keyof typeof ResultCode];
--- a/packages/shared/errors/src/resultTable.ts
+++ b/packages/shared/errors/src/resultTable.ts
@@ -32,6 +32,8 @@
         Effect.NotRun,
         "the setting cannot be changed for a session",
     ],
+    [ResultCode.RequestIdReused, "RequestIdReused", "22023", Effect.NotRun, "the request id was used for another statement"],
+    [ResultCode.StartupTimedOut, "StartupTimedOut", "08P01", Effect.NotRun, "the start-up took too long"],
     [ResultCode.WriteLost, "WriteLost", "40P02", Effect.NotRun, "a write of this session was lost when the primary was replaced"],
     [ResultCode.NoInstance, "NoInstance", "57P03", Effect.NotRun, "no instance can serve the request"],
     [ResultCode.ReplicaBehind, "ReplicaBehind", "57P03", Effect.NotRun, "the replica has not reached the required position"],
@@ -39,6 +41,8 @@
     [ResultCode.LeaseLapsedBeforeSend, "LeaseLapsedBeforeSend", "57P03", Effect.NotRun, "the lease lapsed before the request was sent"],
     [ResultCode.TermChanged, "TermChanged", "57P03", Effect.NotRun, "the group has moved to another term"],
     [ResultCode.TransactionLost, "TransactionLost", "40001", Effect.NotRun, "the transaction was lost and rolled back"],
+    [ResultCode.SchemaMissing, "SchemaMissing", "42P01", Effect.NotRun, "the database lacks the proxy's tables or refuses to write them"],
+    [ResultCode.FreshnessLapsed, "FreshnessLapsed", "57P03", Effect.NotRun, "the age of the data could not be proved in time"],
     [ResultCode.DeadlineBeforeRun, "DeadlineBeforeRun", "57014", Effect.NotRun, "the request cannot meet its deadline"],
     [ResultCode.QueueFull, "QueueFull", "53300", Effect.NotRun, "too many requests of this rank are waiting"],
     [ResultCode.ConnectionsExhausted, "ConnectionsExhausted", "53300", Effect.NotRun, "no connection to the instance is free"],
@@ -60,6 +64,8 @@
         "the deadline passed while the request was running",
     ],
     [ResultCode.BackendUnreachable, "BackendUnreachable", "57P03", Effect.NotRun, "the backend server cannot be reached"],
+    [ResultCode.AlreadyRan, "AlreadyRan", "23505", Effect.Ran, "the request was committed before under this request id"],
+    [ResultCode.PeerUnreachable, "PeerUnreachable", "57P03", Effect.NotRun, "the holder cannot be reached"],
     [ResultCode.SettingsUnreadable, "SettingsUnreadable", "F0000", Effect.NotRun, "the settings file cannot be read"],
     [ResultCode.SettingsInvalid, "SettingsInvalid", "F0000", Effect.NotRun, "the settings file is invalid"],
     [ResultCode.ConfigurationInvalid, "ConfigurationInvalid", "F0000", Effect.NotRun, "the configuration is invalid"],
@@ -78,6 +84,13 @@
         Effect.NotRun,
         "the version that the files were edited from is not stated or not kept",
     ],
+    [
+        ResultCode.StoreUnavailableBeforeRun,
+        "StoreUnavailableBeforeRun",
+        "F0000",
+        Effect.NotRun,
+        "the platform's store did not answer before anything was changed",
+    ],
 ];
 
 /** Every error result by its number. */
--- a/programs/bench/src/decisionCost.ts
+++ b/programs/bench/src/decisionCost.ts
@@ -1,6 +1,9 @@
-import { createAdmission } from "@pomeloturn/admit-request/AdmissionState";
+import { type AdmissionState, createAdmission } from "@pomeloturn/admit-request/AdmissionState";
 import { AdmissionEventKind, stepAdmission } from "@pomeloturn/admit-request/stepAdmission";
+import { RoutingKnowledge } from "@pomeloturn/choose-instance/RoutingKnowledge";
 import { StatementClassifier } from "@pomeloturn/classify-statement/StatementClassifier";
+import { createRetryBudget } from "@pomeloturn/plan-retry/retryBudget";
+import { EMPTY_TOKEN } from "@pomeloturn/session-token/SessionToken";
 import { type SessionContext, SessionEventKind } from "@pomeloturn/session/sessionMessages";
 import { createSession } from "@pomeloturn/session/SessionState";
 import { stepSession } from "@pomeloturn/session/stepSession";
@@ -37,21 +40,26 @@
     };
 };
 
+const createSampleAdmission = (view: ControlView): AdmissionState =>
+    createAdmission({ slots: 2, ranks: view.configuration.services[SAMPLE_SERVICE]!.ranks, queueLimit: 100, queueLimitBytes: 1e6 }, 0);
+
 const measureAt = (groupCount: number, classifier: StatementClassifier): Record<string, number> => {
     const view = createView(groupCount);
     let requestId = 1;
+    const retryBudget = createRetryBudget(0);
     const context: SessionContext = {
         view,
         vm: "vm-1",
         failureDomain: "cluj-a",
         statuses: new Map(),
+        knowledge: RoutingKnowledge.create(),
+        retryBudget: () => retryBudget,
         classify: text => classifier.classify(text),
         takeRequestId: () => requestId++,
         random: () => 0.5,
     };
-    const state = createSession("vm-1-1", SAMPLE_SERVICE, new Map(), {});
-    const { ranks } = view.configuration.services[SAMPLE_SERVICE]!;
-    const admission = createAdmission({ slots: 2, ranks, queueLimit: 100, queueLimitBytes: 1e6 }, 0);
+    const state = createSession("vm-1-1", SAMPLE_SERVICE, EMPTY_TOKEN, {});
+    const admission = createSampleAdmission(view);
     const messages = [serialize.query("SELECT value FROM entries WHERE key = 'a' /*rank='lookup',key='a'*/")];
     const run = (count: number): void => {
         for (let turn = 0; turn < count; turn++) {
--- a/programs/proxy/src/Proxy.ts
+++ b/programs/proxy/src/Proxy.ts
@@ -1,3 +1,4 @@
+import { RoutingKnowledge } from "@pomeloturn/choose-instance/RoutingKnowledge";
 import { StatementClassifier } from "@pomeloturn/classify-statement/StatementClassifier";
 import { monotonicNowMs } from "@pomeloturn/clock/monotonicNowMs";
 import { LatencyHistograms } from "@pomeloturn/histograms/LatencyHistograms";
@@ -13,6 +14,7 @@
 import { LocalHolders } from "./LocalHolders.ts";
 import type { ProxySettings } from "./ProxySettings.ts";
 import { RequestRouter } from "./RequestRouter.ts";
+import { RetryBudgets } from "./RetryBudgets.ts";
 import type { SessionEnvironment } from "./SessionActor.ts";
 import { StatusPuller } from "./StatusPuller.ts";
 
@@ -39,6 +41,8 @@
     private readonly router: RequestRouter;
     private readonly peerServer: PeerServer;
     private readonly callers: CallerListener;
+    private readonly knowledge = RoutingKnowledge.create();
+    private readonly retryBudgets = RetryBudgets.create();
     private readonly statusPuller: StatusPuller;
     private readonly links: ProxyLinks | undefined;
     private view: ControlView;
@@ -114,7 +118,9 @@
             view: this.view,
             vm: this.settings.vm,
             failureDomain: this.settings.failureDomain,
+            retryBudget: service => this.retryBudgets.find(service, monotonicNowMs()),
             statuses: this.statusPuller.statuses,
+            knowledge: this.knowledge,
             classify: text => this.classifier.classify(text),
             takeRequestId: () => this.nextRequestId++,
             random: Math.random,
