--- a/programs/proxy/src/Proxy.ts
+++ b/programs/proxy/src/Proxy.ts
@@ -11,6 +11,7 @@
 import { type ActorSystemRef, start, stop } from "nact";
 import { CallerListener } from "./CallerListener.ts";
 import { ControlSource } from "./ControlSource.ts";
+import { createLinkBudgets, type ProxyLinks } from "./createLinkBudgets.ts";
 import { LocalHolders } from "./LocalHolders.ts";
 import { ProxyDrain } from "./ProxyDrain.ts";
 import { createProxyOperator } from "./ProxyOperator.ts";
@@ -48,6 +49,7 @@
     private readonly knowledge = RoutingKnowledge.create();
     private readonly retryBudgets = RetryBudgets.create();
     private readonly statusPuller: StatusPuller;
+    private readonly links: ProxyLinks | undefined;
     private view: ControlView;
     private controlSource: ControlSource | undefined;
     private operatorServer: OperatorServer | undefined;
@@ -64,7 +66,9 @@
         this.gate = RequestGate.create(this.local, monotonicNowMs);
         this.router = RequestRouter.create(settings.vm, this.gate, view, monotonicNowMs);
         this.statusPuller = StatusPuller.create({ vm: settings.vm, router: this.router, local: this.local, view, nowMs: monotonicNowMs });
-        this.peerServer = PeerServer.create(this.gate);
+        this.links = createLinkBudgets(settings, view);
+        this.router.chargeLink = this.links?.chargeRequest ?? this.router.chargeLink;
+        this.peerServer = PeerServer.create(this.links?.meter(this.gate) ?? this.gate);
         this.peerServer.onStatusAsk = (vm, onStatus) => this.local.askStatus(vm, onStatus);
         this.callers = CallerListener.create({
             vm: settings.vm,
@@ -115,6 +119,7 @@
         this.operatorServer?.close();
         this.callers.close();
         this.statusPuller.close();
+        this.links?.close();
         this.router.close();
         this.peerServer.close();
         this.local.close();
--- a/programs/proxy/src/ProxySettings.ts
+++ b/programs/proxy/src/ProxySettings.ts
@@ -16,6 +16,8 @@
     readonly controllerPort?: number;
     /** TCP port for operators' commands; undefined for none. */
     readonly operatorPort?: number;
+    /** Base URL of the platform, for leases of paid links. Without it no link is charged. */
+    readonly platformUrl?: string;
     /** A fixed view, for a proxy that runs without a controller. */
     readonly view?: ControlView;
 }
@@ -39,6 +41,7 @@
         drainDeadlineMs: { type: "integer", minimum: 0 },
         controllerPort: port,
         operatorPort: port,
+        platformUrl: name,
         view: { type: "object" },
     },
 } as const;
--- /dev/null
+++ b/tests/holder.test.ts
@@ -0,0 +1,101 @@
+import { monotonicNowMs } from "@pomeloturn/clock/monotonicNowMs";
+import { ResultCode } from "@pomeloturn/errors/ResultCode";
+import type { ControlView } from "@pomeloturn/types/ControlView";
+import { type AnswerPart, type ForwardRequest, RequestMode, TransactionStatus } from "@pomeloturn/types/Request";
+import { serialize } from "pg-protocol";
+import { afterEach, beforeEach, describe, expect, it } from "vitest";
+import { LocalHolders } from "../programs/proxy/src/LocalHolders.ts";
+import { Standin } from "../programs/standin/src/Standin.ts";
+import type { StandinSettings } from "../programs/standin/src/StandinSettings.ts";
+import { createSmallDeployment } from "./support/smallDeployment.ts";
+
+const NO_EXPIRY_MS = 1e15;
+const SLOTS = 2;
+
+describe("holder of a primary", () => {
+    let standin: Standin;
+    let holders: LocalHolders;
+    let view: ControlView;
+    let nextRequestId = 1;
+
+    beforeEach(async () => {
+        const deployment = await createSmallDeployment(1, { expiresAtMs: NO_EXPIRY_MS });
+        standin = await Standin.create(deployment.standin as unknown as StandinSettings, monotonicNowMs);
+        view = deployment.view;
+        holders = LocalHolders.create("vm-1", () => view, monotonicNowMs);
+    });
+
+    afterEach(() => {
+        holders.close();
+        standin.close();
+    });
+
+    const run = (text: string, rest: Partial<ForwardRequest> = {}): Promise<AnswerPart> =>
+        new Promise(resolve =>
+            holders.send({
+                requestId: nextRequestId++,
+                attempt: 1,
+                service: "log-core",
+                group: "log-1",
+                instance: "one",
+                rank: 1,
+                mode: RequestMode.PrimaryWrite,
+                deadlineLeftMs: 10_000,
+                term: 1,
+                requiredPosition: { term: 0, position: 0 },
+                maximumAgeMs: 0,
+                transactionId: `t-${nextRequestId}`,
+                idempotencyKey: "",
+                messages: serialize.query(text),
+                ...rest,
+            }, part => part.isLast ? resolve(part) : undefined)
+        );
+
+    const loseHoldership = (): void => {
+        const group = view.groups["log-1"]!;
+        view = { ...view, groups: { "log-1": { ...group, holders: { ...group.holders, one: "vm-2" } } } };
+    };
+
+    it("refuses a waiting request that is canceled, with a result that says that it did not run", async () => {
+        const running = Array.from({ length: SLOTS }, () => run("SELECT pg_sleep(0.4)"));
+        const waiting = run("INSERT INTO entries (key, value) VALUES ('never', 'x')", { requestId: 9_000 });
+        holders.cancel(9_000);
+        expect((await waiting).resultCode).toBe(ResultCode.CanceledBeforeRun);
+        await Promise.all(running);
+        expect(standin.find("log-1", "one")!.store.read("entries", "never")).toBeUndefined();
+    });
+
+    it("serves its open transactions after it lost the holdership, and nothing else", async () => {
+        const begun = await run("BEGIN", { transactionId: "t-open" });
+        expect(begun.transactionStatus).toBe(TransactionStatus.Open);
+        loseHoldership();
+        expect((await run("SELECT 1")).resultCode).toBe(ResultCode.NotHolder);
+        const step = { transactionId: "t-open", mode: RequestMode.TransactionStep };
+        await run("INSERT INTO entries (key, value) VALUES ('kept', 'x')", step);
+        expect(await run("COMMIT", step)).toMatchObject({ resultCode: ResultCode.Ok, transactionStatus: TransactionStatus.Idle });
+    });
+
+    it("ends a statement that runs past its deadline", async () => {
+        const late = await run("SELECT pg_sleep(20)", { deadlineLeftMs: 100 });
+        expect(late.resultCode).toBe(ResultCode.DeadlineWhileRunning);
+    });
+
+    it("runs the steps of open transactions while other work takes all slots", async () => {
+        await run("BEGIN", { transactionId: "t-open" });
+        const step = { transactionId: "t-open", mode: RequestMode.TransactionStep };
+        await run("INSERT INTO entries (key, value) VALUES ('locked', 'x')", step);
+        // Both slots wait for the lock that the transaction holds.
+        const blocked = Array.from({ length: SLOTS }, () => run("UPDATE entries SET value = 'y' WHERE key = 'locked'"));
+        expect((await run("COMMIT", step)).resultCode).toBe(ResultCode.Ok);
+        expect((await Promise.all(blocked)).map(({ resultCode }) => resultCode)).toEqual([ResultCode.Ok, ResultCode.Ok]);
+    });
+
+    it("reports that an instance cannot be reached", async () => {
+        const reported = new Promise<string>(resolve => {
+            holders.onInstanceHealth = (group, instance, isReachable) => isReachable ? undefined : resolve(`${group}/${instance}`);
+        });
+        await run("SELECT 1");
+        standin.applyFault({ group: "log-1", instance: "one", instanceFaults: { isStopped: true } });
+        expect(await reported).toBe("log-1/one");
+    });
+});
