--- a/packages/connection/session/src/stepSession.test.ts
+++ b/packages/connection/session/src/stepSession.test.ts
@@ -1,3 +1,4 @@
+import { RoutingKnowledge } from "@pomeloturn/choose-instance/RoutingKnowledge";
 import { ResultCode } from "@pomeloturn/errors/ResultCode";
 import { createRetryBudget } from "@pomeloturn/plan-retry/retryBudget";
 import { EMPTY_TOKEN } from "@pomeloturn/session-token/SessionToken";
@@ -104,6 +105,7 @@
             vm: "vm-1",
             failureDomain: "cluj-a",
             statuses: new Map(),
+            knowledge: RoutingKnowledge.create(),
             retryBudget: () => budget,
             classify: text => classes[text.split(" ")[0]!] ?? StatementClass.Write,
             takeRequestId: () => ++requestId,
--- a/programs/bench/src/decisionCost.ts
+++ b/programs/bench/src/decisionCost.ts
@@ -1,4 +1,5 @@
 import { AdmissionEventKind, createAdmission, stepAdmission } from "@pomeloturn/admit-request/admission";
+import { RoutingKnowledge } from "@pomeloturn/choose-instance/RoutingKnowledge";
 import { StatementClassifier } from "@pomeloturn/classify-statement/StatementClassifier";
 import { createRetryBudget } from "@pomeloturn/plan-retry/retryBudget";
 import { EMPTY_TOKEN } from "@pomeloturn/session-token/SessionToken";
@@ -42,13 +43,14 @@
 const measureAt = (groupCount: number, classifier: StatementClassifier): Record<string, number> => {
     const view = createView(groupCount);
     let requestId = 1;
-    const budget = createRetryBudget(0);
+    const retryBudget = createRetryBudget(0);
     const context: SessionContext = {
         view,
         vm: "vm-1",
         failureDomain: "cluj-a",
         statuses: new Map(),
-        retryBudget: () => budget,
+        knowledge: RoutingKnowledge.create(),
+        retryBudget: () => retryBudget,
         classify: text => classifier.classify(text),
         takeRequestId: () => requestId++,
         random: () => 0.5,
