--- a/packages/connection/backend-connection/src/BackendConnection.ts
+++ b/packages/connection/backend-connection/src/BackendConnection.ts
@@ -5,6 +5,7 @@
 import { createConnection, type Socket } from "node:net";
 import { serialize } from "pg-protocol";
 import { answerAuthentication, type BackendCredentials } from "./answerAuthentication.ts";
+import { ScramExchange } from "./ScramExchange.ts";
 
 const MAXIMUM_ANSWER_MESSAGE_BYTES = 256 * 1024 * 1024;
 
@@ -39,6 +40,7 @@
 export class BackendConnection {
     private run: Run | undefined;
     private isClosed = false;
+    private readonly exchange = ScramExchange.create();
     private readonly framer = MessageFramer.create(MAXIMUM_ANSWER_MESSAGE_BYTES);
     /** Whether the connection may keep state of a session, so that no other one may use it. */
     isTainted = false;
@@ -108,10 +110,8 @@
     private receiveStartup(chunk: Buffer, credentials: BackendCredentials, onReady: () => void, onFailed: (cause: Error) => void): void {
         try {
             for (const message of this.framer.push(chunk)) {
-                const reply = answerAuthentication(message, credentials);
-                if (reply !== undefined) {
-                    this.socket.write(reply);
-                }
+                const reply = answerAuthentication(message, credentials, this.exchange);
+                Promise.resolve(reply).then(bytes => bytes === undefined || this.socket.write(bytes), onFailed);
                 if (message[0] === BackendType.ReadyForQuery) {
                     onReady();
                 }
