--- a/packages/connection/session/src/stepSession.test.ts
+++ b/packages/connection/session/src/stepSession.test.ts
@@ -106,6 +106,7 @@
             failureDomain: "cluj-a",
             knowledge: RoutingKnowledge.create(),
             statuses: new Map(),
+            knowledge: RoutingKnowledge.create(),
             retryBudget: () => budget,
             classify: text => classes[text.split(" ")[0]!] ?? StatementClass.Write,
             takeRequestId: () => ++requestId,
