--- /dev/null
+++ b/packages/process/drain/src/drain.test.ts
@@ -0,0 +1,90 @@
+import fc from "fast-check";
+import { describe, expect, it } from "vitest";
+import { ControllerDrainAction, createControllerDrain, stepControllerDrain } from "./stepControllerDrain.ts";
+import { createProxyDrain, HAND_OVER_LIMIT_MS, HOLD_LIMIT_MS, ProxyDrainAction, type ProxyWork, stepProxyDrain } from "./stepProxyDrain.ts";
+
+const SEED = 5_103;
+const DURATION_MS = 30_000;
+const IDLE: ProxyWork = { sessions: 0, openTransactions: 0, runningRequests: 0, isHandedOver: false };
+const { HoldNewWork, EndTransactions, ReportQuiet, ReleaseHeldWork, EndSessions, Finish } = ProxyDrainAction;
+
+const run = (steps: readonly (readonly [atMs: number, work: Partial<ProxyWork>])[]): ProxyDrainAction[][] => {
+    const state = createProxyDrain(DURATION_MS, 0);
+    return steps.map(([atMs, work]) => stepProxyDrain(state, { ...IDLE, ...work }, atMs));
+};
+
+describe("stepProxyDrain", () => {
+    it.each(
+        [
+            ["an idle proxy", [[0, {}], [20, { isHandedOver: true }], [40, { isHandedOver: true }]], [
+                [HoldNewWork, ReportQuiet],
+                [ReleaseHeldWork],
+                [Finish],
+            ]],
+            ["an open transaction goes on", [[0, { openTransactions: 1 }], [14_999, { openTransactions: 1 }], [15_000, {}]], [
+                [],
+                [],
+                [HoldNewWork, ReportQuiet],
+            ]],
+            ["new work waits for what runs", [[0, { runningRequests: 2 }], [20, { runningRequests: 1 }], [40, {}]], [
+                [HoldNewWork],
+                [],
+                [ReportQuiet],
+            ]],
+            ["a transaction outlasts the hold", [[15_000, { openTransactions: 1 }], [15_000 + HOLD_LIMIT_MS, { openTransactions: 1 }]], [
+                [HoldNewWork],
+                [EndTransactions, ReportQuiet],
+            ]],
+            ["nobody takes the leases", [[0, {}], [HAND_OVER_LIMIT_MS - 1, {}], [HAND_OVER_LIMIT_MS, {}]], [
+                [HoldNewWork, ReportQuiet],
+                [],
+                [ReleaseHeldWork],
+            ]],
+            ["a session outlasts the deadline", [[0, { sessions: 1 }], [20, { sessions: 1, isHandedOver: true }], [40, { sessions: 1 }], [
+                DURATION_MS,
+                { sessions: 1 },
+            ]], [[HoldNewWork, ReportQuiet], [ReleaseHeldWork], [], [EndSessions, Finish]]],
+        ] as const,
+    )("%s", (_name, steps, expected) => {
+        expect(run(steps)).toEqual(expected);
+    });
+
+    it("ends once, in order, and never holds work back without releasing it", () => {
+        const work = fc.record({
+            sessions: fc.nat(2),
+            openTransactions: fc.nat(1),
+            runningRequests: fc.nat(1),
+            isHandedOver: fc.boolean(),
+        });
+        const order = [HoldNewWork, EndTransactions, ReportQuiet, ReleaseHeldWork, EndSessions, Finish];
+        fc.assert(
+            fc.property(fc.array(fc.tuple(fc.nat(5_000), work), { maxLength: 40 }), steps => {
+                let nowMs = 0;
+                const times = steps.map(([delayMs, each]) => [nowMs += delayMs, each] as const);
+                const latest = { sessions: 1, openTransactions: 1, runningRequests: 1 };
+                const end = [1, 2, 3, 4].map(step => [nowMs + step * DURATION_MS, latest] as const);
+                const actions = run([...times, ...end]).flat();
+                expect(actions).toEqual(order.filter(action => actions.includes(action)));
+                expect(actions).toEqual(expect.arrayContaining([HoldNewWork, ReportQuiet, ReleaseHeldWork, Finish]));
+            }),
+            { seed: SEED, numRuns: 2_000 },
+        );
+    });
+});
+
+describe("stepControllerDrain", () => {
+    const inputs = { isProxyConnected: true, isProxyQuiet: false, isReleased: false };
+    it.each([
+        ["waits for the proxy at each step", [inputs, { ...inputs, isProxyQuiet: true }, { ...inputs, isReleased: true }, inputs, {
+            ...inputs,
+            isProxyConnected: false,
+        }], [[], [ControllerDrainAction.ReleaseLeases], [], [], [ControllerDrainAction.Finish]]],
+        ["does not wait for a proxy that is not there", [{ ...inputs, isProxyConnected: false }, { ...inputs, isReleased: true }, {
+            ...inputs,
+            isProxyConnected: false,
+        }], [[ControllerDrainAction.ReleaseLeases], [], [ControllerDrainAction.Finish]]],
+    ])("%s", (_name, steps, expected) => {
+        const state = createControllerDrain(DURATION_MS, 0);
+        expect(steps.map(step => stepControllerDrain(state, step, 1))).toEqual(expected);
+    });
+});
