--- a/packages/shared/types/src/Request.ts
+++ b/packages/shared/types/src/Request.ts
@@ -63,13 +63,16 @@
     readonly position: LogPosition;
     /** Time spent at the backend server, in microseconds. */
     readonly serviceTimeUs: number;
+    /** To be called once a part that is not the last has been taken by the caller's socket, so that more is read. */
+    readonly onRelayed?: () => void;
 }
 
 /** Where requests go: the local holder or a peer's. */
 export interface RequestTarget {
-    send(request: ForwardRequest, onPart: (part: AnswerPart) => void): void;
-    /** Asks the backend server to cancel the request if it is still running. */
-    cancel(requestId: number): void;
+    /** @param sender VM that the request comes from, when it is not this one */
+    send(request: ForwardRequest, onPart: (part: AnswerPart) => void, sender?: string): void;
+    /** Refuses the request if it still waits, and asks the backend server to cancel it if it runs. */
+    cancel(requestId: number, sender?: string): void;
     /** Closes the backend connection of a transaction whose caller has gone. */
     endTransaction(group: string, instance: string, transactionId: string): void;
 }
--- a/programs/proxy/src/Proxy.ts
+++ b/programs/proxy/src/Proxy.ts
@@ -4,6 +4,7 @@
 import { LatencyHistograms } from "@pomeloturn/histograms/LatencyHistograms";
 import { Counters } from "@pomeloturn/logger/Counters";
 import { createLogger, type ProcessLogger } from "@pomeloturn/logger/createLogger";
+import type { OperatorServer } from "@pomeloturn/operator-link/OperatorServer";
 import { PeerServer } from "@pomeloturn/peer-link/PeerServer";
 import type { SessionAction, SessionContext } from "@pomeloturn/session/sessionMessages";
 import type { ControlView } from "@pomeloturn/types/ControlView";
@@ -12,6 +13,7 @@
 import { ControlSource } from "./ControlSource.ts";
 import { LocalHolders } from "./LocalHolders.ts";
 import { ProxyDrain } from "./ProxyDrain.ts";
+import { createProxyOperator } from "./ProxyOperator.ts";
 import type { ProxySettings } from "./ProxySettings.ts";
 import { RequestGate } from "./RequestGate.ts";
 import { RequestRouter } from "./RequestRouter.ts";
@@ -48,6 +50,7 @@
     private readonly statusPuller: StatusPuller;
     private view: ControlView;
     private controlSource: ControlSource | undefined;
+    private operatorServer: OperatorServer | undefined;
     private proxyDrain: ProxyDrain | undefined;
     private nextRequestId = 1;
     /** Called when a graceful shutdown is complete. */
@@ -59,7 +62,7 @@
         this.view = settings.view ?? EMPTY_VIEW;
         this.local = LocalHolders.create(settings.vm, view, monotonicNowMs);
         this.gate = RequestGate.create(this.local, monotonicNowMs);
-        this.router = RequestRouter.create(settings.vm, this.gate, view);
+        this.router = RequestRouter.create(settings.vm, this.gate, view, monotonicNowMs);
         this.statusPuller = StatusPuller.create({ vm: settings.vm, router: this.router, local: this.local, view, nowMs: monotonicNowMs });
         this.peerServer = PeerServer.create(this.gate);
         this.peerServer.onStatusAsk = (vm, onStatus) => this.local.askStatus(vm, onStatus);
@@ -76,6 +79,7 @@
         const proxy = new Proxy(settings, await StatementClassifier.create());
         await proxy.peerServer.listen(settings.peerHost, settings.peerPort);
         await proxy.callers.listen(settings.callerHost, settings.callerPort);
+        await proxy.listenForOperators();
         proxy.connectController();
         proxy.logger.info({ event: "listening", callerPort: settings.callerPort, peerPort: settings.peerPort });
         return proxy;
@@ -108,6 +112,7 @@
     close(): void {
         this.proxyDrain?.close();
         this.controlSource?.close();
+        this.operatorServer?.close();
         this.callers.close();
         this.statusPuller.close();
         this.router.close();
@@ -116,6 +121,20 @@
         stop(this.system);
     }
 
+    private async listenForOperators(): Promise<void> {
+        const { peerHost, operatorPort } = this.settings;
+        if (operatorPort !== undefined) {
+            this.operatorServer = createProxyOperator({
+                counters: this.counters,
+                histograms: this.histograms,
+                context: () => this.sessionContext(),
+                readToken: (service, text) => this.callers.readToken(service, text),
+                nowMs: monotonicNowMs,
+            });
+            await this.operatorServer.listen(peerHost, operatorPort);
+        }
+    }
+
     private connectController(): void {
         const { vm, peerHost, controllerPort } = this.settings;
         if (controllerPort !== undefined) {
--- a/programs/proxy/src/ProxySettings.ts
+++ b/programs/proxy/src/ProxySettings.ts
@@ -14,6 +14,8 @@
     readonly drainDeadlineMs?: number;
     /** TCP port of this VM's controller, from which the view comes. */
     readonly controllerPort?: number;
+    /** TCP port for operators' commands; undefined for none. */
+    readonly operatorPort?: number;
     /** A fixed view, for a proxy that runs without a controller. */
     readonly view?: ControlView;
 }
@@ -36,6 +38,7 @@
         callerLimit: { type: "integer", minimum: 1, default: 4_000 },
         drainDeadlineMs: { type: "integer", minimum: 0 },
         controllerPort: port,
+        operatorPort: port,
         view: { type: "object" },
     },
 } as const;
--- a/programs/proxy/src/RequestGate.ts
+++ b/programs/proxy/src/RequestGate.ts
@@ -5,6 +5,8 @@
 interface HeldRequest {
     readonly request: ForwardRequest;
     readonly onPart: (part: AnswerPart) => void;
+    /** VM that the request comes from, when it is not this one. */
+    readonly sender: string | undefined;
     readonly heldAtMs: number;
 }
 
@@ -32,9 +34,9 @@
         return this.open.size;
     }
 
-    send(request: ForwardRequest, onPart: (part: AnswerPart) => void): void {
+    send(request: ForwardRequest, onPart: (part: AnswerPart) => void, sender?: string): void {
         if (this.isHolding && request.mode !== RequestMode.ReplicaRead && !this.open.has(request.transactionId)) {
-            this.held.push({ request, onPart, heldAtMs: this.nowMs() });
+            this.held.push({ request, onPart, sender, heldAtMs: this.nowMs() });
             return;
         }
         if (this.ended.has(request.transactionId)) {
@@ -48,11 +50,11 @@
                 this.noteTransaction(request, part);
             }
             onPart(part);
-        });
+        }, sender);
     }
 
-    cancel(requestId: number): void {
-        this.target.cancel(requestId);
+    cancel(requestId: number, sender?: string): void {
+        this.target.cancel(requestId, sender);
     }
 
     endTransaction(group: string, instance: string, transactionId: string): void {
@@ -77,9 +79,9 @@
     /** Passes on what was held back; what has moved is refused as not run and tried at the new holder. */
     release(): void {
         this.isHolding = false;
-        for (const { request, onPart, heldAtMs } of this.held.splice(0)) {
+        for (const { request, onPart, sender, heldAtMs } of this.held.splice(0)) {
             const deadlineLeftMs = Math.max(0, request.deadlineLeftMs - (this.nowMs() - heldAtMs));
-            this.send({ ...request, deadlineLeftMs }, onPart);
+            this.send({ ...request, deadlineLeftMs }, onPart, sender);
         }
     }
 
--- a/programs/proxy/src/SessionActor.ts
+++ b/programs/proxy/src/SessionActor.ts
@@ -30,6 +30,10 @@
     private readonly reference: Ref<SessionEvent>;
     private readonly connection: CallerConnection;
     private readonly handlers: ActionHandlers;
+    /** Parts of answers that wait for the caller to read. */
+    private readonly unrelayed: (() => void)[] = [];
+    private unrelayedRequestId = 0;
+    private isCallerSlow = false;
     private timer: NodeJS.Timeout | undefined;
     private timerAtMs = Infinity;
 
@@ -37,7 +41,10 @@
         this.reference = spawnStateless(environment.system, (event: SessionEvent) => this.step(event), state.sessionId);
         this.connection = CallerConnection.create(socket, {
             onMessages: messages => this.dispatch({ kind: SessionEventKind.Messages, messages }),
-            onDrained: () => undefined,
+            onDrained: () => {
+                this.isCallerSlow = false;
+                this.releaseParts();
+            },
             onClosed: () => this.dispatch({ kind: SessionEventKind.CallerClosed }),
         });
         this.handlers = this.createHandlers();
@@ -68,6 +75,13 @@
             const handler = this.handlers[action.kind] as (action: SessionAction) => void;
             handler(action);
         }
+        if (event.kind === SessionEventKind.Answer && event.part.onRelayed !== undefined) {
+            this.unrelayed.push(event.part.onRelayed);
+            this.unrelayedRequestId = event.part.requestId;
+        }
+        if (!this.isCallerSlow || this.state.current?.request.requestId !== this.unrelayedRequestId) {
+            this.releaseParts();
+        }
         this.connection.setPaused(this.state.waiting.length > WAITING_UNITS_LIMIT);
     }
 
@@ -75,7 +89,7 @@
         const { router } = this.environment;
         return {
             reply: action => {
-                this.connection.write(action.messages);
+                this.isCallerSlow = !this.connection.write(action.messages);
             },
             forward: action => this.forward(action.vm, action.request),
             cancel: action => router.cancel(action.vm, action.requestId),
@@ -112,7 +126,13 @@
         }, Math.max(0, atMs - this.environment.nowMs()));
     }
 
+    /** Lets the holder read on: the caller has taken the parts, or their request is over. */
+    private releaseParts(): void {
+        this.unrelayed.splice(0).forEach(onRelayed => onRelayed());
+    }
+
     private finish(): void {
+        this.releaseParts();
         clearTimeout(this.timer);
         stop(this.reference);
         this.environment.onClosed();
--- a/tests/failover.test.ts
+++ b/tests/failover.test.ts
@@ -66,6 +66,7 @@
         await pause();
         await deployment.applyFault({ platformFaults: { isDown: false } });
         await write(2, "after");
-        expect(await readAll(1)).toEqual(["after", "before", "during"]);
+        // The session that wrote last must see its own write and all that was acknowledged before it.
+        expect(await readAll(2)).toEqual(["after", "before", "during"]);
     });
 });
