--- a/packages/process/membership/src/MembershipState.ts
+++ b/packages/process/membership/src/MembershipState.ts
@@ -1,6 +1,7 @@
 import type { ListedVm } from "@pomeloturn/types/Platform";
 import { chooseNeighbors, type Neighbors } from "./chooseNeighbors.ts";
 import type { Member } from "./Member.ts";
+import type { DomainDigest } from "./membershipMessages.ts";
 
 /** The platform's VM list as it was last seen. */
 export interface Listing {
@@ -23,6 +24,8 @@
     readonly patienceMs: Map<string, number>;
     /** Senders whose digest of a failure domain differed from ours, as "vm domain". */
     readonly mismatches: Set<string>;
+    /** Digests of the members as they are; undefined after a change. */
+    digests: readonly DomainDigest[] | undefined;
     neighbors: Neighbors;
     listing: Listing | undefined;
     lastTickAtMs: number;
@@ -37,6 +40,7 @@
     heardAtMs: new Map(),
     patienceMs: new Map(),
     mismatches: new Set(),
+    digests: undefined,
     neighbors: chooseNeighbors(self, []),
     listing: undefined,
     lastTickAtMs: nowMs,
--- a/packages/process/membership/src/applyMembers.ts
+++ b/packages/process/membership/src/applyMembers.ts
@@ -25,6 +25,7 @@
 
 /** Changes this VM's own entry and tells all neighbors. */
 export const updateSelf = (state: MembershipState, change: Partial<Member>, sequence: number): MembershipAction[] => {
+    state.digests = undefined;
     state.self = { ...state.self, ...change, sequence };
     return announce(state, [state.self], "");
 };
@@ -43,6 +44,7 @@
     if (members.length === 0) {
         return [];
     }
+    state.digests = undefined;
     for (const member of members) {
         state.members.set(member.vm, { ...member, condition: Condition.Gone });
         state.changedAtMs.set(member.vm, nowMs);
@@ -69,6 +71,7 @@
     if (!supersedes(update, known)) {
         return false;
     }
+    state.digests = undefined;
     state.members.set(update.vm, update);
     if (update.condition === Condition.Alive) {
         state.heardAtMs.set(update.vm, nowMs);
--- a/packages/process/membership/src/heartbeats.ts
+++ b/packages/process/membership/src/heartbeats.ts
@@ -34,7 +34,12 @@
 const tellCondition = (member: Member): MembershipAction[] =>
     member.condition === 0 ? [] : [{ kind: MembershipActionKind.SendMembers, vm: member.vm, members: [member] }];
 
-const digestDomains = (state: MembershipState): DomainDigest[] => {
+const digestDomains = (state: MembershipState): readonly DomainDigest[] => {
+    state.digests ??= computeDigests(state);
+    return state.digests;
+};
+
+const computeDigests = (state: MembershipState): DomainDigest[] => {
     const domains = new Map<string, Member[]>();
     for (const member of [state.self, ...state.members.values()]) {
         const known = domains.get(member.failureDomain);
