--- a/programs/controller/src/ControllerSettings.ts
+++ b/programs/controller/src/ControllerSettings.ts
@@ -17,8 +17,6 @@
     readonly platformTimeoutMs: number;
     /** Time that a graceful shutdown may take. */
     readonly drainDeadlineMs: number;
-    /** TCP port for operators' commands; undefined for none. */
-    readonly operatorPort?: number;
 }
 
 const port = { type: "integer", minimum: 1, maximum: 65_535 } as const;
@@ -39,7 +37,6 @@
         seeds: { type: "array", items: { type: "string", pattern: "^.+:[0-9]+$" }, default: [] },
         platformUrl: { type: "string", pattern: "^https?://" },
         platformTimeoutMs: { type: "integer", minimum: 1, default: 1_000 },
-        operatorPort: port,
         drainDeadlineMs: { type: "integer", minimum: 0, default: 30_000 },
     },
 } as const;
