--- a/programs/proxy/src/Proxy.ts
+++ b/programs/proxy/src/Proxy.ts
@@ -4,6 +4,7 @@
 import { LatencyHistograms } from "@pomeloturn/histograms/LatencyHistograms";
 import { Counters } from "@pomeloturn/logger/Counters";
 import { createLogger, type ProcessLogger } from "@pomeloturn/logger/createLogger";
+import type { OperatorServer } from "@pomeloturn/operator-link/OperatorServer";
 import { PeerServer } from "@pomeloturn/peer-link/PeerServer";
 import type { SessionAction, SessionContext } from "@pomeloturn/session/sessionMessages";
 import type { ControlView } from "@pomeloturn/types/ControlView";
@@ -12,6 +13,7 @@
 import { ControlSource } from "./ControlSource.ts";
 import { createLinkBudgets, type ProxyLinks } from "./createLinkBudgets.ts";
 import { LocalHolders } from "./LocalHolders.ts";
+import { createProxyOperator } from "./ProxyOperator.ts";
 import type { ProxySettings } from "./ProxySettings.ts";
 import { RequestRouter } from "./RequestRouter.ts";
 import { RetryBudgets } from "./RetryBudgets.ts";
@@ -47,6 +49,7 @@
     private readonly links: ProxyLinks | undefined;
     private view: ControlView;
     private controlSource: ControlSource | undefined;
+    private operatorServer: OperatorServer | undefined;
     private nextRequestId = 1;
 
     private constructor(private readonly settings: ProxySettings, private readonly classifier: StatementClassifier) {
@@ -73,6 +76,7 @@
         const proxy = new Proxy(settings, await StatementClassifier.create());
         await proxy.peerServer.listen(settings.peerHost, settings.peerPort);
         await proxy.callers.listen(settings.callerHost, settings.callerPort);
+        await proxy.listenForOperators();
         proxy.connectController();
         proxy.logger.info({ event: "listening", callerPort: settings.callerPort, peerPort: settings.peerPort });
         return proxy;
@@ -85,6 +89,7 @@
 
     close(): void {
         this.controlSource?.close();
+        this.operatorServer?.close();
         this.callers.close();
         this.statusPuller.close();
         this.links?.close();
@@ -94,10 +99,26 @@
         stop(this.system);
     }
 
+    private async listenForOperators(): Promise<void> {
+        const { peerHost, operatorPort } = this.settings;
+        if (operatorPort !== undefined) {
+            this.operatorServer = createProxyOperator({
+                counters: this.counters,
+                histograms: this.histograms,
+                context: () => this.sessionContext(),
+                readToken: (service, text) => this.callers.readToken(service, text),
+                nowMs: monotonicNowMs,
+            });
+            await this.operatorServer.listen(peerHost, operatorPort);
+        }
+    }
+
     private connectController(): void {
         const { vm, peerHost, controllerPort } = this.settings;
         if (controllerPort !== undefined) {
             const address = `${peerHost}:${controllerPort}`;
+            this.local.onInstanceHealth = (group, instance, isReachable) =>
+                this.controlSource?.reportInstance(group, instance, isReachable);
             this.controlSource = ControlSource.create({ vm, address, initialView: this.view, onView: view => this.setView(view) });
         }
     }
--- a/programs/proxy/src/ProxySettings.ts
+++ b/programs/proxy/src/ProxySettings.ts
@@ -14,6 +14,8 @@
     readonly controllerPort?: number;
     /** Base URL of the platform, for leases of paid links. Without it no link is charged. */
     readonly platformUrl?: string;
+    /** TCP port for operators' commands; undefined for none. */
+    readonly operatorPort?: number;
     /** A fixed view, for a proxy that runs without a controller. */
     readonly view?: ControlView;
 }
@@ -36,6 +38,7 @@
         callerLimit: { type: "integer", minimum: 1, default: 4_000 },
         controllerPort: port,
         platformUrl: name,
+        operatorPort: port,
         view: { type: "object" },
     },
 } as const;
