--- a/packages/connection/backend-connection/src/BackendConnection.ts
+++ b/packages/connection/backend-connection/src/BackendConnection.ts
@@ -1,7 +1,7 @@
 import { PomeloturnError } from "@pomeloturn/errors/PomeloturnError";
 import { ResultCode } from "@pomeloturn/errors/ResultCode";
 import { MessageFramer } from "@pomeloturn/wire-messages/MessageFramer";
-import { BackendType } from "@pomeloturn/wire-messages/messageTypes";
+import { BackendType, HEADER_SIZE_BYTES } from "@pomeloturn/wire-messages/messageTypes";
 import { createConnection, type Socket } from "node:net";
 import { serialize } from "pg-protocol";
 import { answerAuthentication, type BackendCredentials } from "./answerAuthentication.ts";
@@ -22,6 +22,12 @@
     readonly applicationName: string;
 }
 
+/** Identifies a connection in a CancelRequest, from its BackendKeyData. */
+export interface CancelKey {
+    readonly processId: number;
+    readonly secretKey: number;
+}
+
 /** Receives the answer of one run. Exactly one of `onDone` and `onLost` ends it. */
 export interface RunHandler {
     /** @param step index of the ReadyForQuery that will close the part the message belongs to */
@@ -44,6 +50,8 @@
     private readonly framer = MessageFramer.create(MAXIMUM_ANSWER_MESSAGE_BYTES);
     /** Whether the connection may keep state of a session, so that no other one may use it. */
     isTainted = false;
+    /** Undefined when the backend server told none. */
+    cancelKey: CancelKey | undefined;
     /** Called once when the connection ends while no request runs. */
     onIdleLost: () => void = () => undefined;
 
@@ -112,6 +120,12 @@
             for (const message of this.framer.push(chunk)) {
                 const reply = answerAuthentication(message, credentials, this.exchange);
                 Promise.resolve(reply).then(bytes => bytes === undefined || this.socket.write(bytes), onFailed);
+                if (message[0] === BackendType.BackendKeyData) {
+                    this.cancelKey = {
+                        processId: message.readInt32BE(HEADER_SIZE_BYTES),
+                        secretKey: message.readInt32BE(HEADER_SIZE_BYTES + 4),
+                    };
+                }
                 if (message[0] === BackendType.ReadyForQuery) {
                     onReady();
                 }
--- a/packages/process/peer-link/src/ServedStream.ts
+++ b/packages/process/peer-link/src/ServedStream.ts
@@ -68,7 +68,7 @@
             this.endTransaction(id, this.transactions.get(id) ?? { group: group ?? "", instance: instance ?? "", isEnded: false });
         }
         else if (message.cancel) {
-            this.options.target.cancel(message.cancel.requestId ?? 0);
+            this.options.target.cancel(message.cancel.requestId ?? 0, this.vm);
         }
         else if (message.statusAsk) {
             const sequence = message.statusAsk.sequence ?? 0;
@@ -83,7 +83,7 @@
         if (transactionId !== "" && !this.transactions.has(transactionId)) {
             this.transactions.set(transactionId, { group, instance, isEnded: false });
         }
-        this.options.target.send(request, part => this.answer(part, transactionId));
+        this.options.target.send(request, part => this.answer(part, transactionId), this.vm);
     }
 
     private answer(part: AnswerPart, transactionId: string): void {
