Run the drain in the demo, and give a leaving instance no read

Cause: the demo lacked the graceful shutdown and its configuration was in an older form; routing did not look at leaving instances.

--- a/packages/request/choose-instance/src/chooseInstance.ts
+++ b/packages/request/choose-instance/src/chooseInstance.ts
@@ -53,7 +53,8 @@
 };
 
 const isUsable = (name: string, read: ReadRequirement, inputs: RoutingInputs): boolean => {
-    if (read.excluded.has(name) || inputs.groupView.holders[name] === undefined) {
+    const { holders, leavingInstances } = inputs.groupView;
+    if (read.excluded.has(name) || holders[name] === undefined || leavingInstances?.includes(name)) {
         return false;
     }
     const key = instanceKey(read.group, name);
--- a/programs/demo/src/DemoCaller.ts
+++ b/programs/demo/src/DemoCaller.ts
@@ -5,6 +5,8 @@
 export class DemoCaller {
     /** The last token that the proxy reported; empty before the first write. */
     token = "";
+    /** Whether the proxy has ended the connection. */
+    isLost = false;
 
     private constructor(private readonly client: pg.Client) {
         const { connection } = client as unknown as { readonly connection: NodeJS.EventEmitter; };
@@ -17,8 +19,13 @@
 
     static async create(port: number, options: string): Promise<DemoCaller> {
         const client = new pg.Client({ host: "127.0.0.1", port, user: "editor", password: "secret", database: SAMPLE_SERVICE, options });
-        client.on("error", () => undefined);
         const caller = new DemoCaller(client);
+        client.on("error", () => {
+            caller.isLost = true;
+        });
+        client.on("end", () => {
+            caller.isLost = true;
+        });
         await client.connect();
         return caller;
     }
--- a/programs/demo/src/DemoDeployment.ts
+++ b/programs/demo/src/DemoDeployment.ts
@@ -1,6 +1,7 @@
 import { monotonicNowMs } from "@pomeloturn/clock/monotonicNowMs";
 import { Controller } from "@pomeloturn/controller/Controller";
 import { Proxy } from "@pomeloturn/proxy/Proxy";
+import { createSampleBundle } from "@pomeloturn/standin/createSampleBundle";
 import { findPorts } from "@pomeloturn/standin/findPorts";
 import { createSampleConfiguration, SAMPLE_FAILURE_DOMAINS, SAMPLE_GROUP, SAMPLE_INSTANCES } from "@pomeloturn/standin/sampleConfiguration";
 import { Standin } from "@pomeloturn/standin/Standin";
@@ -96,11 +97,9 @@
             isLeaving: false,
         })),
     }, monotonicNowMs);
-    const objectName = "config/versions/1";
-    const configuration = createSampleConfiguration(instancePorts);
-    standin.platform.putObject(objectName, JSON.stringify({ version: 1, configuration }));
-    const head = JSON.stringify({ version: 1, objectName, files: [] });
-    standin.platform.transact("demo-configuration", [{ key: "config/head", expectedVersion: 0, value: head }]);
+    const { objectName, body, headKey, headValue } = createSampleBundle(createSampleConfiguration(instancePorts));
+    standin.platform.putObject(objectName, body);
+    standin.platform.transact("demo-configuration", [{ key: headKey, expectedVersion: 0, value: headValue }]);
     return standin;
 };
 
--- a/programs/demo/src/main.ts
+++ b/programs/demo/src/main.ts
@@ -1,6 +1,7 @@
 import { parseArgs } from "node:util";
 import { DemoDeployment } from "./DemoDeployment.ts";
 import type { DemoStep, Invariant } from "./DemoStep.ts";
+import { drain } from "./steps/drain.ts";
 import { failover } from "./steps/failover.ts";
 import { flood } from "./steps/flood.ts";
 import { laggingReplica } from "./steps/laggingReplica.ts";
@@ -9,7 +10,7 @@
 
 const EXIT_BROKEN = 1;
 
-const STEPS: readonly DemoStep[] = [writesAndReads, roam, laggingReplica, flood, failover];
+const STEPS: readonly DemoStep[] = [writesAndReads, roam, laggingReplica, flood, failover, drain];
 
 const runStep = async (step: DemoStep, deployment: DemoDeployment): Promise<readonly Invariant[]> => {
     try {
--- a/tests/support/ControlledDeployment.ts
+++ b/tests/support/ControlledDeployment.ts
@@ -1,8 +1,7 @@
-import { packBundle } from "@pomeloturn/config-version/ConfigBundle";
 import { groupRowKey } from "@pomeloturn/group-lease/GroupRow";
 import { parseGroupRow } from "@pomeloturn/group-lease/groupRowCodec";
-import { Owner } from "@pomeloturn/merge-config/ConfigFile";
 import { OperatorClient } from "@pomeloturn/operator-link/OperatorClient";
+import { createSampleBundle } from "@pomeloturn/standin/createSampleBundle";
 import type { ListedVm, TableRow } from "@pomeloturn/types/Platform";
 import pg from "pg";
 import { findPorts } from "./findPorts.ts";
@@ -146,14 +145,9 @@
     }
 
     private async applyConfiguration(): Promise<void> {
-        const { links, ...engineering } = this.small.configuration;
-        const files = [
-            { name: "10-engineering.json", text: JSON.stringify({ owner: Owner.Engineering, ...engineering }) },
-            { name: "20-finance.json", text: JSON.stringify({ owner: Owner.Finance, links }) },
-        ];
-        const { objectName, body } = packBundle({ version: 1, files });
+        const { objectName, body, headKey, headValue } = createSampleBundle(this.small.configuration);
         await fetch(`${this.platformUrl}/objects?name=${encodeURIComponent(objectName)}`, { method: "PUT", body });
-        const writes = [{ key: "config/head", expectedVersion: 0, value: JSON.stringify({ version: 1, objectName, files: [] }) }];
+        const writes = [{ key: headKey, expectedVersion: 0, value: headValue }];
         await fetch(`${this.platformUrl}/table/transact`, { method: "POST", body: JSON.stringify({ operationId: "apply-1", writes }) });
     }
 }
