Count a refused writer's connection as ended in the demo's drain

A refusal closes the connection, and the demo's writer sent its next statement into the closed client, which never left the process. Change: after a FATAL error the writer reconnects before it writes again.

--- a/programs/demo/src/steps/drain.ts
+++ b/programs/demo/src/steps/drain.ts
@@ -25,6 +25,7 @@
     let caller = await deployment.connect(DRAINED_VM);
     for (let index = 0; performance.now() < endMs; index++) {
         const key = `drain-${writer}-${index}`;
+        let isLastAnswerFatal = false;
         try {
             await caller.write(key, key);
             log.acknowledged.push(key);
@@ -32,8 +33,9 @@
         catch (error) {
             log.refusedCount += isNotRun(error) ? 1 : 0;
             log.unknownCount += isNotRun(error) ? 0 : 1;
+            isLastAnswerFatal = (error as { readonly severity?: string; }).severity === "FATAL";
         }
-        if (caller.isLost) {
+        if (caller.isLost || isLastAnswerFatal) {
             caller = await deployment.connect(OTHER_VM);
         }
     }
