Answer a controller over the stream that it was reached by

Cause: a VM that joined by a seed's address keeps that stream under the name "address host:port"; heartbeats over it told of a new configuration, but the request for it was sent to a VM of that name, which nobody has, and was dropped. Ruled out: the polls of the other VMs (both had version 2 within a second) and the view to the proxy.

--- a/packages/process/control-link/src/PeerStreams.ts
+++ b/packages/process/control-link/src/PeerStreams.ts
@@ -33,7 +33,8 @@
 
     /** Sends a message, which may be lost. */
     send(vm: string, message: pomeloturn.control.IControlMessage): void {
-        const address = this.options.addressOf(vm);
+        // A VM that was reached by its address alone is answered over the same stream.
+        const address = this.options.addressOf(vm) ?? this.outgoing.get(vm)?.address;
         const incoming = this.incoming.get(vm);
         if (incoming !== undefined && !this.outgoing.has(vm)) {
             incoming.send(message);
--- a/scripts/make-capacity.js
+++ b/scripts/make-capacity.js
@@ -25,21 +25,35 @@
 const at450 = name => fit(name)[Object.keys(fit(name)).find(key => key.startsWith("at450"))];
 
 const controlRow = (label, name, target, digits) =>
-    `| ${label} | ${control.costs.map(each => each[name].toFixed(digits)).join(" / ")} | ${fit(name).slopePerNode.toPrecision(2)} | ${fit(name).largestResidual.toPrecision(2)} | ${at450(name).toFixed(digits)} | ${target} |`;
+    `| ${label} | ${control.costs.map(each => each[name].toFixed(digits)).join(" / ")} | ${fit(name).slopePerNode.toPrecision(2)} | ${
+        fit(name).largestResidual.toPrecision(2)
+    } | ${at450(name).toFixed(digits)} | ${target} |`;
 
 const page = `# Capacity: what does each role cost at the size to design for?
 
-Written by \`node scripts/make-capacity.js\` from \`docs/measures/*.json\`. Size to design for: ${NODES} nodes, ${GROUPS} database groups, ${CALLERS.toLocaleString("en")} callers, ${STATEMENTS_PER_SECOND.toLocaleString("en")} statements a second; that is ${Math.round(callersPerNode)} callers and ${Math.round(statementsPerNode)} statements a second a node. Every statement is costed as forwarded: entry at one node, holder at another.
+Written by \`node scripts/make-capacity.js\` from \`docs/measures/*.json\`. Size to design for: ${NODES} nodes, ${GROUPS} database groups, ${
+    CALLERS.toLocaleString("en")
+} callers, ${STATEMENTS_PER_SECOND.toLocaleString("en")} statements a second; that is ${Math.round(callersPerNode)} callers and ${
+    Math.round(statementsPerNode)
+} statements a second a node. Every statement is costed as forwarded: entry at one node, holder at another.
 
 ## Statements (\`npm run bench\`, ${two.connections} callers in a closed loop)
 
 | role | processor a statement | at ${Math.round(statementsPerNode)} statements/s a node | state | messages | mechanism |
 | --- | --- | --- | --- | --- | --- |
-| entry | ${entryUs} us | ${coreShare(entryUs)} | ${Math.round(bytesPerCaller / 1000)} kB a caller | one request and one answer a statement, batched by turn of the event loop | sessions, token, routing by reports |
-| holder | ${holderUs} us | ${coreShare(holderUs)} | ${(GROUPS * 3 / NODES).toFixed(1)} instances a node: queues, slots, connections | as the entry; two or three queries a statement at the instance | one holder an instance, so connections do not grow with nodes |
-| both on a node | ${entryUs + holderUs} us | ${coreShare(entryUs + holderUs)} | ${megabytes(path.idle.beforeBytes)} MB and ${megabytes(bytesPerCaller * callersPerNode)} MB of callers | | one process, one core |
-
-The decision alone (\`npm run bench:decisions\`): ${decisions.map(each => `${(each.nsPerStatement / 1000).toFixed(1)} us at ${each.groupCount} groups`).join(", ")}; target 10 us, so it is missed.
+| entry | ${entryUs} us | ${coreShare(entryUs)} | ${
+    Math.round(bytesPerCaller / 1000)
+} kB a caller | one request and one answer a statement, batched by turn of the event loop | sessions, token, routing by reports |
+| holder | ${holderUs} us | ${coreShare(holderUs)} | ${
+    (GROUPS * 3 / NODES).toFixed(1)
+} instances a node: queues, slots, connections | as the entry; two or three queries a statement at the instance | one holder an instance, so connections do not grow with nodes |
+| both on a node | ${entryUs + holderUs} us | ${coreShare(entryUs + holderUs)} | ${megabytes(path.idle.beforeBytes)} MB and ${
+    megabytes(bytesPerCaller * callersPerNode)
+} MB of callers | | one process, one core |
+
+The decision alone (\`npm run bench:decisions\`): ${
+    decisions.map(each => `${(each.nsPerStatement / 1000).toFixed(1)} us at ${each.groupCount} groups`).join(", ")
+}; target 10 us, so it is missed.
 
 ## Control (\`node dist/bench.cjs control\`, ${control.costs.map(each => each.nodes).join(", ")} nodes in one process with fakes)
 
@@ -58,7 +72,9 @@
 | --- | --- | --- | --- |
 | primary replaced | 2 | one row change and a few probes each; gap p50 2.8 s, worst 6.3 s over the fault table in virtual time | leases witnessed by five controllers, \`docs/design/leases.md\` |
 | configuration changed | 880 | a row change and an object each; a few controllers a failure domain poll the head and push | \`docs/design/configuration.md\` |
-| VM fails | 6 | its holderships move, ${(GROUPS * 3 / NODES).toFixed(1)} instances; connections are opened with bounded concurrency | rendezvous hashing, \`docs/design/holders.md\` |
+| VM fails | 6 | its holderships move, ${
+    (GROUPS * 3 / NODES).toFixed(1)
+} instances; connections are opened with bounded concurrency | rendezvous hashing, \`docs/design/holders.md\` |
 | VM restarts | 130 | a graceful shutdown each, at most its deadline | \`docs/design/drain.md\` |
 | rack or failure domain | a few a quarter | as many promotions as primaries it held, in parallel; not measured together | leases |
 | regions apart for an hour | now and then | each side serves what it can prove; links' leases run out and the static share is left | \`docs/design/paid-link.md\` |
@@ -66,7 +82,11 @@
 ## What breaks first, and what would be changed
 
 1. **Control bytes**: the lease's renewals to five witnesses a group. Groups of one holder would share witnesses, so that one batch a witness carries them.
-2. **Memory of a node**: ${megabytes(path.idle.residentBytes)} MB with ${path.idle.connections} idle callers against 128 MB. The start-up objects and per-session closures would go.
-3. **One core a node**: entry and holder together use ${coreShare(entryUs + holderUs)}; a burst of three times the mean does not fit. The position query after each write and the record query are the first to merge.
+2. **Memory of a node**: ${
+    megabytes(path.idle.residentBytes)
+} MB with ${path.idle.connections} idle callers against 128 MB. The start-up objects and per-session closures would go.
+3. **One core a node**: entry and holder together use ${
+    coreShare(entryUs + holderUs)
+}; a burst of three times the mean does not fit. The position query after each write and the record query are the first to merge.
 `;
 writeFileSync("docs/CAPACITY.md", page);
