--- a/tests/configCommand.test.ts
+++ b/tests/configCommand.test.ts
@@ -1,11 +1,11 @@
 import type { HistoryEntry } from "@pomeloturn/config-version/ConfigHead";
 import type { ConfigFile } from "@pomeloturn/merge-config/ConfigFile";
+import { findPorts } from "@pomeloturn/standin/findPorts";
 import { mkdtempSync, readdirSync, readFileSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
 import { FINANCE, finance, first, FOLDER, replace, second, serviceFile, SHARE } from "./support/applyFixture.ts";
-import { findPorts } from "./support/findPorts.ts";
 import { ProgramProcess } from "./support/ProgramProcess.ts";
 import { type CliResult, runCli } from "./support/runCli.ts";
 
--- a/tests/operatorCommands.test.ts
+++ b/tests/operatorCommands.test.ts
@@ -1,9 +1,9 @@
 import { PomeloturnError } from "@pomeloturn/errors/PomeloturnError";
 import { ResultCode } from "@pomeloturn/errors/ResultCode";
 import { OperatorServer } from "@pomeloturn/operator-link/OperatorServer";
+import { findPorts } from "@pomeloturn/standin/findPorts";
 import type { SystemStatus } from "@pomeloturn/types/SystemStatus";
 import { afterEach, describe, expect, it } from "vitest";
-import { findPorts } from "./support/findPorts.ts";
 import { type CliResult, runCli } from "./support/runCli.ts";
 
 const TIMEOUT_MS = 10_000;
--- a/tests/platformContract.test.ts
+++ b/tests/platformContract.test.ts
@@ -1,11 +1,11 @@
 import { ResultCode } from "@pomeloturn/errors/ResultCode";
 import { PlatformClient } from "@pomeloturn/platform-client/PlatformClient";
+import { findPorts } from "@pomeloturn/standin/findPorts";
 import type { ListedVm, ObjectStore, TableResult, TableService, TableWrite, VmList } from "@pomeloturn/types/Platform";
 import fc from "fast-check";
 import { afterAll, afterEach, beforeEach, describe, expect, it } from "vitest";
 import { Standin } from "../programs/standin/src/Standin.ts";
 import { FakePlatform } from "./support/FakePlatform.ts";
-import { findPorts } from "./support/findPorts.ts";
 
 const SEED = 6_011;
 const RUN_COUNT = 40;
--- a/tests/proxyOperator.test.ts
+++ b/tests/proxyOperator.test.ts
@@ -1,6 +1,6 @@
+import { findPorts } from "@pomeloturn/standin/findPorts";
 import pg from "pg";
 import { afterAll, beforeAll, describe, expect, it } from "vitest";
-import { findPorts } from "./support/findPorts.ts";
 import { ProgramProcess } from "./support/ProgramProcess.ts";
 import { type CliResult, runCli } from "./support/runCli.ts";
 import { createSmallDeployment } from "./support/smallDeployment.ts";
--- a/tests/support/ControlledDeployment.ts
+++ b/tests/support/ControlledDeployment.ts
@@ -2,9 +2,9 @@
 import { parseGroupRow } from "@pomeloturn/group-lease/groupRowCodec";
 import { OperatorClient } from "@pomeloturn/operator-link/OperatorClient";
 import { createSampleBundle } from "@pomeloturn/standin/createSampleBundle";
+import { findPorts } from "@pomeloturn/standin/findPorts";
 import type { ListedVm, TableRow } from "@pomeloturn/types/Platform";
 import pg from "pg";
-import { findPorts } from "./findPorts.ts";
 import { ProgramProcess } from "./ProgramProcess.ts";
 import { createSmallDeployment, type SmallDeployment } from "./smallDeployment.ts";
 
--- a/tests/support/findPorts.ts
+++ /dev/null
@@ -1,1 +0,0 @@
-export { findPorts } from "@pomeloturn/standin/findPorts";
--- a/tests/support/smallDeployment.ts
+++ b/tests/support/smallDeployment.ts
@@ -1,7 +1,7 @@
+import { findPorts } from "@pomeloturn/standin/findPorts";
 import { createSampleConfiguration, SAMPLE_FAILURE_DOMAINS, SAMPLE_INSTANCES } from "@pomeloturn/standin/sampleConfiguration";
 import type { Configuration } from "@pomeloturn/types/Configuration";
 import type { ControlView } from "@pomeloturn/types/ControlView";
-import { findPorts } from "./findPorts.ts";
 
 const LOCALHOST = "127.0.0.1";
 
