Build the forwarded request field by field

Cause: the profile of npm run bench:decisions showed most of a decision's time in copying the request by spread. Change: routeRequest names each field.

--- a/packages/connection/session/src/planRequest.ts
+++ b/packages/connection/session/src/planRequest.ts
@@ -102,7 +102,14 @@
     context: SessionContext,
     deadlineLeftMs: number,
 ): ForwardRequest => ({
-    ...base,
+    // Spelled out, since copying an object of unknown shape costs several microseconds a statement.
+    requestId: base.requestId,
+    attempt: base.attempt,
+    service: base.service,
+    rank: base.rank,
+    maximumAgeMs: base.maximumAgeMs,
+    idempotencyKey: base.idempotencyKey,
+    messages: base.messages,
     group,
     instance,
     mode,
