--- a/packages/process/control-link/src/ControlServer.ts
+++ b/packages/process/control-link/src/ControlServer.ts
@@ -1,4 +1,5 @@
-import { Server, ServerCredentials, type ServerDuplexStream } from "@grpc/grpc-js";
+import { Server, type ServerDuplexStream } from "@grpc/grpc-js";
+import { bindServer } from "@pomeloturn/bind-server/bindServer";
 import type { pomeloturn } from "@pomeloturn/control-messages/generated/control";
 import { CHANNEL_OPTIONS } from "./channelOptions.ts";
 import { controlService } from "./controlService.ts";
@@ -27,16 +28,7 @@
 
     /** @returns the port that was bound */
     listen(host: string, port: number): Promise<number> {
-        return new Promise((resolve, reject) => {
-            this.server.bindAsync(`${host}:${port}`, ServerCredentials.createInsecure(), (error, boundPort) => {
-                if (error === null) {
-                    resolve(boundPort);
-                }
-                else {
-                    reject(error);
-                }
-            });
-        });
+        return bindServer(this.server, host, port);
     }
 
     close(): void {
--- a/packages/process/operator-link/src/OperatorServer.ts
+++ b/packages/process/operator-link/src/OperatorServer.ts
@@ -1,4 +1,5 @@
-import { type sendUnaryData, Server, ServerCredentials, type ServerUnaryCall } from "@grpc/grpc-js";
+import { type sendUnaryData, Server, type ServerUnaryCall } from "@grpc/grpc-js";
+import { bindServer } from "@pomeloturn/bind-server/bindServer";
 import { PomeloturnError } from "@pomeloturn/errors/PomeloturnError";
 import { ResultCode } from "@pomeloturn/errors/ResultCode";
 import { type OperatorAnswer, type OperatorRequest, operatorService } from "./operatorService.ts";
@@ -27,16 +28,7 @@
 
     /** @returns the port that was bound */
     listen(host: string, port: number): Promise<number> {
-        return new Promise((resolve, reject) => {
-            this.server.bindAsync(`${host}:${port}`, ServerCredentials.createInsecure(), (error, boundPort) => {
-                if (error === null) {
-                    resolve(boundPort);
-                }
-                else {
-                    reject(error);
-                }
-            });
-        });
+        return bindServer(this.server, host, port);
     }
 
     close(): void {
--- a/packages/process/peer-link/src/PeerServer.ts
+++ b/packages/process/peer-link/src/PeerServer.ts
@@ -1,4 +1,5 @@
-import { Server, ServerCredentials } from "@grpc/grpc-js";
+import { Server } from "@grpc/grpc-js";
+import { bindServer } from "@pomeloturn/bind-server/bindServer";
 import type { pomeloturn } from "@pomeloturn/peer-messages/generated/peer";
 import type { RequestTarget } from "@pomeloturn/types/Request";
 import { CHANNEL_OPTIONS } from "./channelOptions.ts";
@@ -23,16 +24,7 @@
 
     /** @returns the port that was bound */
     listen(host: string, port: number): Promise<number> {
-        return new Promise((resolve, reject) => {
-            this.server.bindAsync(`${host}:${port}`, ServerCredentials.createInsecure(), (error, boundPort) => {
-                if (error === null) {
-                    resolve(boundPort);
-                }
-                else {
-                    reject(error);
-                }
-            });
-        });
+        return bindServer(this.server, host, port);
     }
 
     /** Tells all connected proxies the state of an instance. */
