--- a/packages/process/peer-link/src/PeerServer.ts
+++ b/packages/process/peer-link/src/PeerServer.ts
@@ -27,13 +27,6 @@
         return bindServer(this.server, host, port);
     }
 
-    /** Tells all connected proxies the state of an instance. */
-    broadcast(status: pomeloturn.peer.IInstanceStatus): void {
-        for (const { writer } of this.streams) {
-            writer.add({ instanceStatus: status });
-        }
-    }
-
     close(): void {
         this.server.forceShutdown();
     }
--- a/programs/proxy/src/Proxy.ts
+++ b/programs/proxy/src/Proxy.ts
@@ -165,6 +165,7 @@
         return {
             system: this.system,
             router: this.router,
+            knowledge: this.knowledge,
             context: () => this.sessionContext(),
             nowMs: monotonicNowMs,
             onRecord: action => this.record(action),
--- a/programs/proxy/src/SessionActor.ts
+++ b/programs/proxy/src/SessionActor.ts
@@ -1,4 +1,5 @@
 import { CallerConnection } from "@pomeloturn/caller-connection/CallerConnection";
+import type { RoutingKnowledge } from "@pomeloturn/choose-instance/RoutingKnowledge";
 import { type SessionAction, type SessionContext, type SessionEvent, SessionEventKind } from "@pomeloturn/session/sessionMessages";
 import type { SessionState } from "@pomeloturn/session/SessionState";
 import { stepSession } from "@pomeloturn/session/stepSession";
@@ -17,6 +18,8 @@
 export interface SessionEnvironment {
     readonly system: ActorSystemRef;
     readonly router: RequestRouter;
+    /** What this VM has learned from its own requests. */
+    readonly knowledge: RoutingKnowledge;
     context(): SessionContext;
     nowMs(): number;
     onRecord(record: RecordAction): void;
@@ -102,10 +105,10 @@
     }
 
     private forward(vm: string, request: ForwardRequest): void {
-        const { knowledge } = this.environment.context();
+        const { knowledge, router } = this.environment;
         const key = instanceKey(request.group, request.instance);
         knowledge.countSent(key);
-        this.environment.router.send(vm, request, part => {
+        router.send(vm, request, part => {
             if (part.isLast) {
                 knowledge.countSettled(key);
             }
--- a/programs/standin/src/database/InstanceServer.ts
+++ b/programs/standin/src/database/InstanceServer.ts
@@ -16,11 +16,6 @@
         return new InstanceServer(instance, nowMs);
     }
 
-    /** Connections that are open, for tests of limits. */
-    get connectionCount(): number {
-        return this.connections.size;
-    }
-
     listen(host: string, port: number): Promise<void> {
         return new Promise((resolve, reject) => {
             this.server.once("error", reject);
