Serve the users' platform: a neutral session machine and the line protocol

Cause: pomeloturn spoke PostgreSQL only and ran as two processes a VM. Change: platform/ decodes settings, entries, configuration and the line protocol; packages hold a statement model, pools shared by rank, proofs of age by samples of the primary, reads at replicas with a position, wrapped primary reads, transactions that begin with their first statement; programs/entry runs them as one process a VM.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,6 +1,22 @@
 import { existsSync, readdirSync } from "node:fs";
 import tseslint from "typescript-eslint";
 
+/** Names of the users' platform on the wire: paths, headers, fields and error words. They stay in platform/. */
+const PLATFORM_NAMES = "/rows-(tx|get|feed|parts)|blob-(put|get|drop)|^Pomeloturn-|POMELOTURN_BOOT|max_staleness|target_latency|db_role|"
+    + "^(LAGGING|MISROUTED|MAXCONN|NOSTMT|INDOUBT|READONLY|STARTUP|DATAROW|STEPDOWN)\\b|cold_remaining|tx_idle_ms|max_conns/";
+
+const PLATFORM_LITERAL = { selector: `Literal[value=${PLATFORM_NAMES}]`, message: "Names of the platform stay in platform/." };
+const PLATFORM_IMPORT = {
+    selector: "ImportDeclaration[source.value=/^@pomeloturn.platform./]",
+    message: "Only a program's main wires platform/ in.",
+};
+
+const FORBIDDEN_SYNTAX = [
+    { selector: "TSEnumDeclaration", message: "Use a constant object." },
+    { selector: "SwitchStatement", message: "Use a table of handlers." },
+    { selector: "ExportAllDeclaration", message: "No index files." },
+];
+
 const GROUPS = ["shared", "request", "connection", "version", "process"];
 
 /** Groups of packages that a group may not import from, so that dependencies point one way. */
@@ -38,10 +54,12 @@
     "packages/process/membership/**/*.ts",
     "packages/process/assign-holders/**/*.ts",
     "packages/process/drain/**/*.ts",
+    "packages/connection/statement-session/**/*.ts",
+    "packages/connection/instance-pool/src/PoolState.ts",
 ];
 
 export default tseslint.config(
-    { ignores: ["**/dist/", "**/node_modules/", "**/generated/"] },
+    { ignores: ["**/dist/", "target/", "**/node_modules/", "**/generated/"] },
     {
         files: ["**/*.ts"],
         extends: [tseslint.configs.recommendedTypeChecked],
@@ -54,12 +72,7 @@
             "func-style": ["error", "expression"],
             "max-lines": ["error", { max: 300, skipBlankLines: true }],
             "max-lines-per-function": ["error", { max: 40, skipBlankLines: true, skipComments: true }],
-            "no-restricted-syntax": [
-                "error",
-                { selector: "TSEnumDeclaration", message: "Use a constant object." },
-                { selector: "SwitchStatement", message: "Use a table of handlers." },
-                { selector: "ExportAllDeclaration", message: "No index files." },
-            ],
+            "no-restricted-syntax": ["error", ...FORBIDDEN_SYNTAX],
             "@typescript-eslint/explicit-function-return-type": ["error", { allowExpressions: true }],
             "@typescript-eslint/consistent-type-imports": ["error", { fixStyle: "inline-type-imports" }],
             "@typescript-eslint/naming-convention": [
@@ -86,4 +99,9 @@
         rules: { "max-lines-per-function": "off", "@typescript-eslint/no-unsafe-assignment": "off" },
     },
     ...direction,
+    { files: ["programs/**/*.ts"], rules: { "no-restricted-syntax": ["error", ...FORBIDDEN_SYNTAX, PLATFORM_LITERAL] } },
+    {
+        files: ["packages/**/*.ts"],
+        rules: { "no-restricted-syntax": ["error", ...FORBIDDEN_SYNTAX, PLATFORM_LITERAL, PLATFORM_IMPORT] },
+    },
 );
--- /dev/null
+++ b/packages/connection/instance-connection/src/InstanceConnection.ts
@@ -0,0 +1,105 @@
+import { ResultCode } from "@pomeloturn/errors/ResultCode";
+import type { InstanceCommand, InstanceReply } from "@pomeloturn/types/InstanceCommand";
+import type { Decoder, InstanceProtocol } from "@pomeloturn/types/Protocols";
+import { TransactionStatus } from "@pomeloturn/types/Request";
+import { connect, type Socket } from "node:net";
+
+/** Idle time after which the kernel probes a connection that may have gone silent. */
+const KEEP_ALIVE_DELAY_MS = 2_000;
+
+/** Where a connection goes. */
+export interface ConnectionTarget {
+    readonly host: string;
+    readonly port: number;
+    readonly service: string;
+    readonly instanceId: string;
+    /** Names this VM to the instance. */
+    readonly caller: string;
+}
+
+/** A reply in place of one that never came. */
+export const lostReply = (text: string): InstanceReply => ({
+    code: ResultCode.BackendLost,
+    rows: [],
+    proof: "",
+    text,
+    status: TransactionStatus.Failed,
+    position: undefined,
+});
+
+/** A connection to an instance. Commands are answered in the order in which they were sent. */
+export class InstanceConnection {
+    private readonly waiting: ((reply: InstanceReply) => void)[] = [];
+    private readonly decoder: Decoder<InstanceReply>;
+    private closeReason: string | undefined;
+
+    /** Answer to the greeting; a lost reply when the instance cannot be reached. */
+    readonly greeting: Promise<InstanceReply>;
+
+    private constructor(
+        private readonly socket: Socket,
+        private readonly protocol: InstanceProtocol,
+        private readonly onClosed: (reason: string) => void,
+    ) {
+        this.decoder = protocol.createDecoder();
+        this.greeting = new Promise(resolve => this.waiting.push(resolve));
+    }
+
+    /** @param onClosed called once, when the connection is gone, whoever closed it */
+    static create(target: ConnectionTarget, protocol: InstanceProtocol, onClosed: (reason: string) => void): InstanceConnection {
+        const socket = connect({
+            host: target.host,
+            port: target.port,
+            noDelay: true,
+            keepAlive: true,
+            keepAliveInitialDelay: KEEP_ALIVE_DELAY_MS,
+        });
+        const connection = new InstanceConnection(socket, protocol, onClosed);
+        socket.on("data", chunk => connection.receive(chunk));
+        socket.on("error", error => connection.close((error as NodeJS.ErrnoException).code ?? error.message));
+        socket.on("close", () => connection.close("closed by the instance"));
+        socket.write(protocol.encodeStartup(target.service, target.caller, target.instanceId), "latin1");
+        return connection;
+    }
+
+    get isClosed(): boolean {
+        return this.closeReason !== undefined;
+    }
+
+    /** Commands that have no answer yet. */
+    get outstandingCount(): number {
+        return this.waiting.length;
+    }
+
+    /** Sends commands in one write. The promises never reject; a reply that does not come is `BackendLost`. */
+    send(commands: readonly InstanceCommand[]): Promise<InstanceReply>[] {
+        if (this.closeReason !== undefined) {
+            return commands.map(() => Promise.resolve(lostReply(this.closeReason!)));
+        }
+        const replies = commands.map(() => new Promise<InstanceReply>(resolve => this.waiting.push(resolve)));
+        this.socket.write(commands.map(command => this.protocol.encodeCommand(command)).join(""), "latin1");
+        return replies;
+    }
+
+    /** Closes the connection; an open transaction is rolled back by the instance. */
+    close(reason: string): void {
+        if (this.closeReason !== undefined) {
+            return;
+        }
+        this.closeReason = reason;
+        this.socket.destroy();
+        this.waiting.splice(0).forEach(resolve => resolve(lostReply(reason)));
+        this.onClosed(reason);
+    }
+
+    private receive(chunk: Buffer): void {
+        try {
+            for (const reply of this.decoder.push(chunk)) {
+                this.waiting.shift()?.(reply);
+            }
+        }
+        catch (error) {
+            this.close((error as Error).message);
+        }
+    }
+}
--- /dev/null
+++ b/packages/connection/instance-pool/src/InstancePool.ts
@@ -0,0 +1,273 @@
+import { ResultCode } from "@pomeloturn/errors/ResultCode";
+import { type InstanceConnection } from "@pomeloturn/instance-connection/InstanceConnection";
+import { type ConnectionContents, createContents } from "@pomeloturn/statement-session/ConnectionContents";
+import type { InstanceReply } from "@pomeloturn/types/InstanceCommand";
+import { TransactionStatus } from "@pomeloturn/types/Request";
+import {
+    countToOpen,
+    createPoolState,
+    isIdleTooLong,
+    mayAssign,
+    type PoolState,
+    recordExhausted,
+    recordOpened,
+    recordOpenFailure,
+    regrowLimit,
+    shareLimit,
+} from "./PoolState.ts";
+
+/** Time that an instance has to accept a connection and greet. */
+const OPEN_TIMEOUT_MS = 450;
+
+/** What a pool needs from its surroundings. */
+export interface PoolPorts {
+    readonly nowMs: () => number;
+    readonly open: (onClosed: (reason: string) => void) => InstanceConnection;
+    /** Told of each connection that could not be opened. */
+    readonly onOpenFailed: (reply: InstanceReply) => void;
+    readonly onOpened: (handshakeMs: number) => void;
+}
+
+/** A connection in use by one request or transaction. */
+export interface Lease {
+    readonly connection: InstanceConnection;
+    readonly contents: ConnectionContents;
+    /** Time for which the connection had not been used. */
+    readonly idleMs: number;
+    /** Gives the connection back. @param status state of the connection after its last reply */
+    readonly release: (status: TransactionStatus) => void;
+    /** Closes the connection. */
+    readonly discard: (reason: string) => void;
+}
+
+interface PooledConnection {
+    readonly connection: InstanceConnection;
+    readonly contents: ConnectionContents;
+    usedAtMs: number;
+    isBusy: boolean;
+}
+
+interface Waiter {
+    readonly rank: number;
+    readonly resolve: (lease: Lease | undefined) => void;
+}
+
+/** The connections of this VM to one instance. */
+export class InstancePool {
+    private readonly state: PoolState = createPoolState();
+    private readonly idle: PooledConnection[] = [];
+    private readonly all = new Set<PooledConnection>();
+    /** Most urgent rank first, then in order of arrival. */
+    private readonly waiting: Waiter[] = [];
+    private isClosed = false;
+
+    private constructor(private readonly ports: PoolPorts) {}
+
+    static create(ports: PoolPorts): InstancePool {
+        return new InstancePool(ports);
+    }
+
+    /** Requests that wait for a connection or have one. */
+    get load(): number {
+        return this.state.busyCount + this.waiting.length;
+    }
+
+    get openCount(): number {
+        return this.state.busyCount + this.state.idleCount;
+    }
+
+    /** Whether the last attempts to open a connection failed and none is open. */
+    get isUnreachable(): boolean {
+        return this.state.failureCount > 0 && this.openCount === 0;
+    }
+
+    setLimit(connectionLimit: number, vmCount: number): void {
+        shareLimit(this.state, connectionLimit, vmCount);
+    }
+
+    /**
+     * Takes a connection, or waits for one.
+     *
+     * @returns undefined when none can be had: the instance is unreachable, or the wait was too long
+     */
+    acquire(rank: number, waitMs: number): Promise<Lease | undefined> {
+        if (this.isClosed || (this.openCount === 0 && this.ports.nowMs() < this.state.backoffUntilMs)) {
+            return Promise.resolve(undefined);
+        }
+        const found = mayAssign(this.state, rank) ? this.idle.pop() : undefined;
+        if (found !== undefined) {
+            return Promise.resolve(this.lease(found));
+        }
+        return new Promise(resolve => {
+            const timer = setTimeout(() => this.giveUp(waiter), waitMs);
+            const waiter = {
+                rank,
+                resolve: (lease: Lease | undefined): void => {
+                    clearTimeout(timer);
+                    resolve(lease);
+                },
+            };
+            this.enqueue(waiter);
+            this.openMissing();
+        });
+    }
+
+    /** Opens a first connection, so that the first request need not wait for it. */
+    warm(): void {
+        if (this.state.keptCount > 0 && this.openCount + this.state.openingCount === 0 && !this.isClosed) {
+            this.openOne();
+        }
+    }
+
+    /** Regular upkeep. */
+    tick(): void {
+        const nowMs = this.ports.nowMs();
+        regrowLimit(this.state, nowMs);
+        const oldest = this.idle[0];
+        if (oldest !== undefined && isIdleTooLong(this.state, nowMs - oldest.usedAtMs)) {
+            oldest.connection.close("idle");
+        }
+        this.openMissing();
+    }
+
+    /** Closes all connections; what waits gets none. */
+    close(reason: string): void {
+        this.isClosed = true;
+        this.failWaiting();
+        [...this.all].forEach(({ connection }) => connection.close(reason));
+    }
+
+    /** Closes the connections that nobody uses; those in use are closed when they are given back. */
+    retire(reason: string): void {
+        this.isClosed = true;
+        this.failWaiting();
+        [...this.idle].forEach(({ connection }) => connection.close(reason));
+    }
+
+    private enqueue(waiter: Waiter): void {
+        const index = this.waiting.findIndex(({ rank }) => rank > waiter.rank);
+        this.waiting.splice(index < 0 ? this.waiting.length : index, 0, waiter);
+        this.state.waitingCount = this.waiting.length;
+    }
+
+    private giveUp(waiter: Waiter): void {
+        const index = this.waiting.indexOf(waiter);
+        if (index >= 0) {
+            this.waiting.splice(index, 1);
+            this.state.waitingCount = this.waiting.length;
+            waiter.resolve(undefined);
+        }
+    }
+
+    private failWaiting(): void {
+        this.state.waitingCount = 0;
+        this.waiting.splice(0).forEach(({ resolve }) => resolve(undefined));
+    }
+
+    private openMissing(): void {
+        for (let count = this.isClosed ? 0 : countToOpen(this.state, this.ports.nowMs()); count > 0; count--) {
+            this.openOne();
+        }
+    }
+
+    private openOne(): void {
+        const startedAtMs = this.ports.nowMs();
+        this.state.openingCount++;
+        const connection = this.ports.open(() => this.forget(pooled));
+        const pooled: PooledConnection = { connection, contents: createContents(), usedAtMs: startedAtMs, isBusy: false };
+        const timer = setTimeout(() => connection.close("no greeting in time"), OPEN_TIMEOUT_MS);
+        void connection.greeting.then(reply => {
+            clearTimeout(timer);
+            this.state.openingCount--;
+            if (reply.code === ResultCode.Ok) {
+                this.admit(pooled, startedAtMs);
+            }
+            else {
+                this.refuseOpening(connection, reply);
+            }
+        });
+    }
+
+    private admit(pooled: PooledConnection, startedAtMs: number): void {
+        recordOpened(this.state);
+        this.ports.onOpened(this.ports.nowMs() - startedAtMs);
+        this.all.add(pooled);
+        pooled.usedAtMs = this.ports.nowMs();
+        this.putBack(pooled);
+    }
+
+    private refuseOpening(connection: InstanceConnection, reply: InstanceReply): void {
+        connection.close("not greeted");
+        if (reply.code === ResultCode.ConnectionsExhausted) {
+            recordExhausted(this.state, this.ports.nowMs());
+        }
+        else {
+            recordOpenFailure(this.state, this.ports.nowMs());
+            this.ports.onOpenFailed(reply);
+        }
+        if (this.openCount === 0) {
+            this.failWaiting();
+        }
+    }
+
+    private putBack(pooled: PooledConnection): void {
+        if (this.isClosed) {
+            pooled.connection.close("the instance is not used any more");
+            return;
+        }
+        const next = this.waiting[0];
+        if (next !== undefined && mayAssign(this.state, next.rank)) {
+            this.waiting.shift();
+            this.state.waitingCount = this.waiting.length;
+            next.resolve(this.lease(pooled));
+            return;
+        }
+        this.idle.push(pooled);
+        this.state.idleCount = this.idle.length;
+    }
+
+    private lease(pooled: PooledConnection): Lease {
+        this.state.idleCount = this.idle.length;
+        pooled.isBusy = true;
+        this.state.busyCount++;
+        const idleMs = this.ports.nowMs() - pooled.usedAtMs;
+        return {
+            connection: pooled.connection,
+            contents: pooled.contents,
+            idleMs,
+            release: status => this.release(pooled, status),
+            discard: reason => pooled.connection.close(reason),
+        };
+    }
+
+    private release(pooled: PooledConnection, status: TransactionStatus): void {
+        if (!pooled.isBusy || pooled.connection.isClosed) {
+            return;
+        }
+        if (status !== TransactionStatus.Idle || pooled.connection.outstandingCount > 0) {
+            pooled.connection.close("not idle when given back");
+            return;
+        }
+        pooled.isBusy = false;
+        this.state.busyCount--;
+        pooled.usedAtMs = this.ports.nowMs();
+        this.putBack(pooled);
+    }
+
+    /** The connection is gone. */
+    private forget(pooled: PooledConnection): void {
+        if (!this.all.delete(pooled)) {
+            return;
+        }
+        if (pooled.isBusy) {
+            pooled.isBusy = false;
+            this.state.busyCount--;
+        }
+        const index = this.idle.indexOf(pooled);
+        if (index >= 0) {
+            this.idle.splice(index, 1);
+            this.state.idleCount = this.idle.length;
+        }
+        this.openMissing();
+    }
+}
--- /dev/null
+++ b/packages/process/statement-runner/src/Operation.ts
@@ -0,0 +1,46 @@
+import type { ServiceRuntime } from "@pomeloturn/service-directory/ServiceRuntime";
+import type { PreparedStatement } from "@pomeloturn/statement-session/ConnectionContents";
+import type { SessionState } from "@pomeloturn/statement-session/SessionState";
+import type { RouteEntry } from "@pomeloturn/types/ServiceEntries";
+import type { Statement } from "@pomeloturn/types/Statement";
+
+/** A statement under way, with what binds it. */
+export interface Operation {
+    readonly session: SessionState;
+    readonly statement: Statement;
+    readonly prepared: PreparedStatement | undefined;
+    readonly route: RouteEntry;
+    readonly service: ServiceRuntime;
+    readonly startedAtMs: number;
+    /** Until when a statement that has not been sent may wait. */
+    readonly holdUntilMs: number;
+    readonly deadlineAtMs: number;
+    attempts: number;
+    /** Last instance that was tried. */
+    instance: string;
+}
+
+/** Share of a statement's time limit for which it may wait without being sent. */
+const HOLD_SHARE = 0.8;
+
+/** Time left for the answer's way back before the limit of the route. */
+const ANSWER_MARGIN_MS = 10;
+
+export const createOperation = (
+    session: SessionState,
+    statement: Statement,
+    route: RouteEntry,
+    service: ServiceRuntime,
+    nowMs: number,
+): Operation => ({
+    session,
+    statement,
+    prepared: session.prepared.get(statement.name),
+    route,
+    service,
+    startedAtMs: nowMs,
+    holdUntilMs: nowMs + route.timeoutMs * HOLD_SHARE,
+    deadlineAtMs: nowMs + route.timeoutMs - ANSWER_MARGIN_MS,
+    attempts: 0,
+    instance: "",
+});
--- /dev/null
+++ b/packages/process/statement-runner/src/RunnerPorts.ts
@@ -0,0 +1,36 @@
+import type { Distance } from "@pomeloturn/rank-candidates/rankCandidates";
+import type { ServiceDirectory } from "@pomeloturn/service-directory/ServiceDirectory";
+
+/** What a statement that is over tells the logs and metrics. */
+export interface StatementRecord {
+    readonly requestId: string;
+    readonly service: string;
+    readonly rank: number;
+    readonly code: number;
+    readonly latencyMs: number;
+    /** The instance that was tried last; empty when none was. */
+    readonly instance: string;
+    readonly attempts: number;
+    readonly detail: string;
+}
+
+/** Constants for what a failed attempt says of an instance. */
+export const Evidence = {
+    /** The instance's address refuses or resets connections. */
+    Refused: "refused",
+    /** No answer within the time that answers take. */
+    Silent: "silent",
+} as const;
+export type Evidence = typeof Evidence[keyof typeof Evidence];
+
+/** What the runner needs from its process. */
+export interface RunnerPorts {
+    readonly directory: ServiceDirectory;
+    /** Monotonic milliseconds. Samples are void when the VM was suspended; see `checkSuspended`. */
+    readonly nowMs: () => number;
+    /** Counts suspensions of this VM: a sample that was asked for under another count is not kept. */
+    readonly checkSuspended: () => number;
+    readonly distanceTo: (failureDomain: string) => Distance;
+    readonly onSuspect: (service: string, instanceId: string, evidence: Evidence) => void;
+    readonly onStatement: (record: StatementRecord) => void;
+}
--- /dev/null
+++ b/packages/process/statement-runner/src/SessionRunner.ts
@@ -0,0 +1,148 @@
+import { ResultCode } from "@pomeloturn/errors/ResultCode";
+import type { ServiceRuntime } from "@pomeloturn/service-directory/ServiceRuntime";
+import { answerLocally, completed, refused } from "@pomeloturn/statement-session/answerLocally";
+import { createSession, type SessionState } from "@pomeloturn/statement-session/SessionState";
+import type { CallerReply } from "@pomeloturn/types/CallerMessage";
+import type { InstanceReply } from "@pomeloturn/types/InstanceCommand";
+import { TransactionStatus } from "@pomeloturn/types/Request";
+import type { RouteEntry } from "@pomeloturn/types/ServiceEntries";
+import { type Statement, StatementKind } from "@pomeloturn/types/Statement";
+import { writeCode } from "./judgeReply.ts";
+import { createOperation, type Operation } from "./Operation.ts";
+import type { RunnerPorts } from "./RunnerPorts.ts";
+import { runRead } from "./runRead.ts";
+import { runWrite } from "./runWrite.ts";
+import { Transaction } from "./Transaction.ts";
+
+const RETRY_AFTER_MS = 500;
+const FALLBACK_IDLE_MS = 3_000;
+
+/** Runs the statements of one session, one after the other. */
+export class SessionRunner {
+    private readonly state: SessionState;
+    private transaction: Transaction | undefined;
+    private idleTimer: NodeJS.Timeout | undefined;
+    private isClosed = false;
+
+    private constructor(database: string, private readonly ports: RunnerPorts) {
+        this.state = createSession(database);
+    }
+
+    static create(database: string, ports: RunnerPorts): SessionRunner {
+        return new SessionRunner(database, ports);
+    }
+
+    /** Whether no transaction is open. */
+    get isIdle(): boolean {
+        return this.state.status === TransactionStatus.Idle;
+    }
+
+    async run(statement: Statement): Promise<CallerReply> {
+        clearTimeout(this.idleTimer);
+        const reply = answerLocally(this.state, statement) ?? await this.runElsewhere(statement);
+        if (this.transaction !== undefined && this.state.status === TransactionStatus.Open && !this.isClosed) {
+            this.idleTimer = setTimeout(() => this.endIdle(), this.ports.directory.routes?.transactionIdleMs ?? FALLBACK_IDLE_MS);
+        }
+        return reply;
+    }
+
+    /** The caller has gone: an open transaction is rolled back. */
+    close(): void {
+        this.isClosed = true;
+        clearTimeout(this.idleTimer);
+        this.transaction?.rollback();
+    }
+
+    private runElsewhere(statement: Statement): Promise<CallerReply> | CallerReply {
+        if (statement.kind === StatementKind.Rollback) {
+            this.endTransaction();
+            return completed(TransactionStatus.Idle);
+        }
+        const route = this.transaction?.routeEntry ?? this.ports.directory.findRoute(this.state.database);
+        if (route === undefined) {
+            return refused(ResultCode.UnknownService, this.state.database, this.state.status);
+        }
+        if (statement.kind === StatementKind.Begin || statement.kind === StatementKind.BeginRead) {
+            this.transaction = Transaction.create(route, statement.kind === StatementKind.BeginRead, this.ports);
+            this.state.status = TransactionStatus.Open;
+            return completed(TransactionStatus.Open);
+        }
+        const service = this.ports.directory.services.get(route.service);
+        if (service === undefined) {
+            return this.fail(refused(ResultCode.NoInstance, route.service, this.state.status, RETRY_AFTER_MS));
+        }
+        return this.runAtInstance(statement, route, service);
+    }
+
+    private async runAtInstance(statement: Statement, route: RouteEntry, service: ServiceRuntime): Promise<CallerReply> {
+        const operation = createOperation(this.state, statement, route, service, this.ports.nowMs());
+        const isWrite = statement.kind === StatementKind.Write || operation.prepared?.isWrite === true;
+        const outcome = this.transaction !== undefined
+            ? await this.transaction.run(operation)
+            : await (isWrite ? runWrite(operation, this.ports) : runRead(operation, this.ports));
+        const reply = "detail" in outcome ? outcome : this.convert(outcome, statement, isWrite, operation);
+        this.report(operation, reply);
+        return this.transaction === undefined ? reply : this.applyToTransaction(statement, reply);
+    }
+
+    /** The caller's reply to what an instance answered. */
+    private convert(reply: InstanceReply, statement: Statement, isWrite: boolean, operation: Operation): CallerReply {
+        const { transaction } = this;
+        const { code, rows, proof, text } = reply;
+        const base = { rows, proof, detail: code === ResultCode.Ok ? "" : `${text} ${operation.instance}`, retryAfterMs: undefined };
+        const status = this.state.status;
+        if (code !== ResultCode.BackendLost) {
+            return { ...base, code: transaction === undefined && isWrite ? writeCode(reply) : code, status };
+        }
+        const isCommit = statement.kind === StatementKind.Commit;
+        if (transaction !== undefined && !(isCommit && transaction.mayHaveCommitted)) {
+            // Without its COMMIT the transaction ends with the connection, and nothing is kept.
+            return { ...base, code: ResultCode.TransactionLost, status };
+        }
+        return { ...base, code: ResultCode.OutcomeUnknown, status };
+    }
+
+    private applyToTransaction(statement: Statement, reply: CallerReply): CallerReply {
+        if (statement.kind === StatementKind.Commit) {
+            this.endTransaction();
+            return { ...reply, status: TransactionStatus.Idle };
+        }
+        return reply.code === ResultCode.Ok ? { ...reply, status: TransactionStatus.Open } : this.fail(reply);
+    }
+
+    /** A failed statement fails its transaction. */
+    private fail(reply: CallerReply): CallerReply {
+        if (this.transaction === undefined) {
+            return reply;
+        }
+        this.endTransaction();
+        this.state.status = TransactionStatus.Failed;
+        return { ...reply, status: TransactionStatus.Failed };
+    }
+
+    private endTransaction(): void {
+        this.transaction?.rollback();
+        this.transaction = undefined;
+        this.state.status = TransactionStatus.Idle;
+    }
+
+    /** Ends a transaction whose caller has sent nothing for long; its connection is wanted by others. */
+    private endIdle(): void {
+        this.transaction?.rollback();
+        this.transaction = undefined;
+        this.state.status = TransactionStatus.Failed;
+    }
+
+    private report(operation: Operation, reply: CallerReply): void {
+        this.ports.onStatement({
+            requestId: operation.statement.id,
+            service: operation.service.name,
+            rank: operation.route.rank,
+            code: reply.code,
+            latencyMs: this.ports.nowMs() - operation.startedAtMs,
+            instance: operation.instance,
+            attempts: operation.attempts,
+            detail: reply.detail,
+        });
+    }
+}
--- /dev/null
+++ b/packages/process/statement-runner/src/Transaction.ts
@@ -0,0 +1,185 @@
+import { ResultCode } from "@pomeloturn/errors/ResultCode";
+import type { Lease } from "@pomeloturn/instance-pool/InstancePool";
+import type { InstanceRuntime } from "@pomeloturn/service-directory/InstanceRuntime";
+import { refused } from "@pomeloturn/statement-session/answerLocally";
+import type { CallerReply } from "@pomeloturn/types/CallerMessage";
+import { CommandKind, type InstanceReply } from "@pomeloturn/types/InstanceCommand";
+import { TransactionStatus } from "@pomeloturn/types/Request";
+import { Freshness, type RouteEntry } from "@pomeloturn/types/ServiceEntries";
+import { StatementKind } from "@pomeloturn/types/Statement";
+import { alignFor, awaitReply, forgetPrepared } from "./attemptRead.ts";
+import { beginAtLeader, type BegunTransaction } from "./beginAtLeader.ts";
+import type { Operation } from "./Operation.ts";
+import { recordLeaderPosition } from "./recordLeaderPosition.ts";
+import type { RunnerPorts } from "./RunnerPorts.ts";
+import { chooseForRead } from "./runRead.ts";
+import { sleep, within } from "./timing.ts";
+
+const PAUSE_MS = 20;
+const BUSY_PAUSE_MS = 15;
+const BEGIN_TIMEOUT_MS = 300;
+const RETRY_AFTER_MS = 400;
+
+/** Replies after which a statement of an open transaction may be sent once more. */
+const REPEATABLE_CODES: ReadonlySet<number> = new Set<number>([ResultCode.QueueFull, ResultCode.UnknownPreparedStatement]);
+
+/** A caller's transaction. It begins at an instance with its first statement, so that a pause after BEGIN holds no connection. */
+export class Transaction {
+    private begun: BegunTransaction | undefined;
+    private hasWritten = false;
+    private isEnded = false;
+
+    private constructor(private readonly route: RouteEntry, private readonly isReadOnly: boolean, private readonly ports: RunnerPorts) {}
+
+    static create(route: RouteEntry, isReadOnly: boolean, ports: RunnerPorts): Transaction {
+        return new Transaction(route, isReadOnly, ports);
+    }
+
+    get routeEntry(): RouteEntry {
+        return this.route;
+    }
+
+    /** Runs a statement or the COMMIT of the transaction. */
+    async run(operation: Operation): Promise<InstanceReply | CallerReply> {
+        this.begun ??= await this.begin(operation);
+        if (this.begun === undefined) {
+            return refused(ResultCode.NoInstance, "no instance could begin the transaction", TransactionStatus.Failed, RETRY_AFTER_MS);
+        }
+        if (this.isEnded) {
+            this.rollback();
+            return refused(ResultCode.TransactionLost, "the caller has gone", TransactionStatus.Failed);
+        }
+        const reply = await this.execute(operation, this.begun);
+        if (this.isEnded) {
+            // The caller left while the statement ran.
+            this.rollback();
+        }
+        return reply;
+    }
+
+    /** Ends the transaction without a commit; the connection goes back when the instance has confirmed. */
+    rollback(): void {
+        this.isEnded = true;
+        const { begun } = this;
+        if (begun === undefined || begun.lease.connection.outstandingCount > 0) {
+            return;
+        }
+        this.begun = undefined;
+        const [reply] = begun.lease.connection.send([{ kind: CommandKind.Rollback }]);
+        void reply!.then(({ code, status }) =>
+            code === ResultCode.Ok ? begun.lease.release(status) : begun.lease.discard("rollback refused")
+        );
+    }
+
+    private async begin(operation: Operation): Promise<BegunTransaction | undefined> {
+        const isAtLeader = !this.isReadOnly || this.route.freshness === Freshness.Primary;
+        const excluded = new Set<string>();
+        while (this.ports.nowMs() < operation.holdUntilMs && !this.isEnded) {
+            operation.attempts++;
+            const begun = isAtLeader ? await this.beginAtLeader(operation) : await this.beginAtAny(operation, excluded);
+            if (begun !== undefined) {
+                operation.instance = begun.instance.entry.id;
+                return begun;
+            }
+            await operation.service.waitForChange(Math.min(PAUSE_MS, Math.max(1, operation.holdUntilMs - this.ports.nowMs())));
+        }
+        return undefined;
+    }
+
+    private beginAtLeader(operation: Operation): Promise<BegunTransaction | undefined> {
+        const waitMs = Math.max(1, operation.holdUntilMs - this.ports.nowMs());
+        const align = (lease: Lease): ReturnType<typeof alignFor>["commands"] => alignFor(lease, operation).commands;
+        return beginAtLeader(operation.service, operation.route.rank, waitMs, align, this.ports);
+    }
+
+    private async beginAtAny(operation: Operation, excluded: Set<string>): Promise<BegunTransaction | undefined> {
+        const found = await chooseForRead(operation, excluded, this.ports);
+        if (found === undefined) {
+            excluded.clear();
+            return undefined;
+        }
+        const { instance, requirement } = found;
+        excluded.add(instance.entry.id);
+        const lease = await instance.pool.acquire(operation.route.rank, Math.max(1, operation.holdUntilMs - this.ports.nowMs()));
+        if (lease === undefined) {
+            return undefined;
+        }
+        const { commands } = alignFor(lease, operation);
+        const replies = lease.connection.send([...commands, { kind: CommandKind.BeginRead, after: requirement.after }]);
+        const reply = await within(replies.at(-1)!, BEGIN_TIMEOUT_MS);
+        if (reply?.code === ResultCode.Ok) {
+            return { lease, instance };
+        }
+        this.recordRefusedBegin(instance, lease, reply, requirement.isOwnPosition);
+        return undefined;
+    }
+
+    private recordRefusedBegin(instance: InstanceRuntime, lease: Lease, reply: InstanceReply | undefined, isOwnPosition: boolean): void {
+        if (reply === undefined) {
+            lease.discard("no answer to BEGIN in time");
+            return;
+        }
+        lease.release(reply.status);
+        if (reply.code === ResultCode.ReplicaBehind && !isOwnPosition) {
+            instance.recordBehind(reply.position, this.ports.nowMs());
+        }
+    }
+
+    private async execute(operation: Operation, begun: BegunTransaction): Promise<InstanceReply> {
+        const { statement } = operation;
+        const sentAtMs = this.ports.nowMs();
+        const suspensions = this.ports.checkSuspended();
+        for (;;) {
+            operation.attempts++;
+            const { commands, preparedName } = alignFor(begun.lease, operation);
+            const replies = begun.lease.connection.send([...commands, {
+                kind: CommandKind.Forward,
+                statement,
+                preparedName,
+                after: undefined,
+            }]);
+            const reply = await awaitReply(replies.at(-1)!, begun.lease, operation, this.ports);
+            forgetPrepared(begun.lease, reply);
+            const isRepeatable = REPEATABLE_CODES.has(reply.code) && reply.status === TransactionStatus.Open;
+            if (isRepeatable && this.ports.nowMs() < operation.holdUntilMs) {
+                await sleep(BUSY_PAUSE_MS);
+                continue;
+            }
+            this.learn(operation, begun, reply, sentAtMs, suspensions);
+            return reply;
+        }
+    }
+
+    private learn(operation: Operation, begun: BegunTransaction, reply: InstanceReply, sentAtMs: number, suspensions: number): void {
+        const { service, statement, session, prepared } = operation;
+        if (reply.code === ResultCode.Ok) {
+            this.hasWritten ||= statement.kind === StatementKind.Write || prepared?.isWrite === true;
+            begun.instance.recordAnswered(this.ports.nowMs() - sentAtMs, reply.position);
+        }
+        if (reply.code === ResultCode.NotPrimary) {
+            service.denyLeader(begun.instance.entry.id);
+        }
+        if (statement.kind === StatementKind.Commit && reply.code === ResultCode.Ok && this.hasWritten && reply.position !== undefined) {
+            recordLeaderPosition(service, begun.instance.entry.id, reply, sentAtMs, suspensions, this.ports);
+            session.ownPositions.set(service.name, reply.position);
+        }
+        if (statement.kind === StatementKind.Commit || reply.code !== ResultCode.Ok) {
+            this.finish(begun, reply);
+        }
+    }
+
+    /** The transaction is over: a failed one is rolled back, also when the instance still holds it open. */
+    private finish(begun: BegunTransaction, reply: InstanceReply): void {
+        if (reply.status === TransactionStatus.Idle) {
+            this.begun = undefined;
+            begun.lease.release(reply.status);
+            return;
+        }
+        this.rollback();
+    }
+
+    /** Whether a commit that got no answer may have taken effect. */
+    get mayHaveCommitted(): boolean {
+        return this.hasWritten;
+    }
+}
--- /dev/null
+++ b/packages/process/statement-runner/src/attemptRead.ts
@@ -0,0 +1,108 @@
+import { ResultCode } from "@pomeloturn/errors/ResultCode";
+import type { Lease } from "@pomeloturn/instance-pool/InstancePool";
+import type { InstanceRuntime } from "@pomeloturn/service-directory/InstanceRuntime";
+import { alignConnection, type Alignment } from "@pomeloturn/statement-session/ConnectionContents";
+import { CommandKind, type InstanceReply } from "@pomeloturn/types/InstanceCommand";
+import type { LogPosition } from "@pomeloturn/types/LogPosition";
+import { beginAtLeader } from "./beginAtLeader.ts";
+import type { Operation } from "./Operation.ts";
+import type { RunnerPorts } from "./RunnerPorts.ts";
+
+/** Time after a statement's limit at which a connection that has not answered is closed. */
+const ABANDON_MARGIN_MS = 20;
+
+/** Brings a connection to the session's state before the operation's statement. */
+export const alignFor = (lease: Lease, { session, prepared }: Operation): Alignment =>
+    alignConnection(lease.contents, session.values, prepared);
+
+/** Closes the connection unless a reply comes before the statement's limit. */
+export const awaitReply = async (
+    promise: Promise<InstanceReply>,
+    lease: Lease,
+    { deadlineAtMs }: Operation,
+    ports: RunnerPorts,
+): Promise<InstanceReply> => {
+    const timer = setTimeout(
+        () => lease.discard("no answer within the statement's limit"),
+        deadlineAtMs + ABANDON_MARGIN_MS - ports.nowMs(),
+    );
+    const reply = await promise;
+    clearTimeout(timer);
+    return reply;
+};
+
+/** A reply that says that the connection no longer has the prepared statement makes the next statement prepare it again. */
+export const forgetPrepared = (lease: Lease, { code }: InstanceReply): void => {
+    if (code === ResultCode.UnknownPreparedStatement) {
+        lease.contents.prepared.clear();
+    }
+};
+
+/** Learns from the reply to a read. */
+const learn = (instance: InstanceRuntime, reply: InstanceReply, sentAtMs: number, isOwnPosition: boolean, ports: RunnerPorts): void => {
+    if (reply.code === ResultCode.Ok) {
+        instance.recordAnswered(ports.nowMs() - sentAtMs, reply.position);
+    }
+    else if (reply.code === ResultCode.ReplicaBehind && !isOwnPosition) {
+        instance.recordBehind(reply.position, ports.nowMs());
+    }
+};
+
+/**
+ * Sends a read to an instance, which runs it only if its log holds a position.
+ *
+ * @param isOwnPosition whether the position is a commit of the session, which replicas may not have yet
+ * @returns undefined when no connection could be had
+ */
+export const attemptRead = async (
+    operation: Operation,
+    instance: InstanceRuntime,
+    after: LogPosition | undefined,
+    isOwnPosition: boolean,
+    waitMs: number,
+    ports: RunnerPorts,
+): Promise<InstanceReply | undefined> => {
+    const lease = await instance.pool.acquire(operation.route.rank, waitMs);
+    if (lease === undefined) {
+        return undefined;
+    }
+    const { commands, preparedName } = alignFor(lease, operation);
+    const sentAtMs = ports.nowMs();
+    const { statement } = operation;
+    const replies = lease.connection.send([...commands, { kind: CommandKind.Forward, statement, preparedName, after }]);
+    const reply = await awaitReply(replies.at(-1)!, lease, operation, ports);
+    forgetPrepared(lease, reply);
+    lease.release(reply.status);
+    learn(instance, reply, sentAtMs, isOwnPosition, ports);
+    return reply;
+};
+
+/**
+ * Sends a read to the primary inside a transaction of its own, which proves that the primary leads.
+ *
+ * @returns undefined when the primary could not be used
+ */
+export const attemptPrimaryRead = async (operation: Operation, waitMs: number, ports: RunnerPorts): Promise<InstanceReply | undefined> => {
+    let preparedName = "";
+    const align = (lease: Lease): Alignment["commands"] => {
+        const alignment = alignFor(lease, operation);
+        preparedName = alignment.preparedName;
+        return alignment.commands;
+    };
+    const begun = await beginAtLeader(operation.service, operation.route.rank, waitMs, align, ports);
+    if (begun === undefined) {
+        return undefined;
+    }
+    const { lease, instance } = begun;
+    const sentAtMs = ports.nowMs();
+    const { statement } = operation;
+    const [answer, ended] = lease.connection.send([
+        { kind: CommandKind.Forward, statement, preparedName, after: undefined },
+        { kind: CommandKind.Rollback },
+    ]);
+    void ended!.then(({ status }) => lease.release(status));
+    const reply = await awaitReply(answer!, lease, operation, ports);
+    forgetPrepared(lease, reply);
+    learn(instance, reply, sentAtMs, false, ports);
+    return reply;
+};
--- /dev/null
+++ b/packages/process/statement-runner/src/runWrite.ts
@@ -0,0 +1,96 @@
+import { ResultCode } from "@pomeloturn/errors/ResultCode";
+import type { Lease } from "@pomeloturn/instance-pool/InstancePool";
+import { refused } from "@pomeloturn/statement-session/answerLocally";
+import { createContents } from "@pomeloturn/statement-session/ConnectionContents";
+import type { CallerReply } from "@pomeloturn/types/CallerMessage";
+import { CommandKind, type InstanceReply } from "@pomeloturn/types/InstanceCommand";
+import { alignFor, awaitReply, forgetPrepared } from "./attemptRead.ts";
+import { judgeWrite, Verdict } from "./judgeReply.ts";
+import type { Operation } from "./Operation.ts";
+import { recordLeaderPosition } from "./recordLeaderPosition.ts";
+import { Evidence, type RunnerPorts } from "./RunnerPorts.ts";
+import { sleep, within } from "./timing.ts";
+
+/** A connection that was idle for longer is asked for a sign of life before a write goes out on it. */
+const VERIFY_IDLE_MS = 1_000;
+const VERIFY_TIMEOUT_MS = 250;
+const MAXIMUM_ATTEMPTS = 10;
+const PAUSE_MS = 25;
+const RETRY_AFTER_MS = 400;
+
+/** Whether a connection still answers: one that has gone silent would leave a write in doubt. */
+const isAlive = async (lease: Lease): Promise<boolean> => {
+    if (lease.idleMs < VERIFY_IDLE_MS) {
+        return true;
+    }
+    const [reply] = lease.connection.send([{ kind: CommandKind.Reset }]);
+    Object.assign(lease.contents, createContents());
+    const { code } = await within(reply!, VERIFY_TIMEOUT_MS) ?? { code: ResultCode.BackendLost };
+    if (code !== ResultCode.Ok) {
+        lease.discard("no sign of life");
+    }
+    return code === ResultCode.Ok;
+};
+
+/** Takes a verified connection to the primary. @returns undefined when none can be had now */
+const acquireAtLeader = async (operation: Operation, ports: RunnerPorts): Promise<Lease | undefined> => {
+    const { service, holdUntilMs, route } = operation;
+    const { leader } = service;
+    if (leader === undefined || leader.pool.isUnreachable) {
+        await service.waitForChange(Math.min(2 * PAUSE_MS, Math.max(1, holdUntilMs - ports.nowMs())));
+        return undefined;
+    }
+    const lease = await leader.pool.acquire(route.rank, Math.max(1, holdUntilMs - ports.nowMs()));
+    if (lease === undefined) {
+        await sleep(PAUSE_MS);
+        return undefined;
+    }
+    operation.instance = leader.entry.id;
+    if (await isAlive(lease)) {
+        return lease;
+    }
+    ports.onSuspect(service.name, leader.entry.id, Evidence.Silent);
+    return undefined;
+};
+
+/** Sends the write once. */
+const attemptWrite = async (operation: Operation, lease: Lease, ports: RunnerPorts): Promise<InstanceReply> => {
+    const { service, session, statement, instance } = operation;
+    const { commands, preparedName } = alignFor(lease, operation);
+    const sentAtMs = ports.nowMs();
+    const suspensions = ports.checkSuspended();
+    const replies = lease.connection.send([...commands, { kind: CommandKind.Forward, statement, preparedName, after: undefined }]);
+    const reply = await awaitReply(replies.at(-1)!, lease, operation, ports);
+    forgetPrepared(lease, reply);
+    lease.release(reply.status);
+    if (reply.code === ResultCode.Ok) {
+        recordLeaderPosition(service, instance, reply, sentAtMs, suspensions, ports);
+        service.instances.get(instance)?.recordAnswered(ports.nowMs() - sentAtMs, reply.position);
+        if (reply.position !== undefined) {
+            session.ownPositions.set(service.name, reply.position);
+        }
+    }
+    else if (reply.code === ResultCode.NotPrimary) {
+        service.denyLeader(instance);
+    }
+    return reply;
+};
+
+/** Runs a write outside a transaction. Once it was sent it is repeated only if it surely did not run. */
+export const runWrite = async (operation: Operation, ports: RunnerPorts): Promise<InstanceReply | CallerReply> => {
+    let lastCode: number = ResultCode.NoInstance;
+    while (operation.attempts < MAXIMUM_ATTEMPTS && ports.nowMs() < operation.holdUntilMs) {
+        const lease = await acquireAtLeader(operation, ports);
+        if (lease === undefined) {
+            continue;
+        }
+        operation.attempts++;
+        const reply = await attemptWrite(operation, lease, ports);
+        if (judgeWrite(reply) === Verdict.Answer) {
+            return reply;
+        }
+        lastCode = reply.code;
+        await sleep(PAUSE_MS);
+    }
+    return refused(ResultCode.NoInstance, `last result ${lastCode}`, operation.session.status, RETRY_AFTER_MS);
+};
--- /dev/null
+++ b/packages/process/statement-runner/src/timing.ts
@@ -0,0 +1,20 @@
+import { setTimeout as delay } from "node:timers/promises";
+
+/** Resolves after a time. */
+export const sleep = (waitMs: number): Promise<void> => delay(Math.max(0, waitMs));
+
+/** The promise's value, or undefined when it takes longer than `waitMs`. */
+export const within = <Value>(promise: Promise<Value>, waitMs: number): Promise<Value | undefined> =>
+    new Promise((resolve, reject) => {
+        const timer = setTimeout(() => resolve(undefined), Math.max(0, waitMs));
+        promise.then(
+            value => {
+                clearTimeout(timer);
+                resolve(value);
+            },
+            (error: Error) => {
+                clearTimeout(timer);
+                reject(error);
+            },
+        );
+    });
--- /dev/null
+++ b/scripts/buildEntry.js
@@ -0,0 +1,18 @@
+// Bundles the entry program for the users' platform into one file under target/.
+import { build } from "esbuild";
+import { mkdirSync, rmSync } from "node:fs";
+
+rmSync("target", { recursive: true, force: true });
+mkdirSync("target", { recursive: true });
+
+await build({
+    entryPoints: { entry: "programs/entry/src/main.ts" },
+    bundle: true,
+    minify: false,
+    platform: "node",
+    target: "node20",
+    format: "cjs",
+    outdir: "target",
+    outExtension: { ".js": ".cjs" },
+    logLevel: "warning",
+});
--- a/scripts/format.js
+++ b/scripts/format.js
@@ -13,7 +13,7 @@
 
 const isCheck = process.argv.includes("--check");
 const isSource = file => /\.(?:ts|js)$/.test(file) && !/(?:^|\/)(?:node_modules|dist|generated)\//.test(file);
-const folders = ["packages", "programs", "scripts", "tests"];
+const folders = ["packages", "platform", "programs", "scripts", "tests"];
 const nested = folders.flatMap(folder => readdirSync(folder, { recursive: true }).map(file => `${folder}/${file}`));
 const files = [...readdirSync("."), ...nested].filter(isSource);
 const changed = files.filter(file => {
