Replace primaries, drain, and take the last version that a feed states

Cause: the first path had no promotion, no shutdown and no logs. Change: stepReplacement decides probes, claims, handover and orders; the authority is a row moved by compare-and-set; a leaving primary steps down before its successor is promoted; stepEntryDrain; the feed's last version counts.

--- a/packages/connection/instance-connection/src/InstanceConnection.ts
+++ b/packages/connection/instance-connection/src/InstanceConnection.ts
@@ -39,14 +39,18 @@
     private constructor(
         private readonly socket: Socket,
         private readonly protocol: InstanceProtocol,
-        private readonly onClosed: (reason: string) => void,
+        private readonly onClosed: (reason: string, isRemote: boolean) => void,
     ) {
         this.decoder = protocol.createDecoder();
         this.greeting = new Promise(resolve => this.waiting.push(resolve));
     }
 
-    /** @param onClosed called once, when the connection is gone, whoever closed it */
-    static create(target: ConnectionTarget, protocol: InstanceProtocol, onClosed: (reason: string) => void): InstanceConnection {
+    /** @param onClosed called once, when the connection is gone; `isRemote` unless this process closed it */
+    static create(
+        target: ConnectionTarget,
+        protocol: InstanceProtocol,
+        onClosed: (reason: string, isRemote: boolean) => void,
+    ): InstanceConnection {
         const socket = connect({
             host: target.host,
             port: target.port,
@@ -56,8 +60,8 @@
         });
         const connection = new InstanceConnection(socket, protocol, onClosed);
         socket.on("data", chunk => connection.receive(chunk));
-        socket.on("error", error => connection.close((error as NodeJS.ErrnoException).code ?? error.message));
-        socket.on("close", () => connection.close("closed by the instance"));
+        socket.on("error", error => connection.end((error as NodeJS.ErrnoException).code ?? error.message, true));
+        socket.on("close", () => connection.end("closed by the instance", true));
         socket.write(protocol.encodeStartup(target.service, target.caller, target.instanceId), "latin1");
         return connection;
     }
@@ -83,13 +87,17 @@
 
     /** Closes the connection; an open transaction is rolled back by the instance. */
     close(reason: string): void {
+        this.end(reason, false);
+    }
+
+    private end(reason: string, isRemote: boolean): void {
         if (this.closeReason !== undefined) {
             return;
         }
         this.closeReason = reason;
         this.socket.destroy();
         this.waiting.splice(0).forEach(resolve => resolve(lostReply(reason)));
-        this.onClosed(reason);
+        this.onClosed(reason, isRemote);
     }
 
     private receive(chunk: Buffer): void {
--- a/packages/connection/instance-pool/src/InstancePool.ts
+++ b/packages/connection/instance-pool/src/InstancePool.ts
@@ -22,10 +22,11 @@
 /** What a pool needs from its surroundings. */
 export interface PoolPorts {
     readonly nowMs: () => number;
-    readonly open: (onClosed: (reason: string) => void) => InstanceConnection;
+    readonly open: (onClosed: (reason: string, isRemote: boolean) => void) => InstanceConnection;
     /** Told of each connection that could not be opened. */
     readonly onOpenFailed: (reply: InstanceReply) => void;
-    readonly onOpened: (handshakeMs: number) => void;
+    /** Told of each open connection that the instance or the network ended. */
+    readonly onLost: (reason: string) => void;
 }
 
 /** A connection in use by one request or transaction. */
@@ -173,14 +174,14 @@
     private openOne(): void {
         const startedAtMs = this.ports.nowMs();
         this.state.openingCount++;
-        const connection = this.ports.open(() => this.forget(pooled));
+        const connection = this.ports.open((reason, isRemote) => this.forget(pooled, reason, isRemote));
         const pooled: PooledConnection = { connection, contents: createContents(), usedAtMs: startedAtMs, isBusy: false };
         const timer = setTimeout(() => connection.close("no greeting in time"), OPEN_TIMEOUT_MS);
         void connection.greeting.then(reply => {
             clearTimeout(timer);
             this.state.openingCount--;
             if (reply.code === ResultCode.Ok) {
-                this.admit(pooled, startedAtMs);
+                this.admit(pooled);
             }
             else {
                 this.refuseOpening(connection, reply);
@@ -188,9 +189,8 @@
         });
     }
 
-    private admit(pooled: PooledConnection, startedAtMs: number): void {
+    private admit(pooled: PooledConnection): void {
         recordOpened(this.state);
-        this.ports.onOpened(this.ports.nowMs() - startedAtMs);
         this.all.add(pooled);
         pooled.usedAtMs = this.ports.nowMs();
         this.putBack(pooled);
@@ -255,10 +255,13 @@
     }
 
     /** The connection is gone. */
-    private forget(pooled: PooledConnection): void {
+    private forget(pooled: PooledConnection, reason: string, isRemote: boolean): void {
         if (!this.all.delete(pooled)) {
             return;
         }
+        if (isRemote) {
+            this.ports.onLost(reason);
+        }
         if (pooled.isBusy) {
             pooled.isBusy = false;
             this.state.busyCount--;
--- a/packages/process/follow-table/src/followTable.ts
+++ b/packages/process/follow-table/src/followTable.ts
@@ -18,6 +18,8 @@
     readonly onReachable: (isReachable: boolean, reason: string) => void;
 }
 
+/** Wait of a call after a failure: while the store answers nobody, the next call is to notice its return soon. */
+const CAUTIOUS_WAIT_MS = 300;
 const FIRST_PAUSE_MS = 250;
 const MAXIMUM_PAUSE_MS = 1_000;
 
@@ -32,7 +34,7 @@
         try {
             const answer: Awaited<ReturnType<TableReader["readChanges"]>> = version === undefined
                 ? await reader.readTable(table)
-                : await reader.readChanges(table, version, waitMs);
+                : await reader.readChanges(table, version, failureCount > 0 ? Math.min(waitMs, CAUTIOUS_WAIT_MS) : waitMs);
             if (failureCount > 0) {
                 options.onReachable(true, "");
             }
--- /dev/null
+++ b/packages/process/replacement-runner/src/ReplacementActor.ts
@@ -0,0 +1,135 @@
+import type { InstanceConnection } from "@pomeloturn/instance-connection/InstanceConnection";
+import type { LeaderView, ReplacementAction, ReplacementEvent } from "@pomeloturn/replace-primary/replacementMessages";
+import { createReplacement, Phase, type ReplacementState } from "@pomeloturn/replace-primary/ReplacementState";
+import { stepReplacement } from "@pomeloturn/replace-primary/stepReplacement";
+import type { InstanceRuntime } from "@pomeloturn/service-directory/InstanceRuntime";
+import type { ServiceRuntime } from "@pomeloturn/service-directory/ServiceRuntime";
+import type { Authority, AuthorityStore, InstanceProtocol, Promoter } from "@pomeloturn/types/Protocols";
+import { type ActorSystemRef, dispatch, type Ref, spawnStateless } from "nact";
+import { probeInstance, stepDownInstance, surveyInstance } from "./inspectInstance.ts";
+
+/** What a replacement works with. */
+export interface ReplacementOptions {
+    readonly system: ActorSystemRef;
+    readonly vm: string;
+    readonly service: ServiceRuntime;
+    readonly authorities: AuthorityStore;
+    readonly promoter: Promoter;
+    readonly protocol: InstanceProtocol;
+    readonly nowMs: () => number;
+    /** Opens a connection outside the pools. */
+    readonly open: (instance: InstanceRuntime) => InstanceConnection;
+    /** Place of this VM in the order in which VMs act on the service. */
+    readonly place: () => number;
+    readonly note: (text: string, details: Readonly<Record<string, unknown>>) => void;
+}
+
+type ActionHandlers = { readonly [Kind in ReplacementAction["kind"]]: (action: Extract<ReplacementAction, { kind: Kind; }>) => void; };
+
+/** Carries out what `stepReplacement` decides for one service. */
+export class ReplacementActor {
+    private readonly state: ReplacementState;
+    private readonly reference: Ref<ReplacementEvent>;
+    private readonly handlers: ActionHandlers;
+
+    private constructor(private readonly options: ReplacementOptions) {
+        const { system, vm, service } = options;
+        this.state = createReplacement(vm, options.nowMs());
+        this.reference = spawnStateless(system, (event: ReplacementEvent) => this.step(event), `replacement-${service.name}`);
+        this.handlers = this.createHandlers();
+    }
+
+    static create(options: ReplacementOptions): ReplacementActor {
+        return new ReplacementActor(options);
+    }
+
+    /** Whether the primary is in doubt, so that ticks should come often. */
+    get isActive(): boolean {
+        return this.state.phase !== Phase.Watching || this.state.suspicion !== undefined || this.state.leaderlessSinceMs !== undefined;
+    }
+
+    tick(): void {
+        dispatch(this.reference, { kind: "tick", view: this.view() });
+    }
+
+    suspect(instanceId: string): void {
+        dispatch(this.reference, { kind: "suspected", instanceId });
+    }
+
+    changeAuthority(authority: Authority): void {
+        dispatch(this.reference, { kind: "authorityChanged", authority });
+    }
+
+    private step(event: ReplacementEvent): void {
+        for (const action of stepReplacement(this.state, event, this.options.nowMs())) {
+            const handler = this.handlers[action.kind] as (action: ReplacementAction) => void;
+            handler(action);
+        }
+    }
+
+    private view(): LeaderView {
+        const { service, place } = this.options;
+        const { leader } = service;
+        return {
+            leaderId: leader?.entry.id,
+            isLeaderDraining: leader?.entry.isDraining === true,
+            instanceCount: service.instances.size,
+            place: place(),
+        };
+    }
+
+    private createHandlers(): ActionHandlers {
+        const { service, note } = this.options;
+        return {
+            probe: ({ instanceId }) => void this.probe(instanceId),
+            claim: ({ known }) => void this.claim(known),
+            survey: () => void this.survey(),
+            stepDown: ({ instanceId, term }) => void this.stepDown(instanceId, term),
+            order: ({ instanceId, fence }) => void this.order(instanceId, fence),
+            confirm: ({ instanceId, term }) => service.confirmLeader(instanceId, term),
+            note: ({ text, details }) => note(text, { service: service.name, ...details }),
+        };
+    }
+
+    private async probe(instanceId: string): Promise<void> {
+        const instance = this.options.service.instances.get(instanceId);
+        if (instance !== undefined) {
+            const outcome = await probeInstance(this.options.open(instance));
+            dispatch(this.reference, { kind: "probed", instanceId, outcome });
+        }
+    }
+
+    private async claim(known: Authority): Promise<void> {
+        const { authorities, service, vm, note } = this.options;
+        try {
+            const change = await authorities.claim(service.name, vm, known);
+            dispatch(this.reference, { kind: "claimed", change });
+        }
+        catch (error) {
+            note("no answer to a claim", { service: service.name, reason: (error as Error).message });
+            dispatch(this.reference, { kind: "claimed", change: undefined });
+        }
+    }
+
+    private async survey(): Promise<void> {
+        const { service, protocol } = this.options;
+        const instances = await Promise.all([...service.instances.values()].map(instance => surveyInstance(instance, protocol)));
+        dispatch(this.reference, { kind: "surveyed", instances });
+    }
+
+    private async stepDown(instanceId: string, term: number): Promise<void> {
+        const { service } = this.options;
+        const instance = service.instances.get(instanceId);
+        if (instance !== undefined) {
+            await stepDownInstance(instance, term);
+            service.denyLeader(instanceId);
+        }
+        dispatch(this.reference, { kind: "steppedDown" });
+    }
+
+    private async order(instanceId: string, fence: number): Promise<void> {
+        const { promoter, service, vm } = this.options;
+        const outcome = await promoter.promote(service.name, instanceId, vm, fence);
+        dispatch(this.reference, { kind: "ordered", outcome });
+    }
+}
--- a/packages/process/statement-runner/src/timing.ts
+++ b/packages/process/statement-runner/src/timing.ts
@@ -3,10 +3,10 @@
 /** Resolves after a time. */
 export const sleep = (waitMs: number): Promise<void> => delay(Math.max(0, waitMs));
 
-/** The promise's value, or undefined when it takes longer than `waitMs`. */
+/** The promise's value, or undefined when it takes longer than `waitMs`. What came meanwhile is read first, as timers run before sockets. */
 export const within = <Value>(promise: Promise<Value>, waitMs: number): Promise<Value | undefined> =>
     new Promise((resolve, reject) => {
-        const timer = setTimeout(() => resolve(undefined), Math.max(0, waitMs));
+        const timer = setTimeout(() => setImmediate(() => resolve(undefined)), Math.max(0, waitMs));
         promise.then(
             value => {
                 clearTimeout(timer);
--- /dev/null
+++ b/packages/version/replace-primary/src/stepReplacement.ts
@@ -0,0 +1,244 @@
+import { OrderOutcome } from "@pomeloturn/types/Protocols";
+import { chooseSuccessor, findPrimary, hasCaughtUp, missingCommits } from "./chooseSuccessor.ts";
+import { enter, survey } from "./phases.ts";
+import { ProbeOutcome, type ReplacementAction, type ReplacementEvent, type SurveyedInstance } from "./replacementMessages.ts";
+import { Phase, Reason, type ReplacementState } from "./ReplacementState.ts";
+import {
+    CATCH_UP_LIMIT_MS,
+    CLOSE_COMMITS,
+    HANDOVER_POLL_MS,
+    ORDER_PAUSE_MS,
+    PHASE_LIMIT_MS,
+    PROBE_INTERVAL_MS,
+    RETRY_PAUSE_MS,
+} from "./replacementTiming.ts";
+import { watchLeader } from "./watchLeader.ts";
+
+type Handlers = {
+    readonly [Kind in ReplacementEvent["kind"]]: (
+        state: ReplacementState,
+        event: Extract<ReplacementEvent, { kind: Kind; }>,
+        nowMs: number,
+    ) => ReplacementAction[];
+};
+
+/** Gives up the present attempt; the next one starts anew, with another fence. */
+const abandon = (state: ReplacementState, nowMs: number, text: string): ReplacementAction[] => {
+    const details = { phase: state.phase, reason: state.reason, fence: state.authority.fence };
+    enter(state, Phase.Watching, nowMs);
+    state.order = undefined;
+    state.isSteppedDown = false;
+    state.pausedUntilMs = nowMs + RETRY_PAUSE_MS;
+    return [{ kind: "note", text, details }];
+};
+
+const confirm = (state: ReplacementState, primary: SurveyedInstance, nowMs: number): ReplacementAction[] => {
+    if (state.phase !== Phase.Watching) {
+        enter(state, Phase.Watching, nowMs);
+        state.order = undefined;
+        state.isSteppedDown = false;
+    }
+    state.suspicion = undefined;
+    state.leaderlessSinceMs = undefined;
+    return [{ kind: "confirm", instanceId: primary.id, term: primary.state!.term }];
+};
+
+const claimAnswered = (
+    state: ReplacementState,
+    event: Extract<ReplacementEvent, { kind: "claimed"; }>,
+    nowMs: number,
+): ReplacementAction[] => {
+    if (state.phase !== Phase.Claiming) {
+        return [];
+    }
+    const { change } = event;
+    state.authority = change?.authority ?? state.authority;
+    if (state.reason === undefined) {
+        enter(state, Phase.Watching, nowMs);
+        state.pausedUntilMs = nowMs + RETRY_PAUSE_MS;
+        return [];
+    }
+    if (change?.isApplied === false) {
+        state.foreignClaimAtMs = nowMs;
+        return abandon(state, nowMs, "another VM has taken the authority");
+    }
+    if (change === undefined && state.authority.holder !== state.vm) {
+        return abandon(state, nowMs, "the store gave no authority");
+    }
+    // Without the store this VM may act under the authority that it has: the platform refuses it if another has a later one.
+    enter(state, Phase.Surveying, nowMs);
+    return survey(state, nowMs, HANDOVER_POLL_MS);
+};
+
+const order = (state: ReplacementState, successor: SurveyedInstance, nowMs: number): ReplacementAction[] => {
+    const { fence } = state.authority;
+    state.order = { instanceId: successor.id, fence, orderedAtMs: nowMs, repeatAtMs: undefined };
+    enter(state, Phase.Ordering, nowMs);
+    return [
+        {
+            kind: "note",
+            text: "ordering a promotion",
+            details: { reason: state.reason, instance: successor.id, fence, received: successor.state?.received },
+        },
+        { kind: "order", instanceId: successor.id, fence },
+    ];
+};
+
+/** After the claim: what the instances say decides who follows. */
+const decideSuccessor = (state: ReplacementState, instances: readonly SurveyedInstance[], nowMs: number): ReplacementAction[] => {
+    const primary = findPrimary(instances);
+    if (primary !== undefined && (state.reason !== Reason.Leaving || !primary.isDraining)) {
+        return [...confirm(state, primary, nowMs), { kind: "note", text: "the primary answers", details: { instance: primary.id } }];
+    }
+    const successor = chooseSuccessor(instances, primary?.id);
+    if (successor === undefined) {
+        return abandon(state, nowMs, "no replica answers");
+    }
+    if (state.reason === Reason.Leaving && primary !== undefined) {
+        return handOver(state, primary, successor, nowMs);
+    }
+    return order(state, successor, nowMs);
+};
+
+/** A planned change: the primary stops taking writes once its successor is close, so that no commit is lost. */
+const handOver = (state: ReplacementState, leaving: SurveyedInstance, successor: SurveyedInstance, nowMs: number): ReplacementAction[] => {
+    const isClose = missingCommits(successor, leaving) <= CLOSE_COMMITS || nowMs - state.phaseSinceMs >= CATCH_UP_LIMIT_MS;
+    if (!isClose) {
+        return [];
+    }
+    enter(state, Phase.HandingOver, nowMs);
+    state.isSteppedDown = false;
+    return [{ kind: "stepDown", instanceId: leaving.id, term: leaving.state!.term + 1 }];
+};
+
+/** After the leaving primary has stopped: the successor is promoted once it has all commits. */
+const finishHandOver = (state: ReplacementState, instances: readonly SurveyedInstance[], nowMs: number): ReplacementAction[] => {
+    const successor = chooseSuccessor(instances, undefined);
+    if (successor === undefined) {
+        return abandon(state, nowMs, "no replica answers");
+    }
+    const leaving = instances.find(({ isDraining, state: each }) => isDraining && each !== undefined);
+    const isComplete = hasCaughtUp(successor, leaving) || nowMs - state.phaseSinceMs >= CATCH_UP_LIMIT_MS;
+    return isComplete ? order(state, successor, nowMs) : [];
+};
+
+const surveyed: Handlers["surveyed"] = (state, { instances }, nowMs) => {
+    state.isSurveying = false;
+    const primary = findPrimary(instances);
+    const handlers: Readonly<Partial<Record<Phase, () => ReplacementAction[]>>> = {
+        watching: () => primary === undefined ? [] : confirm(state, primary, nowMs),
+        surveying: () => decideSuccessor(state, instances, nowMs),
+        handingOver: () => state.isSteppedDown ? finishHandOver(state, instances, nowMs) : [],
+        confirming: () =>
+            primary?.id === state.order?.instanceId && primary !== undefined
+                ? [
+                    {
+                        kind: "note",
+                        text: "the promoted instance leads",
+                        details: { instance: primary.id, term: primary.state!.term, afterMs: nowMs - state.order!.orderedAtMs },
+                    },
+                    ...confirm(state, primary, nowMs),
+                ]
+                : [],
+    };
+    return handlers[state.phase]?.() ?? [];
+};
+
+const orderAnswered: Handlers["ordered"] = (state, { outcome }, nowMs) => {
+    if (state.phase !== Phase.Ordering || state.order === undefined) {
+        return [];
+    }
+    if (outcome === OrderOutcome.Accepted) {
+        enter(state, Phase.Confirming, nowMs);
+        return [];
+    }
+    if (outcome === OrderOutcome.Refused) {
+        return abandon(state, nowMs, "the promotion was refused");
+    }
+    // A lost order may still be carried out: the same one is given again, so that no other instance is named under this fence.
+    state.order.repeatAtMs = nowMs + ORDER_PAUSE_MS;
+    return [];
+};
+
+/** Gives the same order again after a pause, or gives up. */
+const repeatOrder = (state: ReplacementState, nowMs: number): ReplacementAction[] => {
+    const { order: last } = state;
+    if (last?.repeatAtMs === undefined || nowMs < last.repeatAtMs) {
+        return [];
+    }
+    if (nowMs - last.orderedAtMs >= PHASE_LIMIT_MS) {
+        return abandon(state, nowMs, "the promotion got no answer");
+    }
+    last.repeatAtMs = undefined;
+    return [{ kind: "order", instanceId: last.instanceId, fence: last.fence }];
+};
+
+const SURVEYED_PHASES: ReadonlySet<Phase> = new Set<Phase>([Phase.Surveying, Phase.HandingOver, Phase.Confirming]);
+
+const tick: Handlers["tick"] = (state, { view }, nowMs) => {
+    if (state.phase === Phase.Watching) {
+        return watchLeader(state, view, nowMs);
+    }
+    if (state.phase === Phase.Ordering) {
+        return repeatOrder(state, nowMs);
+    }
+    if (nowMs - state.phaseSinceMs > PHASE_LIMIT_MS) {
+        return abandon(state, nowMs, "the replacement took too long");
+    }
+    return SURVEYED_PHASES.has(state.phase) && nowMs >= state.nextSurveyAtMs ? survey(state, nowMs, HANDOVER_POLL_MS) : [];
+};
+
+const probed: Handlers["probed"] = (state, { instanceId, outcome }, nowMs) => {
+    const { suspicion } = state;
+    if (suspicion === undefined || suspicion.instanceId !== instanceId) {
+        return [];
+    }
+    if (outcome === ProbeOutcome.Alive) {
+        state.suspicion = undefined;
+        return [];
+    }
+    suspicion.isProbing = false;
+    suspicion.nextProbeAtMs = nowMs + PROBE_INTERVAL_MS;
+    suspicion.refusedCount += outcome === ProbeOutcome.Refused ? 1 : 0;
+    suspicion.silentCount += outcome === ProbeOutcome.Silent ? 1 : 0;
+    return [];
+};
+
+const handlers: Handlers = {
+    tick,
+    suspected: (state, { instanceId }, nowMs) => {
+        state.suspicion ??= { instanceId, sinceMs: nowMs, refusedCount: 0, silentCount: 0, isProbing: false, nextProbeAtMs: nowMs };
+        return [];
+    },
+    probed,
+    authorityChanged: (state, { authority }, nowMs) => {
+        if (authority.fence > state.authority.fence) {
+            state.authority = authority;
+            if (authority.holder !== state.vm) {
+                state.foreignClaimAtMs = nowMs;
+            }
+        }
+        else if (authority.version > state.authority.version) {
+            state.authority = authority;
+        }
+        return [];
+    },
+    claimed: claimAnswered,
+    surveyed,
+    steppedDown: (state, _event, nowMs) => {
+        state.isSteppedDown = true;
+        return state.phase === Phase.HandingOver ? survey(state, nowMs, HANDOVER_POLL_MS) : [];
+    },
+    ordered: orderAnswered,
+};
+
+/**
+ * Applies an event to the replacement of a service's primary.
+ *
+ * @param nowMs monotonic time in milliseconds
+ * @returns what the shell is to do, in order
+ */
+export const stepReplacement = (state: ReplacementState, event: ReplacementEvent, nowMs: number): ReplacementAction[] => {
+    const handler = handlers[event.kind] as Handlers["tick"];
+    return handler(state, event as Extract<ReplacementEvent, { kind: "tick"; }>, nowMs);
+};
--- /dev/null
+++ b/packages/version/replace-primary/src/watchLeader.ts
@@ -0,0 +1,92 @@
+import { enter, survey } from "./phases.ts";
+import type { LeaderView, ReplacementAction } from "./replacementMessages.ts";
+import { Phase, Reason, type ReplacementState } from "./ReplacementState.ts";
+import {
+    LEADERLESS_LIMIT_MS,
+    PLACE_DELAY_MS,
+    PLACE_LIMIT,
+    REFUSED_PROBES,
+    SILENT_PROBES,
+    SURVEY_INTERVAL_MS,
+    YIELD_MS,
+} from "./replacementTiming.ts";
+
+/** Why the primary has to be replaced and since when; undefined while it is well. */
+const findReason = (
+    state: ReplacementState,
+    view: LeaderView,
+    nowMs: number,
+): Reason | undefined => {
+    const { suspicion, leaderlessSinceMs } = state;
+    if (view.instanceCount === 0) {
+        return undefined;
+    }
+    if (view.leaderId === undefined) {
+        return leaderlessSinceMs !== undefined && nowMs - leaderlessSinceMs >= LEADERLESS_LIMIT_MS ? Reason.Leaderless : undefined;
+    }
+    if (view.isLeaderDraining && view.instanceCount > 1) {
+        return Reason.Leaving;
+    }
+    const isDown = suspicion !== undefined && suspicion.instanceId === view.leaderId
+        && (suspicion.refusedCount >= REFUSED_PROBES || suspicion.silentCount + suspicion.refusedCount >= SILENT_PROBES);
+    return isDown ? Reason.Down : undefined;
+};
+
+/** Decides at a tick whether the primary is probed, searched or replaced. */
+export const watchLeader = (state: ReplacementState, view: LeaderView, nowMs: number): ReplacementAction[] => {
+    const actions: ReplacementAction[] = [];
+    if (view.leaderId !== undefined) {
+        state.leaderlessSinceMs = undefined;
+    }
+    else {
+        state.leaderlessSinceMs ??= nowMs;
+    }
+    if (state.suspicion !== undefined && state.suspicion.instanceId !== view.leaderId) {
+        state.suspicion = undefined;
+    }
+    const { suspicion } = state;
+    if (suspicion !== undefined && !suspicion.isProbing && nowMs >= suspicion.nextProbeAtMs) {
+        suspicion.isProbing = true;
+        actions.push({ kind: "probe", instanceId: suspicion.instanceId });
+    }
+    if (view.leaderId === undefined && view.instanceCount > 0 && nowMs >= state.nextSurveyAtMs) {
+        actions.push(...survey(state, nowMs, SURVEY_INTERVAL_MS));
+    }
+    return [...actions, ...startIfDue(state, view, nowMs)];
+};
+
+/** Takes the authority when there is a reason, and the VMs that come before have had their time. */
+const startIfDue = (
+    state: ReplacementState,
+    view: LeaderView,
+    nowMs: number,
+): ReplacementAction[] => {
+    const reason = findReason(state, view, nowMs);
+    if (reason !== state.reason) {
+        state.reason = reason;
+        state.phaseSinceMs = nowMs;
+    }
+    const delayMs = Math.min(PLACE_LIMIT, view.place) * PLACE_DELAY_MS;
+    const isDue = nowMs - state.phaseSinceMs >= delayMs && nowMs >= state.pausedUntilMs && nowMs - state.foreignClaimAtMs >= YIELD_MS;
+    if (reason !== undefined && isDue) {
+        enter(state, Phase.Claiming, nowMs);
+        return [
+            { kind: "note", text: "replacing the primary", details: { reason, leader: view.leaderId, knownFence: state.authority.fence } },
+            { kind: "claim", known: state.authority },
+        ];
+    }
+    return isFirstClaimDue(state, view, nowMs) ? claimEarly(state, nowMs) : [];
+};
+
+/** The VM that comes first takes an authority that nobody has, so that it can act while the store is away. */
+const isFirstClaimDue = (
+    { authority, pausedUntilMs, firstClaimAtMs }: ReplacementState,
+    { place, leaderId }: LeaderView,
+    nowMs: number,
+): boolean => place === 0 && leaderId !== undefined && authority.version === 0 && nowMs >= Math.max(pausedUntilMs, firstClaimAtMs);
+
+const claimEarly = (state: ReplacementState, nowMs: number): ReplacementAction[] => {
+    state.reason = undefined;
+    enter(state, Phase.Claiming, nowMs);
+    return [{ kind: "claim", known: state.authority }];
+};
--- a/programs/entry/src/CallerSession.ts
+++ b/programs/entry/src/CallerSession.ts
@@ -11,6 +11,14 @@
 
 type MessageHandler = (message: CallerMessage) => Promise<void> | void;
 
+/** Constants for what a session is doing. */
+export const SessionActivity = {
+    Idle: "idle",
+    InTransaction: "inTransaction",
+    Running: "running",
+} as const;
+export type SessionActivity = typeof SessionActivity[keyof typeof SessionActivity];
+
 /** One caller's connection: decodes its messages and answers them in order. */
 export class CallerSession {
     private readonly decoder: Decoder<CallerMessage>;
@@ -46,9 +54,11 @@
         return session;
     }
 
-    /** Whether the session can be closed without breaking anything off. */
-    get isIdle(): boolean {
-        return !this.isBusy && this.waiting.length === 0 && (this.runner === undefined || this.runner.isIdle);
+    get activity(): SessionActivity {
+        if (this.isBusy || this.waiting.length > 0) {
+            return SessionActivity.Running;
+        }
+        return this.runner === undefined || this.runner.isIdle ? SessionActivity.Idle : SessionActivity.InTransaction;
     }
 
     /** Closes the connection after what was written. */
--- /dev/null
+++ b/programs/entry/src/DirectoryFeeds.test.ts
@@ -0,0 +1,42 @@
+import { Counters } from "@pomeloturn/logger/Counters";
+import { createLogger } from "@pomeloturn/logger/createLogger";
+import { ServiceDirectory } from "@pomeloturn/service-directory/ServiceDirectory";
+import type { RowsAnswer, StoreRow, TableReader } from "@pomeloturn/types/StoreRow";
+import { expect, it, vi } from "vitest";
+import { DirectoryFeeds } from "./DirectoryFeeds.ts";
+
+const encode = (value: object): string => Buffer.from(JSON.stringify(value)).toString("base64");
+
+const configurationRow = (version: number): StoreRow => ({
+    key: "config",
+    value: encode({ version, routes: [], services: [], limits: {} }),
+    version,
+    isDeleted: false,
+});
+
+/** A store whose configuration table answers one feed call; everything else waits for ever. */
+const createReader = (rows: readonly StoreRow[]): TableReader => {
+    const answers: (RowsAnswer | undefined)[] = [{ rows, version: 20 }];
+    return {
+        readTable: table => Promise.resolve({ rows: table === "op" ? [configurationRow(4)] : [], version: 4 }),
+        readChanges: table => table === "op" && answers.length > 0 ? Promise.resolve(answers.pop()) : new Promise(() => {}),
+    };
+};
+
+it("takes the newest of several versions that one answer of the feed states", async () => {
+    const directory = ServiceDirectory.create(() => {
+        throw new Error("no instance is listed");
+    });
+    const stopping = new AbortController();
+    DirectoryFeeds.create({
+        reader: createReader([configurationRow(6), configurationRow(14)]),
+        directory,
+        logger: createLogger("test", "vm-1"),
+        counters: Counters.create(),
+        signal: stopping.signal,
+        onMembers: () => {},
+        onAuthority: () => {},
+    }).start();
+    await vi.waitFor(() => expect(directory.routes?.version).toBe(14));
+    stopping.abort();
+});
--- a/programs/entry/src/Entry.ts
+++ b/programs/entry/src/Entry.ts
@@ -1,134 +1,140 @@
 import { SuspensionDetector } from "@pomeloturn/clock/SuspensionDetector";
-import { followTable } from "@pomeloturn/follow-table/followTable";
+import { LatencyHistograms } from "@pomeloturn/histograms/LatencyHistograms";
 import { InstanceConnection } from "@pomeloturn/instance-connection/InstanceConnection";
 import { InstancePool } from "@pomeloturn/instance-pool/InstancePool";
+import { Counters } from "@pomeloturn/logger/Counters";
 import type { ProcessLogger } from "@pomeloturn/logger/createLogger";
-import { decodeInstance } from "@pomeloturn/platform/decodeInstance";
-import { decodeRoutes } from "@pomeloturn/platform/decodeRoutes";
 import { lineCallerProtocol, lineInstanceProtocol } from "@pomeloturn/platform/lineProtocol";
+import { PlatformAuthority } from "@pomeloturn/platform/PlatformAuthority";
+import { PlatformPromoter } from "@pomeloturn/platform/PlatformPromoter";
 import { type PlatformSettings, splitAddress } from "@pomeloturn/platform/PlatformSettings";
 import { ReadinessServer } from "@pomeloturn/platform/ReadinessServer";
 import { StoreClient } from "@pomeloturn/platform/StoreClient";
-import { CONFIGURATION_KEY, INSTANCE_TABLE, MEMBER_TABLE, OPERATOR_TABLE } from "@pomeloturn/platform/tables";
+import { MEMBER_TABLE } from "@pomeloturn/platform/tables";
 import { clearSamples } from "@pomeloturn/position-samples/PositionSamples";
 import { Distance } from "@pomeloturn/rank-candidates/rankCandidates";
 import { ServiceDirectory } from "@pomeloturn/service-directory/ServiceDirectory";
 import type { RunnerPorts } from "@pomeloturn/statement-runner/RunnerPorts";
 import type { InstanceEntry } from "@pomeloturn/types/ServiceEntries";
-import type { StoreRow } from "@pomeloturn/types/StoreRow";
+import { start } from "nact";
 import { CallerListener } from "./CallerListener.ts";
+import { DirectoryFeeds } from "./DirectoryFeeds.ts";
+import { EntryDrain } from "./EntryDrain.ts";
+import { MetricsServer } from "./MetricsServer.ts";
+import { Replacements } from "./Replacements.ts";
+import { StatementLog } from "./StatementLog.ts";
 
 const TICK_MS = 200;
-/** Waits of the feeds: the configuration's bounds how long a silent connection may go unnoticed. */
-const CONFIGURATION_WAIT_MS = 5_000;
-const LISTING_WAIT_MS = 15_000;
-const CONFIGURATION_SETTLE_MS = 200;
-const LISTING_SETTLE_MS = 20;
+/** Interval of ticks while a primary is in doubt. */
+const ACTIVE_TICK_MS = 40;
+const REGISTER_PAUSE_MS = 1_000;
 
 /** The proxy of one VM. */
 export class Entry {
     private readonly stopping = new AbortController();
     private readonly detector = SuspensionDetector.create(differenceMs => this.forgetAges(differenceMs));
     private readonly directory = ServiceDirectory.create(entry => this.createPool(entry));
+    private readonly counters = Counters.create();
+    private readonly histograms = LatencyHistograms.create();
     private readonly store: StoreClient;
-    private readonly members = new Set<string>();
+    private readonly replacements: Replacements;
     private readonly ports: RunnerPorts;
+    private listener: CallerListener | undefined;
     private isDraining = false;
 
-    private constructor(private readonly settings: PlatformSettings, private readonly logger: ProcessLogger) {
+    private constructor(private settings: PlatformSettings, private readonly logger: ProcessLogger) {
         this.store = StoreClient.create(settings.storeAddress);
-        this.ports = {
-            directory: this.directory,
-            nowMs: () => performance.now(),
-            checkSuspended: () => this.detector.check(performance.now(), Date.now()),
-            distanceTo: failureDomain => this.distanceTo(failureDomain),
-            onSuspect: () => {},
-            onStatement: () => {},
-        };
+        this.ports = this.createPorts();
+        this.replacements = Replacements.create({
+            system: start(),
+            vm: settings.vm,
+            authorities: PlatformAuthority.create(this.store),
+            promoter: PlatformPromoter.create(
+                settings.ordersAddress,
+                error => logger.warn("no answer to an order", { reason: error.message }),
+            ),
+            protocol: lineInstanceProtocol,
+            nowMs: this.ports.nowMs,
+            open: ({ entry }) => this.connect(entry, () => {}),
+            note: (text, details) => logger.info(text, details),
+        });
     }
 
     static create(settings: PlatformSettings, logger: ProcessLogger): Entry {
         return new Entry(settings, logger);
     }
 
+    /** Begins to listen, and follows the store's tables. */
     start(): void {
-        this.follow(
-            OPERATOR_TABLE,
-            CONFIGURATION_WAIT_MS,
-            CONFIGURATION_SETTLE_MS,
-            rows => this.applyConfiguration(rows),
-            rows => this.applyConfiguration(rows),
-        );
-        this.follow(
-            INSTANCE_TABLE,
-            LISTING_WAIT_MS,
-            LISTING_SETTLE_MS,
-            rows => this.replaceInstances(rows),
-            rows => this.changeInstances(rows),
-        );
-        this.follow(MEMBER_TABLE, LISTING_WAIT_MS, LISTING_SETTLE_MS, rows => this.applyMembers(rows), rows => this.applyMembers(rows));
+        const { settings, logger, directory, replacements } = this;
+        DirectoryFeeds.create({
+            reader: this.store,
+            directory,
+            logger,
+            counters: this.counters,
+            signal: this.stopping.signal,
+            onMembers: members => {
+                directory.setVmCount(Math.max(1, members.size));
+                replacements.setMembers(members);
+            },
+            onAuthority: (service, authority) => replacements.setAuthority(service, authority),
+        }).start();
         void this.register();
-        const { host, port } = splitAddress(this.settings.callerAddress);
-        CallerListener.create(host, port, lineCallerProtocol, this.ports);
-        ReadinessServer.create(this.settings.readinessAddress, () => !this.isDraining && this.directory.isServing);
-        setInterval(() => this.directory.tick(), TICK_MS);
-        this.logger.info("started", { vm: this.settings.vm });
+        const { host, port } = splitAddress(settings.callerAddress);
+        this.listener = CallerListener.create(host, port, lineCallerProtocol, this.ports);
+        ReadinessServer.create(settings.readinessAddress, () => !this.isDraining && directory.isServing);
+        MetricsServer.create(splitAddress(settings.metricsAddress), this.counters, this.histograms);
+        this.tick();
+        logger.info("started", { vm: settings.vm });
     }
 
-    private follow(
-        table: string,
-        waitMs: number,
-        settleMs: number,
-        onAll: (rows: readonly StoreRow[]) => void,
-        onChanged: (rows: readonly StoreRow[]) => void,
-    ): void {
-        const onReachable = (isReachable: boolean, reason: string): void => {
-            this.logger.info(isReachable ? "store reachable" : "store unreachable", { table, reason });
-        };
-        void followTable(this.store, { table, waitMs, settleMs, signal: this.stopping.signal, onAll, onChanged, onReachable });
-    }
-
-    private applyConfiguration(rows: readonly StoreRow[]): void {
-        const row = rows.find(({ key, isDeleted }) => key === CONFIGURATION_KEY && !isDeleted);
-        if (row !== undefined && this.directory.adoptRoutes(decodeRoutes(row.value))) {
-            this.logger.info("configuration in force", { version: this.directory.routes?.version });
-        }
+    /** Takes settings that have changed; addresses and names hold until the next start. */
+    reload(settings: PlatformSettings): void {
+        const names = Object.keys(settings) as (keyof PlatformSettings)[];
+        const changed = names.filter(name => JSON.stringify(settings[name]) !== JSON.stringify(this.settings[name]));
+        this.settings = settings;
+        this.logger.info("settings reloaded", { changed });
     }
 
-    private decode(row: StoreRow): InstanceEntry | undefined {
-        const entry = row.isDeleted ? undefined : decodeInstance(row);
-        if (entry === undefined && !row.isDeleted) {
-            this.logger.warn("instance entry not usable", { id: row.key });
+    /** Ends the process without breaking anything off. */
+    drain(onDone: () => void): void {
+        if (this.isDraining) {
+            return;
         }
-        return entry;
-    }
-
-    private replaceInstances(rows: readonly StoreRow[]): void {
-        this.directory.replaceEntries(rows.map(row => this.decode(row)).filter(entry => entry !== undefined));
+        this.isDraining = true;
+        this.logger.info("shutting down", { sessions: this.listener?.sessions.size });
+        const finish = (): void => {
+            this.stopping.abort();
+            this.logger.info("stopped", { sessions: this.listener?.sessions.size });
+            onDone();
+        };
+        const sessions = this.listener?.sessions ?? new Set();
+        EntryDrain.create({ sessions, nowMs: this.ports.nowMs, onDone: finish }, this.settings.shutdownGraceMs);
+        void this.store.deleteRow(MEMBER_TABLE, this.settings.vm).catch((error: Error) => {
+            this.logger.warn("still registered", { reason: error.message });
+        });
     }
 
-    private changeInstances(rows: readonly StoreRow[]): void {
-        for (const row of rows) {
-            const entry = this.decode(row);
-            if (entry === undefined) {
-                this.directory.removeInstance(row.key);
-            }
-            else {
-                this.directory.applyEntry(entry);
-            }
-        }
+    private createPorts(): RunnerPorts {
+        const statements = StatementLog.create(this.logger, this.counters, this.histograms);
+        return {
+            directory: this.directory,
+            nowMs: () => performance.now(),
+            checkSuspended: () => this.detector.check(performance.now(), Date.now()),
+            distanceTo: failureDomain => this.distanceTo(failureDomain),
+            onSuspect: (service, instanceId, evidence) => {
+                this.counters.add(`suspected_${evidence}`);
+                this.replacements.suspect(service, instanceId);
+            },
+            onStatement: record => statements.record(record, performance.now()),
+        };
     }
 
-    private applyMembers(rows: readonly StoreRow[]): void {
-        for (const { key, isDeleted } of rows) {
-            if (isDeleted) {
-                this.members.delete(key);
-            }
-            else {
-                this.members.add(key);
-            }
-        }
-        this.directory.setVmCount(Math.max(1, this.members.size));
+    private tick(): void {
+        this.ports.checkSuspended();
+        this.directory.tick();
+        const isActive = this.replacements.tick(this.directory.services.values());
+        setTimeout(() => this.tick(), isActive ? ACTIVE_TICK_MS : TICK_MS);
     }
 
     private async register(): Promise<void> {
@@ -138,18 +144,23 @@
         }
         catch (error) {
             this.logger.warn("not registered", { reason: (error as Error).message });
-            setTimeout(() => void this.register(), 1_000);
+            setTimeout(() => void this.register(), REGISTER_PAUSE_MS);
         }
     }
 
-    private createPool(entry: InstanceEntry): InstancePool {
+    private connect(entry: InstanceEntry, onClosed: (reason: string, isRemote: boolean) => void): InstanceConnection {
         const { host, port, service, id: instanceId } = entry;
         const target = { host, port, service, instanceId, caller: this.settings.vm };
+        return InstanceConnection.create(target, lineInstanceProtocol, onClosed);
+    }
+
+    private createPool(entry: InstanceEntry): InstancePool {
+        const suspect = (): void => this.replacements.suspect(entry.service, entry.id);
         return InstancePool.create({
             nowMs: this.ports.nowMs,
-            open: onClosed => InstanceConnection.create(target, lineInstanceProtocol, onClosed),
-            onOpenFailed: () => {},
-            onOpened: () => {},
+            open: onClosed => this.connect(entry, onClosed),
+            onOpenFailed: suspect,
+            onLost: suspect,
         });
     }
 
@@ -163,7 +174,7 @@
 
     /** The ages of samples are not known any more. */
     private forgetAges(differenceMs: number): void {
-        this.logger.warn("suspended, or the time of day was changed", { differenceMs });
+        this.logger.warn("suspended, or the time of day was changed", { differenceMs: Math.round(differenceMs) });
         for (const { samples } of this.directory.services.values()) {
             clearSamples(samples);
         }
--- /dev/null
+++ b/programs/entry/src/EntryDrain.ts
@@ -0,0 +1,46 @@
+import { createEntryDrain, type EntryDrainState, stepEntryDrain } from "@pomeloturn/drain/stepEntryDrain";
+import { type CallerSession, SessionActivity } from "./CallerSession.ts";
+
+const STEP_INTERVAL_MS = 50;
+
+/** What a shutdown works with. */
+export interface EntryDrainOptions {
+    readonly sessions: ReadonlySet<CallerSession>;
+    readonly nowMs: () => number;
+    readonly onDone: () => void;
+}
+
+/** Carries out the graceful shutdown of an entry. */
+export class EntryDrain {
+    private readonly state: EntryDrainState;
+    private readonly timer: NodeJS.Timeout;
+
+    private constructor(private readonly options: EntryDrainOptions, graceMs: number) {
+        this.state = createEntryDrain(graceMs, options.nowMs());
+        this.timer = setInterval(() => this.step(), STEP_INTERVAL_MS);
+    }
+
+    static create(options: EntryDrainOptions, graceMs: number): EntryDrain {
+        return new EntryDrain(options, graceMs);
+    }
+
+    private step(): void {
+        const sessions = [...this.options.sessions];
+        const withActivity = (activity: SessionActivity): CallerSession[] => sessions.filter(session => session.activity === activity);
+        const idle = withActivity(SessionActivity.Idle);
+        const inTransaction = withActivity(SessionActivity.InTransaction);
+        const runningStatements = withActivity(SessionActivity.Running).length;
+        const work = { idleSessions: idle.length, openTransactions: inTransaction.length, runningStatements };
+        const decision = stepEntryDrain(this.state, work, this.options.nowMs());
+        idle.slice(0, decision.closeIdle).forEach(session => session.end());
+        if (decision.endTransactions) {
+            inTransaction.forEach(session => session.end());
+        }
+        if (decision.exit) {
+            clearInterval(this.timer);
+            sessions.forEach(session => session.end());
+            // The last answers leave before the process does.
+            setTimeout(() => this.options.onDone(), STEP_INTERVAL_MS);
+        }
+    }
+}
--- /dev/null
+++ b/programs/entry/src/Replacements.ts
@@ -0,0 +1,66 @@
+import { hashText } from "@pomeloturn/membership/hash";
+import { ReplacementActor, type ReplacementOptions } from "@pomeloturn/replacement-runner/ReplacementActor";
+import type { ServiceRuntime } from "@pomeloturn/service-directory/ServiceRuntime";
+import type { Authority } from "@pomeloturn/types/Protocols";
+
+/** What the replacements of all services share. */
+export type SharedReplacementOptions = Omit<ReplacementOptions, "service" | "place">;
+
+/** The replacements of all services. */
+export class Replacements {
+    private readonly actors = new Map<string, ReplacementActor>();
+    private readonly authorities = new Map<string, Authority>();
+    private members: readonly string[] = [];
+
+    private constructor(private readonly options: SharedReplacementOptions) {}
+
+    static create(options: SharedReplacementOptions): Replacements {
+        return new Replacements(options);
+    }
+
+    /** Sets the VMs that may act. */
+    setMembers(members: ReadonlySet<string>): void {
+        this.members = [...members];
+    }
+
+    setAuthority(service: string, authority: Authority): void {
+        this.authorities.set(service, authority);
+        this.actors.get(service)?.changeAuthority(authority);
+    }
+
+    suspect(service: string, instanceId: string): void {
+        this.actors.get(service)?.suspect(instanceId);
+    }
+
+    /** @returns whether a primary is in doubt, so that the next tick should come soon */
+    tick(services: Iterable<ServiceRuntime>): boolean {
+        let isActive = false;
+        for (const service of services) {
+            const actor = this.findOrCreate(service);
+            actor.tick();
+            isActive ||= actor.isActive;
+        }
+        return isActive;
+    }
+
+    private findOrCreate(service: ServiceRuntime): ReplacementActor {
+        const known = this.actors.get(service.name);
+        if (known !== undefined) {
+            return known;
+        }
+        const actor = ReplacementActor.create({ ...this.options, service, place: () => this.placeFor(service.name) });
+        this.actors.set(service.name, actor);
+        const authority = this.authorities.get(service.name);
+        if (authority !== undefined) {
+            actor.changeAuthority(authority);
+        }
+        return actor;
+    }
+
+    /** Place of this VM by rendezvous hashing, so that the services' duties spread over the VMs. */
+    private placeFor(service: string): number {
+        const { vm } = this.options;
+        const own = hashText(`${service} ${vm}`);
+        return this.members.filter(member => member !== vm && hashText(`${service} ${member}`) < own).length;
+    }
+}
--- /dev/null
+++ b/programs/entry/src/StatementLog.ts
@@ -0,0 +1,46 @@
+import { ResultCode } from "@pomeloturn/errors/ResultCode";
+import type { LatencyHistograms } from "@pomeloturn/histograms/LatencyHistograms";
+import type { Counters } from "@pomeloturn/logger/Counters";
+import type { ProcessLogger } from "@pomeloturn/logger/createLogger";
+import { LineBudget } from "@pomeloturn/logger/LineBudget";
+import type { StatementRecord } from "@pomeloturn/statement-runner/RunnerPorts";
+
+/** Lines a second for statements that did not go as they should. */
+const NOTABLE_LINES_PER_SECOND = 10;
+/** One of this many plain successes gets a line. */
+const PLAIN_SAMPLE = 500;
+/** A statement that took longer gets a line. */
+const SLOW_MS = 400;
+const LATENCY_DIGITS = 1;
+
+/** Counts statements, and writes a line for each that failed, was slow or was sent more than once. */
+export class StatementLog {
+    private readonly notable = LineBudget.create(NOTABLE_LINES_PER_SECOND);
+    private plainCount = 0;
+
+    private constructor(
+        private readonly logger: ProcessLogger,
+        private readonly counters: Counters,
+        private readonly histograms: LatencyHistograms,
+    ) {}
+
+    static create(logger: ProcessLogger, counters: Counters, histograms: LatencyHistograms): StatementLog {
+        return new StatementLog(logger, counters, histograms);
+    }
+
+    record(statement: StatementRecord, nowMs: number): void {
+        const { service, rank, code, latencyMs, attempts } = statement;
+        this.histograms.record(service, `rank-${rank}`, latencyMs);
+        this.counters.add(code === ResultCode.Ok ? "statements_served" : `result-${code}`);
+        const isPlain = code === ResultCode.Ok && attempts <= 1 && latencyMs < SLOW_MS;
+        if (isPlain && this.plainCount++ % PLAIN_SAMPLE !== 0) {
+            return;
+        }
+        const droppedLines = this.notable.take(nowMs);
+        if (droppedLines === undefined) {
+            this.counters.add("log_lines_dropped");
+            return;
+        }
+        this.logger.info("statement", { ...statement, latencyMs: Number(latencyMs.toFixed(LATENCY_DIGITS)), droppedLines });
+    }
+}
--- a/programs/entry/src/main.ts
+++ b/programs/entry/src/main.ts
@@ -3,5 +3,18 @@
 import { findSettingsFile } from "@pomeloturn/platform/tables";
 import { Entry } from "./Entry.ts";
 
-const settings = loadPlatformSettings(findSettingsFile(process.env));
-Entry.create(settings, createLogger("entry", settings.vm)).start();
+const file = findSettingsFile(process.env);
+const settings = loadPlatformSettings(file);
+const logger = createLogger("entry", settings.vm);
+const entry = Entry.create(settings, logger);
+
+process.on("SIGTERM", () => entry.drain(() => process.exit(0)));
+process.on("SIGHUP", () => {
+    try {
+        entry.reload(loadPlatformSettings(file));
+    }
+    catch (error) {
+        logger.error("settings not reloaded", { reason: (error as Error).message });
+    }
+});
+entry.start();
