--- a/packages/connection/instance-connection/src/InstanceConnection.ts
+++ b/packages/connection/instance-connection/src/InstanceConnection.ts
@@ -3,6 +3,7 @@
 import type { Decoder, InstanceProtocol } from "@pomeloturn/types/Protocols";
 import { TransactionStatus } from "@pomeloturn/types/Request";
 import { connect, type Socket } from "node:net";
+import type { CommandChannel } from "./CommandChannel.ts";
 
 /** Idle time after which the kernel probes a connection that may have gone silent. */
 const KEEP_ALIVE_DELAY_MS = 2_000;
@@ -27,13 +28,12 @@
     position: undefined,
 });
 
-/** A connection to an instance. Commands are answered in the order in which they were sent. */
-export class InstanceConnection {
+/** A connection over a socket. */
+export class InstanceConnection implements CommandChannel {
     private readonly waiting: ((reply: InstanceReply) => void)[] = [];
     private readonly decoder: Decoder<InstanceReply>;
     private closeReason: string | undefined;
 
-    /** Answer to the greeting; a lost reply when the instance cannot be reached. */
     readonly greeting: Promise<InstanceReply>;
 
     private constructor(
@@ -70,12 +70,10 @@
         return this.closeReason !== undefined;
     }
 
-    /** Commands that have no answer yet. */
     get outstandingCount(): number {
         return this.waiting.length;
     }
 
-    /** Sends commands in one write. The promises never reject; a reply that does not come is `BackendLost`. */
     send(commands: readonly InstanceCommand[]): Promise<InstanceReply>[] {
         if (this.closeReason !== undefined) {
             return commands.map(() => Promise.resolve(lostReply(this.closeReason!)));
@@ -85,7 +83,6 @@
         return replies;
     }
 
-    /** Closes the connection; an open transaction is rolled back by the instance. */
     close(reason: string): void {
         this.end(reason, false);
     }
--- a/packages/connection/instance-pool/src/InstancePool.ts
+++ b/packages/connection/instance-pool/src/InstancePool.ts
@@ -1,5 +1,5 @@
 import { ResultCode } from "@pomeloturn/errors/ResultCode";
-import { type InstanceConnection } from "@pomeloturn/instance-connection/InstanceConnection";
+import { type CommandChannel } from "@pomeloturn/instance-connection/CommandChannel";
 import { type ConnectionContents, createContents } from "@pomeloturn/statement-session/ConnectionContents";
 import type { InstanceReply } from "@pomeloturn/types/InstanceCommand";
 import { TransactionStatus } from "@pomeloturn/types/Request";
@@ -22,7 +22,7 @@
 /** What a pool needs from its surroundings. */
 export interface PoolPorts {
     readonly nowMs: () => number;
-    readonly open: (onClosed: (reason: string, isRemote: boolean) => void) => InstanceConnection;
+    readonly open: (onClosed: (reason: string, isRemote: boolean) => void) => CommandChannel;
     /** Told of each connection that could not be opened. */
     readonly onOpenFailed: (reply: InstanceReply) => void;
     /** Told of each open connection that the instance or the network ended. */
@@ -31,7 +31,7 @@
 
 /** A connection in use by one request or transaction. */
 export interface Lease {
-    readonly connection: InstanceConnection;
+    readonly connection: CommandChannel;
     readonly contents: ConnectionContents;
     /** Time for which the connection had not been used. */
     readonly idleMs: number;
@@ -42,7 +42,7 @@
 }
 
 interface PooledConnection {
-    readonly connection: InstanceConnection;
+    readonly connection: CommandChannel;
     readonly contents: ConnectionContents;
     usedAtMs: number;
     isBusy: boolean;
@@ -196,7 +196,7 @@
         this.putBack(pooled);
     }
 
-    private refuseOpening(connection: InstanceConnection, reply: InstanceReply): void {
+    private refuseOpening(connection: CommandChannel, reply: InstanceReply): void {
         connection.close("not greeted");
         if (reply.code === ResultCode.ConnectionsExhausted) {
             recordExhausted(this.state, this.ports.nowMs());
--- a/packages/process/replacement-runner/src/ReplacementActor.ts
+++ b/packages/process/replacement-runner/src/ReplacementActor.ts
@@ -1,4 +1,4 @@
-import type { InstanceConnection } from "@pomeloturn/instance-connection/InstanceConnection";
+import type { CommandChannel } from "@pomeloturn/instance-connection/CommandChannel";
 import type { LeaderView, ReplacementAction, ReplacementEvent } from "@pomeloturn/replace-primary/replacementMessages";
 import { createReplacement, Phase, type ReplacementState } from "@pomeloturn/replace-primary/ReplacementState";
 import { stepReplacement } from "@pomeloturn/replace-primary/stepReplacement";
@@ -18,7 +18,7 @@
     readonly protocol: InstanceProtocol;
     readonly nowMs: () => number;
     /** Opens a connection outside the pools. */
-    readonly open: (instance: InstanceRuntime) => InstanceConnection;
+    readonly open: (instance: InstanceRuntime) => CommandChannel;
     /** Place of this VM in the order in which VMs act on the service. */
     readonly place: () => number;
     readonly note: (text: string, details: Readonly<Record<string, unknown>>) => void;
--- a/packages/process/replacement-runner/src/inspectInstance.ts
+++ b/packages/process/replacement-runner/src/inspectInstance.ts
@@ -1,5 +1,5 @@
 import { ResultCode } from "@pomeloturn/errors/ResultCode";
-import type { InstanceConnection } from "@pomeloturn/instance-connection/InstanceConnection";
+import type { CommandChannel } from "@pomeloturn/instance-connection/CommandChannel";
 import { ProbeOutcome, type SurveyedInstance } from "@pomeloturn/replace-primary/replacementMessages";
 import { PROBE_TIMEOUT_MS, SURVEY_TIMEOUT_MS } from "@pomeloturn/replace-primary/replacementTiming";
 import type { InstanceRuntime } from "@pomeloturn/service-directory/InstanceRuntime";
@@ -23,7 +23,7 @@
     });
 
 /** Asks an instance for a sign of life over a connection of its own, as open ones may have gone silent. */
-export const probeInstance = async (connection: InstanceConnection): Promise<ProbeOutcome> => {
+export const probeInstance = async (connection: CommandChannel): Promise<ProbeOutcome> => {
     const reply = await awaitReply(connection.greeting, PROBE_TIMEOUT_MS);
     connection.close("probed");
     if (reply === undefined) {
--- a/packages/process/statement-runner/src/timing.ts
+++ b/packages/process/statement-runner/src/timing.ts
@@ -1,7 +1,5 @@
-import { setTimeout as delay } from "node:timers/promises";
-
 /** Resolves after a time. */
-export const sleep = (waitMs: number): Promise<void> => delay(Math.max(0, waitMs));
+export const sleep = (waitMs: number): Promise<void> => new Promise(resolve => setTimeout(resolve, Math.max(0, waitMs)));
 
 /** The promise's value, or undefined when it takes longer than `waitMs`. What came meanwhile is read first, as timers run before sockets. */
 export const within = <Value>(promise: Promise<Value>, waitMs: number): Promise<Value | undefined> =>
