--- a/packages/connection/instance-pool/src/PoolState.ts
+++ b/packages/connection/instance-pool/src/PoolState.ts
@@ -24,7 +24,7 @@
 /** After a refusal for want of connections the limit grows by one in each of these intervals. */
 const LIMIT_GROWTH_INTERVAL_MS = 500;
 /** Idle connections beyond `keptCount` are closed after this time. */
-const SPARE_IDLE_MS = 1_500;
+const SPARE_IDLE_MS = 400;
 const KEPT_IDLE_MS = 45_000;
 /** From this limit on, one connection is left to the most urgent rank. */
 const RESERVING_LIMIT = 3;
