Accept no more callers before the exit, then wait for those accepted last

Ruled out: the closing of idle sessions (the session had just begun), the end of transactions (at 34.0 s).

--- a/packages/process/drain/src/stepEntryDrain.ts
+++ b/packages/process/drain/src/stepEntryDrain.ts
@@ -7,6 +7,9 @@
 /** Idle sessions are closed over this time, so that they do not all come back at once elsewhere. */
 const SPREAD_MS = 500;
 
+/** Time in which a caller that was accepted last sends its first statement. */
+const ACCEPTED_MS = 100;
+
 /** A proxy's shutdown where no other process depends on it. Times are monotonic milliseconds. */
 export interface EntryDrainState {
     readonly startedAtMs: number;
@@ -14,6 +17,8 @@
     /** Idle sessions when the closing began. */
     spreadCount: number | undefined;
     closedCount: number;
+    /** Since when no new callers are accepted. */
+    closedAtMs: number | undefined;
 }
 
 /** What the proxy has to do still. */
@@ -30,6 +35,8 @@
     readonly closeIdle: number;
     /** Whether to roll back the transactions that are still open. */
     readonly endTransactions: boolean;
+    /** Whether to accept no more callers. */
+    readonly stopAccepting: boolean;
     readonly exit: boolean;
 }
 
@@ -38,6 +45,7 @@
     graceMs,
     spreadCount: undefined,
     closedCount: 0,
+    closedAtMs: undefined,
 });
 
 /** Decides one step of a shutdown. New callers are still served: the balancer sends them until it has noticed. */
@@ -46,10 +54,17 @@
     const isOut = elapsedMs >= OUT_OF_ROTATION_MS;
     const isOver = elapsedMs >= state.graceMs - EXIT_MARGIN_MS;
     const isEmpty = work.idleSessions + work.openTransactions + work.runningStatements === 0;
+    const wasClosed = state.closedAtMs !== undefined && nowMs - state.closedAtMs >= ACCEPTED_MS;
+    const stopAccepting = state.closedAtMs === undefined && (isOver || (isOut && isEmpty));
+    if (stopAccepting) {
+        state.closedAtMs = nowMs;
+    }
     return {
         closeIdle: isOut ? countToClose(state, work.idleSessions, elapsedMs) : 0,
         endTransactions: elapsedMs >= state.graceMs * TRANSACTION_SHARE && work.openTransactions > 0,
-        exit: isOver || (isOut && isEmpty),
+        stopAccepting,
+        // A caller that was accepted last may have sent a statement that is yet to be read.
+        exit: isOver || (wasClosed && isEmpty),
     };
 };
 
--- a/programs/entry/src/Entry.ts
+++ b/programs/entry/src/Entry.ts
@@ -109,7 +109,8 @@
             onDone();
         };
         const sessions = this.listener?.sessions ?? new Set();
-        EntryDrain.create({ sessions, nowMs: this.ports.nowMs, onDone: finish }, this.settings.shutdownGraceMs);
+        const stopAccepting = (): void => this.listener?.stopAccepting();
+        EntryDrain.create({ sessions, stopAccepting, nowMs: this.ports.nowMs, onDone: finish }, this.settings.shutdownGraceMs);
         void this.store.deleteRow(MEMBER_TABLE, this.settings.vm).catch((error: Error) => {
             this.logger.warn("still registered", { reason: error.message });
         });
--- a/programs/entry/src/EntryDrain.ts
+++ b/programs/entry/src/EntryDrain.ts
@@ -6,6 +6,7 @@
 /** What a shutdown works with. */
 export interface EntryDrainOptions {
     readonly sessions: ReadonlySet<CallerSession>;
+    readonly stopAccepting: () => void;
     readonly nowMs: () => number;
     readonly onDone: () => void;
 }
@@ -36,6 +37,9 @@
         if (decision.endTransactions) {
             inTransaction.forEach(session => session.end());
         }
+        if (decision.stopAccepting) {
+            this.options.stopAccepting();
+        }
         if (decision.exit) {
             clearInterval(this.timer);
             sessions.forEach(session => session.end());
