--- a/packages/process/statement-runner/src/Transaction.ts
+++ b/packages/process/statement-runner/src/Transaction.ts
@@ -75,7 +75,6 @@
         const isAtLeader = !this.isReadOnly || this.route.freshness === Freshness.Primary;
         const excluded = new Set<string>();
         while (this.ports.nowMs() < operation.holdUntilMs && !this.isEnded) {
-            operation.attempts++;
             const begun = isAtLeader ? await this.beginAtLeader(operation) : await this.beginAtAny(operation, excluded);
             if (begun !== undefined) {
                 operation.instance = begun.instance.entry.id;
--- a/packages/process/statement-runner/src/runRead.ts
+++ b/packages/process/statement-runner/src/runRead.ts
@@ -172,6 +172,8 @@
         this.pending.delete(attempt);
         const reply = await attempt.reply;
         if (reply === undefined) {
+            // Nothing was sent: the attempt does not count.
+            this.operation.attempts--;
             await sleep(PAUSE_MS);
             return undefined;
         }
