--- a/packages/process/statement-runner/src/Operation.ts
+++ b/packages/process/statement-runner/src/Operation.ts
@@ -21,7 +21,7 @@
 }
 
 /** Share of a statement's time limit for which it may wait without being sent. */
-const HOLD_SHARE = 0.8;
+const HOLD_SHARE = 0.4;
 
 /** Time left for the answer's way back before the limit of the route. */
 const ANSWER_MARGIN_MS = 10;
