--- a/packages/version/replace-primary/src/replacementTiming.ts
+++ b/packages/version/replace-primary/src/replacementTiming.ts
@@ -15,7 +15,7 @@
 /** Highest place that counts for the delay. */
 export const PLACE_LIMIT = 8;
 /** Time that a VM which has taken the authority gets before another takes it. */
-export const YIELD_MS = 2_500;
+export const YIELD_MS = 1_700;
 /** Pause after an attempt that came to nothing. */
 export const RETRY_PAUSE_MS = 400;
 /** Longest time in a phase. */
