--- /dev/null
+++ b/packages/version/replace-primary/src/stepReplacement.test.ts
@@ -0,0 +1,55 @@
+import { OrderOutcome } from "@pomeloturn/types/Protocols";
+import { describe, expect, it } from "vitest";
+import { type LeaderView, ProbeOutcome, type ReplacementAction } from "./replacementMessages.ts";
+import { createReplacement, Phase, type ReplacementState } from "./ReplacementState.ts";
+import { stepReplacement } from "./stepReplacement.ts";
+
+const VIEW: LeaderView = { leaderId: "a", isLeaderDraining: false, instanceCount: 3, place: 0 };
+const UNAVAILABLE = { kind: "claimed", change: undefined } as const;
+
+/** A VM whose primary refused two probes. */
+const createDoubtful = (): ReplacementState => {
+    const state = createReplacement("vm-0", 0);
+    stepReplacement(state, { kind: "suspected", instanceId: "a" }, 1_000);
+    for (const atMs of [1_000, 1_200]) {
+        stepReplacement(state, { kind: "tick", view: VIEW }, atMs);
+        stepReplacement(state, { kind: "probed", instanceId: "a", outcome: ProbeOutcome.Refused }, atMs + 10);
+    }
+    return state;
+};
+
+const kinds = (actions: readonly ReplacementAction[]): string[] => actions.map(({ kind }) => kind);
+
+describe("a VM whose primary is down", () => {
+    it("claims the authority", () => {
+        expect(kinds(stepReplacement(createDoubtful(), { kind: "tick", view: VIEW }, 1_400))).toContain("claim");
+    });
+
+    it("looks for a primary that another VM promoted while the store gives it no authority", () => {
+        const state = createDoubtful();
+        stepReplacement(state, { kind: "tick", view: VIEW }, 1_400);
+        stepReplacement(state, UNAVAILABLE, 2_000);
+        expect(state.phase).toBe(Phase.Watching);
+        // The survey that began before the claim is over.
+        stepReplacement(state, { kind: "surveyed", instances: [] }, 2_010);
+        expect(kinds(stepReplacement(state, { kind: "tick", view: VIEW }, 2_300))).toContain("survey");
+        const instances = [{ id: "b", isDraining: false, state: { isPrimary: true, term: 2, received: { term: 2, position: 7 } } }];
+        expect(stepReplacement(state, { kind: "surveyed", instances }, 2_310)).toEqual([{ kind: "confirm", instanceId: "b", term: 2 }]);
+        expect(state.suspicion).toBeUndefined();
+    });
+
+    it("takes another fence before it names another instance", () => {
+        const state = createDoubtful();
+        stepReplacement(state, { kind: "tick", view: VIEW }, 1_400);
+        const authority = { holder: "vm-0", fence: 5, version: 9 };
+        stepReplacement(state, { kind: "claimed", change: { isApplied: true, authority } }, 1_410);
+        const instances = [{ id: "b", isDraining: false, state: { isPrimary: false, term: 1, received: { term: 1, position: 7 } } }];
+        const ordered = stepReplacement(state, { kind: "surveyed", instances }, 1_420);
+        expect(ordered.at(-1)).toEqual({ kind: "order", instanceId: "b", fence: 5 });
+        stepReplacement(state, { kind: "ordered", outcome: OrderOutcome.Refused }, 1_430);
+        const next = Array.from({ length: 20 }, (_, index) => stepReplacement(state, { kind: "tick", view: VIEW }, 1_450 + 40 * index))
+            .flat();
+        expect(next.find(({ kind }) => kind === "claim")).toEqual({ kind: "claim", known: authority });
+        expect(kinds(next)).not.toContain("order");
+    });
+});
--- a/packages/version/replace-primary/src/watchLeader.ts
+++ b/packages/version/replace-primary/src/watchLeader.ts
@@ -49,7 +49,9 @@
         suspicion.isProbing = true;
         actions.push({ kind: "probe", instanceId: suspicion.instanceId });
     }
-    if (view.leaderId === undefined && view.instanceCount > 0 && nowMs >= state.nextSurveyAtMs) {
+    // A VM without the store learns of a promotion only from the instances.
+    const isLost = view.leaderId === undefined || findReason(state, view, nowMs) === Reason.Down;
+    if (isLost && view.instanceCount > 0 && nowMs >= state.nextSurveyAtMs) {
         actions.push(...survey(state, nowMs, SURVEY_INTERVAL_MS));
     }
     return [...actions, ...startIfDue(state, view, nowMs)];
