One table of our own, longer feed waits, and connections by twice the share

Change: members and authorities share a table; listings are waited for 28 s, and a silent configuration feed renews the others; a VM may have twice its share, idle spares close sooner while an instance refuses.

--- a/packages/connection/instance-pool/src/InstancePool.ts
+++ b/packages/connection/instance-pool/src/InstancePool.ts
@@ -124,8 +124,7 @@
     tick(): void {
         const nowMs = this.ports.nowMs();
         regrowLimit(this.state, nowMs);
-        const oldest = this.idle[0];
-        if (oldest !== undefined && isIdleTooLong(this.state, nowMs - oldest.usedAtMs)) {
+        for (let oldest = this.idle[0]; oldest !== undefined && isIdleTooLong(this.state, nowMs - oldest.usedAtMs); oldest = this.idle[0]) {
             oldest.connection.close("idle");
         }
         this.openMissing();
--- a/packages/connection/instance-pool/src/PoolState.ts
+++ b/packages/connection/instance-pool/src/PoolState.ts
@@ -15,6 +15,8 @@
     failureCount: number;
     /** Monotonic time of the last change of `limit` after a refusal. */
     limitedAtMs: number;
+    /** Idle time after which a connection beyond `keptCount` is closed. */
+    spareIdleMs: number;
 }
 
 /** Connections that are opened at the same time, so that an instance's slots are not all taken by greetings. */
@@ -23,8 +25,13 @@
 const MAXIMUM_BACKOFF_MS = 800;
 /** After a refusal for want of connections the limit grows by one in each of these intervals. */
 const LIMIT_GROWTH_INTERVAL_MS = 500;
-/** Idle connections beyond `keptCount` are closed after this time. */
+/** Idle connections beyond `keptCount` are closed after this time; sooner while the instance has no connection left. */
 const SPARE_IDLE_MS = 400;
+const SHORTEST_SPARE_IDLE_MS = 40;
+const SPARE_IDLE_GROWTH = 1.05;
+/** A VM may have this many times its share of an instance's connections, as they are seldom all wanted at once. */
+const BORROWING_FACTOR = 2;
+const MINIMUM_LIMIT = 2;
 const KEPT_IDLE_MS = 45_000;
 /** From this limit on, one connection is left to the most urgent rank. */
 const RESERVING_LIMIT = 3;
@@ -40,6 +47,7 @@
     backoffUntilMs: 0,
     failureCount: 0,
     limitedAtMs: -Infinity,
+    spareIdleMs: SPARE_IDLE_MS,
 });
 
 /**
@@ -50,9 +58,8 @@
  */
 export const shareLimit = (state: PoolState, connectionLimit: number, vmCount: number): void => {
     const share = Math.floor(connectionLimit / Math.max(1, vmCount));
-    // Connections are seldom all wanted at once: a VM may borrow from the others up to a quarter of all.
     const isFull = state.limit === state.fullLimit;
-    state.fullLimit = Math.max(1, share, Math.floor(connectionLimit / 4));
+    state.fullLimit = Math.max(MINIMUM_LIMIT, BORROWING_FACTOR * share);
     state.keptCount = Math.min(1, share);
     state.limit = isFull ? state.fullLimit : Math.min(state.limit, state.fullLimit);
 };
@@ -88,10 +95,12 @@
     state.limit = Math.max(1, openCount(state));
     state.limitedAtMs = nowMs;
     state.backoffUntilMs = nowMs + FIRST_BACKOFF_MS;
+    state.spareIdleMs = Math.max(SHORTEST_SPARE_IDLE_MS, state.spareIdleMs / 2);
 };
 
 /** Lets the limit grow back. */
 export const regrowLimit = (state: PoolState, nowMs: number): void => {
+    state.spareIdleMs = Math.min(SPARE_IDLE_MS, state.spareIdleMs * SPARE_IDLE_GROWTH);
     if (state.limit < state.fullLimit && nowMs - state.limitedAtMs >= LIMIT_GROWTH_INTERVAL_MS) {
         state.limit++;
         state.limitedAtMs = nowMs;
@@ -100,4 +109,4 @@
 
 /** Whether the connection that has been idle longest is closed. */
 export const isIdleTooLong = (state: PoolState, idleMs: number): boolean =>
-    idleMs > (openCount(state) > state.keptCount ? SPARE_IDLE_MS : KEPT_IDLE_MS);
+    idleMs > (openCount(state) > state.keptCount ? state.spareIdleMs : KEPT_IDLE_MS);
--- a/packages/shared/types/src/Protocols.ts
+++ b/packages/shared/types/src/Protocols.ts
@@ -61,8 +61,6 @@
 
 /** The rows that decide who may promote. */
 export interface AuthorityStore {
-    /** @throws PomeloturnError with `StoreUnavailable` */
-    read(service: string): Promise<Authority>;
     /** Takes the authority under the next fence unless it has changed. @throws PomeloturnError with `StoreUnavailable` */
     claim(service: string, holder: string, known: Authority): Promise<AuthorityChange>;
 }
--- a/programs/entry/src/DirectoryFeeds.test.ts
+++ b/programs/entry/src/DirectoryFeeds.test.ts
@@ -34,6 +34,8 @@
         logger: createLogger("test", "vm-1"),
         counters: Counters.create(),
         signal: stopping.signal,
+        configurationWaitMs: 4_000,
+        onSilent: () => {},
         onMembers: () => {},
         onAuthority: () => {},
     }).start();
--- a/programs/entry/src/DirectoryFeeds.ts
+++ b/programs/entry/src/DirectoryFeeds.ts
@@ -3,19 +3,19 @@
 import type { ProcessLogger } from "@pomeloturn/logger/createLogger";
 import { decodeInstance } from "@pomeloturn/platform/decodeInstance";
 import { decodeRoutes } from "@pomeloturn/platform/decodeRoutes";
-import { AUTHORITY_TABLE, decodeAuthority } from "@pomeloturn/platform/PlatformAuthority";
-import { CONFIGURATION_KEY, INSTANCE_TABLE, MEMBER_TABLE, OPERATOR_TABLE } from "@pomeloturn/platform/tables";
+import { decodeAuthority } from "@pomeloturn/platform/PlatformAuthority";
+import { CONFIGURATION_KEY, INSTANCE_TABLE, OPERATOR_TABLE, OWN_TABLE, readAuthorityKey, readMemberKey } from "@pomeloturn/platform/tables";
 import type { ServiceDirectory } from "@pomeloturn/service-directory/ServiceDirectory";
 import type { Authority } from "@pomeloturn/types/Protocols";
 import type { InstanceEntry } from "@pomeloturn/types/ServiceEntries";
 import type { StoreRow, TableReader } from "@pomeloturn/types/StoreRow";
 
-/** Wait of the configuration's feed: it bounds how long a connection that has gone silent stays unnoticed. */
-const CONFIGURATION_WAIT_MS = 4_000;
-const LISTING_WAIT_MS = 15_000;
-/** Configurations in quick succession are read together. */
+/** Wait of the listings' feeds. Connections that have gone silent are noticed by the configuration's. */
+const LISTING_WAIT_MS = 28_000;
+/** Changes in quick succession are read together, as each call has its price. */
 const CONFIGURATION_SETTLE_MS = 200;
-const LISTING_SETTLE_MS = 20;
+const INSTANCE_SETTLE_MS = 100;
+const OWN_SETTLE_MS = 50;
 
 /** What the feeds work with. */
 export interface FeedOptions {
@@ -24,6 +24,10 @@
     readonly logger: ProcessLogger;
     readonly counters: Counters;
     readonly signal: AbortSignal;
+    /** Wait of the configuration's feed: it bounds how long a connection that has gone silent stays unnoticed. */
+    readonly configurationWaitMs: number;
+    /** Ends the calls that are under way, as their connections may have gone silent too. */
+    readonly onSilent: () => void;
     readonly onMembers: (members: ReadonlySet<string>) => void;
     readonly onAuthority: (service: string, authority: Authority) => void;
 }
@@ -40,17 +44,16 @@
 
     start(): void {
         const applyConfiguration = (rows: readonly StoreRow[]): void => this.applyConfiguration(rows);
-        const applyAuthorities = (rows: readonly StoreRow[]): void => this.applyAuthorities(rows);
-        this.follow(OPERATOR_TABLE, CONFIGURATION_WAIT_MS, CONFIGURATION_SETTLE_MS, applyConfiguration, applyConfiguration);
+        const { configurationWaitMs } = this.options;
+        this.follow(OPERATOR_TABLE, configurationWaitMs, CONFIGURATION_SETTLE_MS, applyConfiguration, applyConfiguration);
         this.follow(
             INSTANCE_TABLE,
             LISTING_WAIT_MS,
-            LISTING_SETTLE_MS,
+            INSTANCE_SETTLE_MS,
             rows => this.replaceInstances(rows),
             rows => this.changeInstances(rows),
         );
-        this.follow(MEMBER_TABLE, LISTING_WAIT_MS, LISTING_SETTLE_MS, rows => this.replaceMembers(rows), rows => this.changeMembers(rows));
-        this.follow(AUTHORITY_TABLE, LISTING_WAIT_MS, LISTING_SETTLE_MS, applyAuthorities, applyAuthorities);
+        this.follow(OWN_TABLE, LISTING_WAIT_MS, OWN_SETTLE_MS, rows => this.replaceOwn(rows), rows => this.changeOwn(rows));
     }
 
     private follow(
@@ -60,9 +63,12 @@
         onAll: (rows: readonly StoreRow[]) => void,
         onChanged: (rows: readonly StoreRow[]) => void,
     ): void {
-        const { reader, logger, counters, signal } = this.options;
+        const { reader, logger, counters, signal, onSilent } = this.options;
         const onReachable = (isReachable: boolean, reason: string): void => {
             counters.add(isReachable ? "store_regained" : "store_lost");
+            if (!isReachable && table === OPERATOR_TABLE) {
+                onSilent();
+            }
             logger.info(isReachable ? "store reachable" : "store unreachable", { table, reason });
         };
         void followTable(reader, { table, waitMs, settleMs, signal, onAll, onChanged, onReachable });
@@ -109,26 +115,29 @@
         }
     }
 
-    private replaceMembers(rows: readonly StoreRow[]): void {
+    private replaceOwn(rows: readonly StoreRow[]): void {
         this.members.clear();
-        this.changeMembers(rows);
+        this.changeOwn(rows);
     }
 
-    private changeMembers(rows: readonly StoreRow[]): void {
-        for (const { key, isDeleted } of rows) {
-            if (isDeleted) {
-                this.members.delete(key);
-            }
-            else {
-                this.members.add(key);
+    private changeOwn(rows: readonly StoreRow[]): void {
+        const { onMembers, onAuthority } = this.options;
+        for (const row of rows) {
+            const service = readAuthorityKey(row.key);
+            if (service !== undefined) {
+                onAuthority(service, decodeAuthority(row));
             }
+            this.changeMember(readMemberKey(row.key), row.isDeleted);
         }
-        this.options.onMembers(this.members);
+        onMembers(this.members);
     }
 
-    private applyAuthorities(rows: readonly StoreRow[]): void {
-        for (const row of rows) {
-            this.options.onAuthority(row.key, decodeAuthority(row));
+    private changeMember(vm: string | undefined, isDeleted: boolean): void {
+        if (vm !== undefined && isDeleted) {
+            this.members.delete(vm);
+        }
+        else if (vm !== undefined) {
+            this.members.add(vm);
         }
     }
 }
--- a/programs/entry/src/Entry.ts
+++ b/programs/entry/src/Entry.ts
@@ -10,7 +10,7 @@
 import { type PlatformSettings, splitAddress } from "@pomeloturn/platform/PlatformSettings";
 import { ReadinessServer } from "@pomeloturn/platform/ReadinessServer";
 import { StoreClient } from "@pomeloturn/platform/StoreClient";
-import { MEMBER_TABLE } from "@pomeloturn/platform/tables";
+import { memberKey, OWN_TABLE } from "@pomeloturn/platform/tables";
 import { clearSamples } from "@pomeloturn/position-samples/PositionSamples";
 import { Distance } from "@pomeloturn/rank-candidates/rankCandidates";
 import { ServiceDirectory } from "@pomeloturn/service-directory/ServiceDirectory";
@@ -28,6 +28,8 @@
 /** Interval of ticks while a primary is in doubt. */
 const ACTIVE_TICK_MS = 40;
 const REGISTER_PAUSE_MS = 1_000;
+/** Part of the contact bound that is left for the calls after a silent connection was noticed. */
+const SILENCE_MARGIN_MS = 1_000;
 
 /** The proxy of one VM. */
 export class Entry {
@@ -73,6 +75,8 @@
             logger,
             counters: this.counters,
             signal: this.stopping.signal,
+            configurationWaitMs: settings.contactMs - SILENCE_MARGIN_MS,
+            onSilent: () => this.store.reconnect(),
             onMembers: members => {
                 directory.setVmCount(Math.max(1, members.size));
                 replacements.setMembers(members);
@@ -111,7 +115,7 @@
         const sessions = this.listener?.sessions ?? new Set();
         const stopAccepting = (): void => this.listener?.stopAccepting();
         EntryDrain.create({ sessions, stopAccepting, nowMs: this.ports.nowMs, onDone: finish }, this.settings.shutdownGraceMs);
-        void this.store.deleteRow(MEMBER_TABLE, this.settings.vm).catch((error: Error) => {
+        void this.store.deleteRow(OWN_TABLE, memberKey(this.settings.vm)).catch((error: Error) => {
             this.logger.warn("still registered", { reason: error.message });
         });
     }
@@ -141,7 +145,7 @@
     private async register(): Promise<void> {
         const value = Buffer.from(JSON.stringify({ failureDomain: this.settings.failureDomain })).toString("base64");
         try {
-            await this.store.writeRow(MEMBER_TABLE, { key: this.settings.vm, expectedVersion: undefined, value });
+            await this.store.writeRow(OWN_TABLE, { key: memberKey(this.settings.vm), expectedVersion: undefined, value });
         }
         catch (error) {
             this.logger.warn("not registered", { reason: (error as Error).message });
