--- a/programs/entry/src/DirectoryFeeds.ts
+++ b/programs/entry/src/DirectoryFeeds.ts
@@ -14,8 +14,8 @@
 const LISTING_WAIT_MS = 28_000;
 /** Changes in quick succession are read together, as each call has its price. */
 const CONFIGURATION_SETTLE_MS = 200;
-const INSTANCE_SETTLE_MS = 100;
-const OWN_SETTLE_MS = 50;
+const INSTANCE_SETTLE_MS = 400;
+const OWN_SETTLE_MS = 400;
 
 /** What the feeds work with. */
 export interface FeedOptions {
