Charge the paid link in replays

A bucket that holds a second of its rate may double the rate within one second, so the account gets half of what was approved.

--- a/packages/process/replay-trace/src/replayTrace.ts
+++ b/packages/process/replay-trace/src/replayTrace.ts
@@ -1,3 +1,5 @@
+import { advanceAccount, chargeLink, createLinkAccount, type LinkAccount } from "@pomeloturn/charge-link/LinkAccount";
+import { ResultCode } from "@pomeloturn/errors/ResultCode";
 import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { EntryModel } from "./EntryModel.ts";
@@ -16,6 +18,7 @@
 const RETRY_DELAY_MS = 50;
 const DRAIN_TIME_MS = 20_000;
 const SECOND_MS = 1_000;
+const LEASED_SHARE = 0.5;
 
 /** The last acknowledged write of a session. */
 interface SessionWrite {
@@ -43,6 +46,8 @@
     private readonly sessionWrites = new Map<number, SessionWrite>();
     private readonly finished: FinishedRequest[] = [];
     private readonly arrivedCounts: number[];
+    /** By pair of regions. */
+    private readonly accounts = new Map<string, LinkAccount>();
 
     constructor(
         private readonly deployment: ReplayDeployment,
@@ -125,6 +130,10 @@
     private send(attempt: Attempt, instance: string, excluded: Set<string>, nowMs: number): void {
         const { line, entry } = attempt;
         const target = this.deployment.instances[instance]!;
+        if (!this.mayCross(target, entry.failureDomain, line, nowMs)) {
+            this.finish(attempt, undefined, nowMs, false);
+            return;
+        }
         const delayMs = oneWayMs(this.deployment, entry.failureDomain, target);
         entry.knowledge.countSent(instance);
         this.meter(entry.failureDomain, target, REQUEST_SIZE_BYTES, nowMs);
@@ -187,6 +196,31 @@
         });
     }
 
+    /** Charges the expected answer to the link that it will take, as the entry does before it sends. */
+    private mayCross(fromDomain: string, toDomain: string, line: RequestLine, nowMs: number): boolean {
+        const { regions } = this.deployment;
+        if (regions[fromDomain] === regions[toDomain]) {
+            return true;
+        }
+        const key = `${regions[fromDomain]}>${regions[toDomain]}`;
+        const account = this.accounts.get(key) ?? this.openAccount(nowMs);
+        this.accounts.set(key, account);
+        return chargeLink(account, line.rank, line.answerBytes + REQUEST_SIZE_BYTES, 0, nowMs) === ResultCode.Ok;
+    }
+
+    /** An account with a lease that lasts. A burst may double its rate within a second, so the rate is half of what was approved. */
+    private openAccount(nowMs: number): LinkAccount {
+        const bytesPerSecond = this.deployment.approvedBytesPerSecond * LEASED_SHARE;
+        const limits = { leasableBytesPerSecond: bytesPerSecond, leasableBytesPerMonth: Infinity, safeBytesPerSecond: 0 };
+        const account = createLinkAccount("replay", limits, nowMs - SECOND_MS);
+        account.lease.bytesPerSecond = bytesPerSecond;
+        account.lease.expiresAtMs = Infinity;
+        account.lease.monthLeftBytes = Infinity;
+        // The lease has been held for a second, as on a VM that was running before the trace.
+        advanceAccount(account, nowMs - SECOND_MS);
+        return account;
+    }
+
     private settle(entry: EntryModel, instance: string): void {
         entry.knowledge.countSettled(instance);
     }
