--- a/packages/process/statement-runner/src/RunnerPorts.ts
+++ b/packages/process/statement-runner/src/RunnerPorts.ts
@@ -12,6 +12,11 @@
     readonly instance: string;
     readonly attempts: number;
     readonly detail: string;
+    /** The instance that this VM took to be the primary; empty when none was known. */
+    readonly leader: string;
+    /** Age of the newest sample of the primary's position, in milliseconds; infinite without one. */
+    readonly sampleAgeMs: number;
+    readonly configurationVersion: number;
 }
 
 /** Constants for what a failed attempt says of an instance. */
--- a/packages/process/statement-runner/src/runRead.ts
+++ b/packages/process/statement-runner/src/runRead.ts
@@ -163,8 +163,10 @@
         return { instance, reply: attemptRead(operation, instance, requirement.after, requirement.isOwnPosition, this.waitMs(), ports) };
     }
 
+    /** Time to wait for a connection; behind an attempt that was sent, all that the statement has left. */
     private waitMs(): number {
-        return Math.max(1, this.operation.holdUntilMs - this.ports.nowMs());
+        const { holdUntilMs, deadlineAtMs } = this.operation;
+        return Math.max(1, (this.pending.size > 0 ? deadlineAtMs : holdUntilMs) - this.ports.nowMs());
     }
 
     /** Takes a finished attempt. @returns the reply for the caller, if it is one */
--- a/programs/cli/src/main.ts
+++ b/programs/cli/src/main.ts
@@ -10,6 +10,7 @@
 import { HistogramsCommand } from "./histograms/HistogramsCommand.ts";
 import { PromoteCommand } from "./promote/PromoteCommand.ts";
 import { StatusCommand } from "./status/StatusCommand.ts";
+import { TraceCommand } from "./trace/TraceCommand.ts";
 
 const commands = [
     Builtins.HelpCommand,
@@ -24,6 +25,7 @@
     PromoteCommand,
     HistogramsCommand,
     ExplainCommand,
+    TraceCommand,
 ];
 
 const cli = new Cli({ binaryLabel: "pomeloturn", binaryName: "pomeloturn" });
--- a/programs/entry/src/StatementLog.ts
+++ b/programs/entry/src/StatementLog.ts
@@ -41,6 +41,7 @@
             this.counters.add("log_lines_dropped");
             return;
         }
-        this.logger.info("statement", { ...statement, latencyMs: Number(latencyMs.toFixed(LATENCY_DIGITS)), droppedLines });
+        const times = { latencyMs: Number(latencyMs.toFixed(LATENCY_DIGITS)), sampleAgeMs: Math.round(statement.sampleAgeMs) };
+        this.logger.info("statement", { ...statement, ...times, droppedLines });
     }
 }
