Make the test of repeated reads fail on the old code

The cause is starvation: after 320 ms the repeated read waited 1 ms at a time, while seven others always stood in the queue.

--- a/packages/process/statement-runner/src/hedging.test.ts
+++ b/packages/process/statement-runner/src/hedging.test.ts
@@ -3,55 +3,50 @@
 import { InstancePool } from "@pomeloturn/instance-pool/InstancePool";
 import { Distance } from "@pomeloturn/rank-candidates/rankCandidates";
 import { ServiceDirectory } from "@pomeloturn/service-directory/ServiceDirectory";
-import { CommandKind, type InstanceReply } from "@pomeloturn/types/InstanceCommand";
+import { CommandKind, type InstanceCommand, type InstanceReply } from "@pomeloturn/types/InstanceCommand";
 import { Freshness } from "@pomeloturn/types/ServiceEntries";
-import { StatementKind } from "@pomeloturn/types/Statement";
+import { type Statement, StatementKind } from "@pomeloturn/types/Statement";
 import { afterEach, beforeEach, expect, it, vi } from "vitest";
 import { SessionRunner } from "./SessionRunner.ts";
 
 const TIMEOUT_MS = 800;
-const SECOND_CONNECTION_MS = 400;
+const READ_MS = 50;
+const CONNECTION_LIMIT = 1;
 
 const ok: InstanceReply = { code: ResultCode.Ok, rows: ["row"], proof: "proof", text: "", status: "I", position: { term: 1, position: 1 } };
+const after = (delayMs: number): Promise<InstanceReply> => new Promise(resolve => setTimeout(() => resolve(ok), delayMs));
+const read = (id: string): Statement => ({ id, kind: StatementKind.Read, text: `READ ${id}`, name: "", argument: "", isWrite: false });
 
-beforeEach(() => {
-    vi.useFakeTimers({ toFake: ["setTimeout", "clearTimeout", "setImmediate", "clearImmediate", "performance"] });
-});
-afterEach(() => {
-    vi.useRealTimers();
-});
-
-it("repeats a read whose answer was lost, though a second connection comes late", async () => {
-    let opened = 0;
-    const open = (): CommandChannel => {
-        const isFirst = opened++ === 0;
-        const greeting = new Promise<InstanceReply>(resolve => setTimeout(() => resolve(ok), isFirst ? 1 : SECOND_CONNECTION_MS));
-        let isSilent = false;
-        const answer = (kind: CommandKind): Promise<InstanceReply> => {
-            isSilent ||= isFirst && kind === CommandKind.Forward;
-            return isSilent ? new Promise(() => {}) : Promise.resolve(ok);
-        };
-        return {
-            greeting,
-            isClosed: false,
-            outstandingCount: 0,
-            send: commands => commands.map(({ kind }) => answer(kind)),
-            close: () => {},
-        };
+/** A connection that never answers the statement "lost", nor anything behind it. */
+const open = (): CommandChannel => {
+    let isSilent = false;
+    let freeAtMs = 0;
+    const answer = (command: InstanceCommand): Promise<InstanceReply> => {
+        isSilent ||= command.kind === CommandKind.Forward && command.statement.id === "lost" && opened === 1;
+        freeAtMs = Math.max(freeAtMs, performance.now()) + (command.kind === CommandKind.Forward ? READ_MS : 0);
+        return isSilent ? new Promise(() => {}) : after(freeAtMs - performance.now());
     };
+    opened++;
+    return { greeting: after(1), isClosed: false, outstandingCount: 0, send: commands => commands.map(answer), close: () => {} };
+};
+let opened = 0;
+
+const route = {
+    database: "orders",
+    service: "ledger",
+    freshness: Freshness.Primary,
+    maximumAgeMs: undefined,
+    timeoutMs: TIMEOUT_MS,
+    targetLatencyMs: TIMEOUT_MS,
+    rank: 0,
+};
+
+const createDirectory = (): ServiceDirectory => {
     const directory = ServiceDirectory.create(() =>
         InstancePool.create({ nowMs: () => performance.now(), open, onOpenFailed: () => {}, onLost: () => {} })
     );
-    const route = {
-        database: "orders",
-        service: "ledger",
-        freshness: Freshness.Primary,
-        maximumAgeMs: undefined,
-        timeoutMs: TIMEOUT_MS,
-        targetLatencyMs: TIMEOUT_MS,
-        rank: 0,
-    };
-    directory.adoptRoutes({ version: 1, routes: new Map([["orders", route]]), services: new Map(), transactionIdleMs: 3_000 });
+    const services = new Map([["ledger", { name: "ledger", connectionLimit: CONNECTION_LIMIT }]]);
+    directory.adoptRoutes({ version: 1, routes: new Map([["orders", route]]), services, transactionIdleMs: 3_000 });
     directory.applyEntry({
         id: "i-1",
         service: "ledger",
@@ -64,15 +59,36 @@
         bornAtMs: undefined,
         revision: 1,
     });
-    const runner = SessionRunner.create("orders", {
-        directory,
-        nowMs: () => performance.now(),
-        checkSuspended: () => 0,
-        distanceTo: () => Distance.SameDomain,
-        onSuspect: () => {},
-        onStatement: () => {},
-    });
-    const reply = runner.run({ id: "r1", kind: StatementKind.Read, text: "READ x", name: "", argument: "", isWrite: false });
-    await vi.advanceTimersByTimeAsync(TIMEOUT_MS + 100);
+    return directory;
+};
+
+beforeEach(() => {
+    opened = 0;
+    vi.useFakeTimers({ toFake: ["setTimeout", "clearTimeout", "setImmediate", "clearImmediate", "performance"] });
+});
+afterEach(() => {
+    vi.useRealTimers();
+});
+
+it("repeats a read whose answer was lost, also where others always wait for a connection", async () => {
+    const ports = {
+        directory: createDirectory(),
+        nowMs: (): number => performance.now(),
+        checkSuspended: (): number => 0,
+        distanceTo: (): Distance => Distance.SameDomain,
+        onSuspect: (): void => {},
+        onStatement: (): void => {},
+    };
+    const reply = SessionRunner.create("orders", ports).run(read("lost"));
+    await vi.advanceTimersByTimeAsync(10);
+    const keepReading = async (name: string): Promise<void> => {
+        const runner = SessionRunner.create("orders", ports);
+        while (performance.now() < TIMEOUT_MS) {
+            await runner.run(read(name));
+        }
+    };
+    const others = Promise.all(["b", "c", "d", "e", "f", "g", "h"].map(keepReading));
+    await vi.advanceTimersByTimeAsync(3 * TIMEOUT_MS);
+    await others;
     expect((await reply).code).toBe(ResultCode.Ok);
 });
