--- a/programs/entry/src/Entry.ts
+++ b/programs/entry/src/Entry.ts
@@ -1,8 +1,6 @@
 import { SuspensionDetector } from "@pomeloturn/clock/SuspensionDetector";
-import { LatencyHistograms } from "@pomeloturn/histograms/LatencyHistograms";
 import { InstanceConnection } from "@pomeloturn/instance-connection/InstanceConnection";
 import { InstancePool } from "@pomeloturn/instance-pool/InstancePool";
-import { Counters } from "@pomeloturn/logger/Counters";
 import type { ProcessLogger } from "@pomeloturn/logger/createLogger";
 import { lineCallerProtocol, lineInstanceProtocol } from "@pomeloturn/platform/lineProtocol";
 import { PlatformAuthority } from "@pomeloturn/platform/PlatformAuthority";
@@ -20,6 +18,7 @@
 import { CallerListener } from "./CallerListener.ts";
 import { DirectoryFeeds } from "./DirectoryFeeds.ts";
 import { EntryDrain } from "./EntryDrain.ts";
+import { EntryMetrics } from "./EntryMetrics.ts";
 import { MetricsServer } from "./MetricsServer.ts";
 import { Replacements } from "./Replacements.ts";
 import { StatementLog } from "./StatementLog.ts";
@@ -36,8 +35,7 @@
     private readonly stopping = new AbortController();
     private readonly detector = SuspensionDetector.create(differenceMs => this.forgetAges(differenceMs));
     private readonly directory = ServiceDirectory.create(entry => this.createPool(entry));
-    private readonly counters = Counters.create();
-    private readonly histograms = LatencyHistograms.create();
+    private readonly metrics = EntryMetrics.create();
     private readonly store: StoreClient;
     private readonly replacements: Replacements;
     private readonly ports: RunnerPorts;
@@ -73,7 +71,7 @@
             reader: this.store,
             directory,
             logger,
-            counters: this.counters,
+            counters: this.metrics.counters,
             signal: this.stopping.signal,
             configurationWaitMs: settings.contactMs - SILENCE_MARGIN_MS,
             onSilent: () => this.store.reconnect(),
@@ -87,7 +85,7 @@
         const { host, port } = splitAddress(settings.callerAddress);
         this.listener = CallerListener.create(host, port, lineCallerProtocol, this.ports);
         ReadinessServer.create(settings.readinessAddress, () => !this.isDraining && directory.isServing);
-        MetricsServer.create(splitAddress(settings.metricsAddress), this.counters, this.histograms);
+        MetricsServer.create(splitAddress(settings.metricsAddress), this.metrics);
         this.tick();
         logger.info("started", { vm: settings.vm });
     }
@@ -121,14 +119,14 @@
     }
 
     private createPorts(): RunnerPorts {
-        const statements = StatementLog.create(this.logger, this.counters, this.histograms);
+        const statements = StatementLog.create(this.logger, this.metrics);
         return {
             directory: this.directory,
             nowMs: () => performance.now(),
             checkSuspended: () => this.detector.check(performance.now(), Date.now()),
             distanceTo: failureDomain => this.distanceTo(failureDomain),
             onSuspect: (service, instanceId, evidence) => {
-                this.counters.add(`suspected_${evidence}`);
+                this.metrics.counters.add(`suspected_${evidence}`);
                 this.replacements.suspect(service, instanceId);
             },
             onStatement: record => statements.record(record, performance.now()),
--- a/programs/entry/src/MetricsServer.ts
+++ b/programs/entry/src/MetricsServer.ts
@@ -1,7 +1,5 @@
-import { formatMetrics } from "@pomeloturn/histograms/formatMetrics";
-import type { LatencyHistograms } from "@pomeloturn/histograms/LatencyHistograms";
-import type { Counters } from "@pomeloturn/logger/Counters";
 import { createServer } from "node:http";
+import type { EntryMetrics } from "./EntryMetrics.ts";
 
 const METRICS_PATH = "/metrics";
 const STATUS_NOT_FOUND = 404;
@@ -12,8 +10,7 @@
 
     static create(
         address: { readonly host: string; readonly port: number; },
-        counters: Counters,
-        histograms: LatencyHistograms,
+        metrics: EntryMetrics,
     ): MetricsServer {
         const server = createServer((request, response) => {
             if (request.url !== METRICS_PATH) {
@@ -21,7 +18,7 @@
                 response.end();
                 return;
             }
-            void formatMetrics(counters.snapshot(), histograms.summarize()).then(text => response.end(text));
+            void metrics.format().then(text => response.end(text));
         });
         server.listen(address.port, address.host);
         return new MetricsServer();
--- a/programs/entry/src/StatementLog.ts
+++ b/programs/entry/src/StatementLog.ts
@@ -1,9 +1,8 @@
 import { ResultCode } from "@pomeloturn/errors/ResultCode";
-import type { LatencyHistograms } from "@pomeloturn/histograms/LatencyHistograms";
-import type { Counters } from "@pomeloturn/logger/Counters";
 import type { ProcessLogger } from "@pomeloturn/logger/createLogger";
 import { LineBudget } from "@pomeloturn/logger/LineBudget";
 import type { StatementRecord } from "@pomeloturn/statement-runner/RunnerPorts";
+import type { EntryMetrics } from "./EntryMetrics.ts";
 
 /** Lines a second for statements that did not go as they should. */
 const NOTABLE_LINES_PER_SECOND = 10;
@@ -18,27 +17,23 @@
     private readonly notable = LineBudget.create(NOTABLE_LINES_PER_SECOND);
     private plainCount = 0;
 
-    private constructor(
-        private readonly logger: ProcessLogger,
-        private readonly counters: Counters,
-        private readonly histograms: LatencyHistograms,
-    ) {}
+    private constructor(private readonly logger: ProcessLogger, private readonly metrics: EntryMetrics) {}
 
-    static create(logger: ProcessLogger, counters: Counters, histograms: LatencyHistograms): StatementLog {
-        return new StatementLog(logger, counters, histograms);
+    static create(logger: ProcessLogger, metrics: EntryMetrics): StatementLog {
+        return new StatementLog(logger, metrics);
     }
 
     record(statement: StatementRecord, nowMs: number): void {
         const { service, rank, code, latencyMs, attempts } = statement;
-        this.histograms.record(service, `rank-${rank}`, latencyMs);
-        this.counters.add(code === ResultCode.Ok ? "statements_served" : `result-${code}`);
+        this.metrics.recordLatency(service, `rank-${rank}`, latencyMs);
+        this.metrics.counters.add(code === ResultCode.Ok ? "statements_served" : `result-${code}`);
         const isPlain = code === ResultCode.Ok && attempts <= 1 && latencyMs < SLOW_MS;
         if (isPlain && this.plainCount++ % PLAIN_SAMPLE !== 0) {
             return;
         }
         const droppedLines = this.notable.take(nowMs);
         if (droppedLines === undefined) {
-            this.counters.add("log_lines_dropped");
+            this.metrics.counters.add("log_lines_dropped");
             return;
         }
         const times = { latencyMs: Number(latencyMs.toFixed(LATENCY_DIGITS)), sampleAgeMs: Math.round(statement.sampleAgeMs) };
