--- /dev/null
+++ b/packages/connection/instance-pool/src/PoolState.test.ts
@@ -0,0 +1,59 @@
+import { describe, expect, it } from "vitest";
+import {
+    countToOpen,
+    createPoolState,
+    isIdleTooLong,
+    mayAssign,
+    type PoolState,
+    recordExhausted,
+    recordOpenFailure,
+    regrowLimit,
+    shareLimit,
+} from "./PoolState.ts";
+
+const createState = (connectionLimit: number, vmCount: number, counts: Partial<PoolState> = {}): PoolState => {
+    const state = createPoolState();
+    shareLimit(state, connectionLimit, vmCount);
+    return Object.assign(state, counts);
+};
+
+describe("a pool's decisions", () => {
+    it.each([
+        ["16 connections for 8 VMs", 16, 8, 4, 1],
+        ["34 connections for 6 VMs", 34, 6, 10, 1],
+        ["46 connections for 69 VMs", 46, 69, 2, 0],
+        ["one connection for one VM", 1, 1, 2, 1],
+    ])("limits %s", (_what, connectionLimit, vmCount, limit, keptCount) => {
+        expect(createState(connectionLimit, vmCount)).toMatchObject({ limit, keptCount });
+    });
+
+    it("opens for those that wait, a few at a time, within the limit", () => {
+        expect(countToOpen(createState(16, 8, { waitingCount: 5 }), 0)).toBe(2);
+        expect(countToOpen(createState(16, 8, { waitingCount: 5, busyCount: 3 }), 0)).toBe(1);
+        expect(countToOpen(createState(16, 8, { waitingCount: 1, openingCount: 1 }), 0)).toBe(0);
+    });
+
+    it("waits after a failure, longer each time", () => {
+        const state = createState(16, 8, { waitingCount: 1 });
+        recordOpenFailure(state, 0);
+        expect([countToOpen(state, 99), countToOpen(state, 100)]).toEqual([0, 1]);
+        recordOpenFailure(state, 100);
+        expect([countToOpen(state, 299), countToOpen(state, 300)]).toEqual([0, 1]);
+    });
+
+    it("keeps to what it has when the instance has no connection left, and grows back", () => {
+        const state = createState(16, 8, { busyCount: 2 });
+        recordExhausted(state, 0);
+        expect(state.limit).toBe(2);
+        regrowLimit(state, 400);
+        expect(state.limit).toBe(2);
+        regrowLimit(state, 500);
+        expect(state.limit).toBe(3);
+        expect(isIdleTooLong({ ...state, idleCount: 2 }, 250)).toBe(true);
+    });
+
+    it("leaves the last connection to the most urgent rank", () => {
+        const state = createState(16, 8, { busyCount: 3 });
+        expect([mayAssign(state, 0), mayAssign(state, 1)]).toEqual([true, false]);
+    });
+});
--- /dev/null
+++ b/packages/connection/statement-session/src/session.test.ts
@@ -0,0 +1,67 @@
+import { ResultCode } from "@pomeloturn/errors/ResultCode";
+import { type Statement, StatementKind } from "@pomeloturn/types/Statement";
+import { describe, expect, it } from "vitest";
+import { answerLocally } from "./answerLocally.ts";
+import { alignConnection, createContents } from "./ConnectionContents.ts";
+import { createSession } from "./SessionState.ts";
+
+const statement = (kind: StatementKind, name = "", argument = "", isWrite = false): Statement => ({
+    id: "r1",
+    kind,
+    text: kind,
+    name,
+    argument,
+    isWrite,
+});
+
+describe("what the proxy answers by itself", () => {
+    it.each(
+        [
+            ["SET", "I", statement(StatementKind.Set, "a", "1"), ResultCode.Ok, "I"],
+            ["PREPARE in a transaction", "T", statement(StatementKind.Prepare, "s", "q"), ResultCode.Ok, "T"],
+            ["CLOSE of an unknown name", "I", statement(StatementKind.Close, "s"), ResultCode.Ok, "I"],
+            ["EXECUTE of an unknown name", "I", statement(StatementKind.Execute, "s", "x"), ResultCode.UnknownPreparedStatement, "I"],
+            ["BEGIN in a transaction", "T", statement(StatementKind.Begin), ResultCode.MalformedMessage, "T"],
+            ["COMMIT outside a transaction", "I", statement(StatementKind.Commit), ResultCode.MalformedMessage, "I"],
+            ["what is no statement", "I", statement(StatementKind.Malformed), ResultCode.MalformedMessage, "I"],
+            ["a read in a failed transaction", "E", statement(StatementKind.Read), ResultCode.MalformedMessage, "E"],
+            ["COMMIT of a failed transaction", "E", statement(StatementKind.Commit), ResultCode.TransactionLost, "I"],
+            ["ROLLBACK of a failed transaction", "E", statement(StatementKind.Rollback), ResultCode.Ok, "I"],
+        ] as const,
+    )("%s in state %s", (_what, status, each, code, statusAfter) => {
+        const session = createSession("orders");
+        session.status = status;
+        expect(answerLocally(session, each)).toMatchObject({ code, status: statusAfter });
+    });
+
+    it.each([StatementKind.Read, StatementKind.Write, StatementKind.Begin, StatementKind.BeginRead])("leaves %s to an instance", kind => {
+        expect(answerLocally(createSession("orders"), statement(kind))).toBeUndefined();
+    });
+});
+
+describe("the alignment of a connection", () => {
+    const values = (entries: Readonly<Record<string, string>>): Map<string, string> => new Map(Object.entries(entries));
+
+    it("sends what differs, once", () => {
+        const contents = createContents();
+        const first = alignConnection(contents, values({ a: "1", b: "2" }), { isWrite: true, shape: "q" });
+        expect(first.commands.map(({ kind }) => kind)).toEqual(["set", "set", "prepare"]);
+        expect(alignConnection(contents, values({ a: "1", b: "2" }), { isWrite: true, shape: "q" }).commands).toEqual([]);
+        expect(alignConnection(contents, values({ a: "1", b: "3" }), undefined).commands).toEqual([{ kind: "set", name: "b", value: "3" }]);
+    });
+
+    it("clears the connection when it holds a value that the session has not set", () => {
+        const contents = createContents();
+        alignConnection(contents, values({ a: "1" }), { isWrite: false, shape: "q" });
+        const { commands } = alignConnection(contents, values({ b: "2" }), { isWrite: false, shape: "q" });
+        expect(commands.map(({ kind }) => kind)).toEqual(["reset", "set", "prepare"]);
+    });
+
+    it("names prepared statements by kind and shape", () => {
+        const names = [["q", true], ["q", false], ["q c", true]].map(([shape, isWrite]) =>
+            alignConnection(createContents(), values({}), { shape: shape as string, isWrite: isWrite as boolean }).preparedName
+        );
+        expect(new Set(names).size).toBe(3);
+        expect(names.every(name => /^\w+$/.test(name))).toBe(true);
+    });
+});
--- /dev/null
+++ b/packages/process/follow-table/src/followTable.test.ts
@@ -0,0 +1,67 @@
+import { PomeloturnError } from "@pomeloturn/errors/PomeloturnError";
+import { ResultCode } from "@pomeloturn/errors/ResultCode";
+import type { RowsAnswer, StoreRow } from "@pomeloturn/types/StoreRow";
+import { describe, expect, it } from "vitest";
+import { followTable } from "./followTable.ts";
+
+const row = (key: string, version: number): StoreRow => ({ key, value: "", version, isDeleted: false });
+
+/** What the store answers, call by call: rows and version, lost history, or nothing. */
+type Answer = RowsAnswer | "gone" | "down";
+
+const follow = async (tables: readonly Answer[], feeds: readonly Answer[]): Promise<readonly string[]> => {
+    const seen: string[] = [];
+    const stopping = new AbortController();
+    const take = (answers: Answer[], name: string): Promise<RowsAnswer | undefined> => {
+        const answer = answers.shift();
+        if (answer === undefined) {
+            stopping.abort();
+            return Promise.resolve({ rows: [], version: 0 });
+        }
+        seen.push(name);
+        return answer === "down"
+            ? Promise.reject(PomeloturnError.create(ResultCode.StoreUnavailable))
+            : Promise.resolve(answer === "gone" ? undefined : answer);
+    };
+    const [tableAnswers, feedAnswers] = [[...tables], [...feeds]];
+    const reader = {
+        readTable: () => take(tableAnswers, "read").then(answer => answer!),
+        readChanges: (_table: string, after: number, waitMs: number) => take(feedAnswers, `feed after ${after} for ${waitMs}`),
+    };
+    await followTable(reader, {
+        table: "t",
+        waitMs: 5_000,
+        settleMs: 0,
+        signal: stopping.signal,
+        onAll: rows => seen.push(`all ${rows.map(({ key }) => key).join(" ")}`),
+        onChanged: rows => seen.push(`changed ${rows.map(({ key }) => key).join(" ")}`),
+        onReachable: isReachable => seen.push(isReachable ? "up" : "down"),
+    });
+    return seen;
+};
+
+describe("a followed table", () => {
+    it("is read in full, then by its changes", async () => {
+        const seen = await follow([{ rows: [row("a", 1)], version: 4 }], [{ rows: [row("b", 5)], version: 5 }, { rows: [], version: 8 }]);
+        expect(seen).toEqual(["read", "all a", "feed after 4 for 5000", "changed b", "feed after 5 for 5000"]);
+    });
+
+    it("is read in full again when the history is lost", async () => {
+        const seen = await follow([{ rows: [], version: 4 }, { rows: [row("c", 9)], version: 9 }], ["gone"]);
+        expect(seen).toEqual(["read", "all ", "feed after 4 for 5000", "read", "all c"]);
+    });
+
+    it("goes on from where it was after an outage, with a short call first", async () => {
+        const seen = await follow([{ rows: [], version: 4 }], ["down", { rows: [], version: 4 }, { rows: [row("d", 6)], version: 6 }]);
+        expect(seen).toEqual([
+            "read",
+            "all ",
+            "feed after 4 for 5000",
+            "down",
+            "feed after 4 for 300",
+            "up",
+            "feed after 4 for 5000",
+            "changed d",
+        ]);
+    });
+});
