Keep the process alive on an unforeseen error, and the configuration when the next cannot be read

An error inside a statement ended the process as an unhandled rejection; it now ends the session with an open outcome, a counter and a line.

--- a/packages/connection/instance-pool/src/PoolState.ts
+++ b/packages/connection/instance-pool/src/PoolState.ts
@@ -17,6 +17,8 @@
     limitedAtMs: number;
     /** Idle time after which a connection beyond `keptCount` is closed. */
     spareIdleMs: number;
+    /** Value of `spareIdleMs` while the instance refuses no connection. */
+    fullSpareIdleMs: number;
 }
 
 /** Connections that are opened at the same time, so that an instance's slots are not all taken by greetings. */
@@ -27,6 +29,8 @@
 const LIMIT_GROWTH_INTERVAL_MS = 500;
 /** Idle connections beyond `keptCount` are closed after this time; sooner while the instance has no connection left. */
 const SPARE_IDLE_MS = 400;
+/** The same where there are fewer connections than VMs. */
+const SCARCE_SPARE_IDLE_MS = 120;
 const SHORTEST_SPARE_IDLE_MS = 40;
 const SPARE_IDLE_GROWTH = 1.05;
 /** A VM may have this many times its share of an instance's connections, as they are seldom all wanted at once. */
@@ -48,6 +52,7 @@
     failureCount: 0,
     limitedAtMs: -Infinity,
     spareIdleMs: SPARE_IDLE_MS,
+    fullSpareIdleMs: SPARE_IDLE_MS,
 });
 
 /**
@@ -61,6 +66,7 @@
     const isFull = state.limit === state.fullLimit;
     state.fullLimit = Math.max(MINIMUM_LIMIT, BORROWING_FACTOR * share);
     state.keptCount = Math.min(1, share);
+    state.fullSpareIdleMs = share < 1 ? SCARCE_SPARE_IDLE_MS : SPARE_IDLE_MS;
     state.limit = isFull ? state.fullLimit : Math.min(state.limit, state.fullLimit);
 };
 
@@ -100,7 +106,7 @@
 
 /** Lets the limit grow back. */
 export const regrowLimit = (state: PoolState, nowMs: number): void => {
-    state.spareIdleMs = Math.min(SPARE_IDLE_MS, state.spareIdleMs * SPARE_IDLE_GROWTH);
+    state.spareIdleMs = Math.min(state.fullSpareIdleMs, state.spareIdleMs * SPARE_IDLE_GROWTH);
     if (state.limit < state.fullLimit && nowMs - state.limitedAtMs >= LIMIT_GROWTH_INTERVAL_MS) {
         state.limit++;
         state.limitedAtMs = nowMs;
--- a/packages/process/statement-runner/src/RunnerPorts.ts
+++ b/packages/process/statement-runner/src/RunnerPorts.ts
@@ -38,4 +38,6 @@
     readonly distanceTo: (failureDomain: string) => Distance;
     readonly onSuspect: (service: string, instanceId: string, evidence: Evidence) => void;
     readonly onStatement: (record: StatementRecord) => void;
+    /** Told of an error that no statement should cause; its session ends with an open outcome. */
+    readonly onFault: (error: Error) => void;
 }
--- a/packages/process/statement-runner/src/hedging.test.ts
+++ b/packages/process/statement-runner/src/hedging.test.ts
@@ -78,6 +78,9 @@
         distanceTo: (): Distance => Distance.SameDomain,
         onSuspect: (): void => {},
         onStatement: (): void => {},
+        onFault: (error: Error): void => {
+            throw error;
+        },
     };
     const reply = SessionRunner.create("orders", ports).run(read("lost"));
     await vi.advanceTimersByTimeAsync(10);
--- a/programs/entry/src/CallerSession.ts
+++ b/programs/entry/src/CallerSession.ts
@@ -92,7 +92,13 @@
     private async drainWaiting(): Promise<void> {
         this.isBusy = true;
         for (let message = this.waiting.shift(); message !== undefined && !this.isEnded; message = this.waiting.shift()) {
-            await this.handlers[message.kind](message);
+            try {
+                await this.handlers[message.kind](message);
+            }
+            catch (error) {
+                this.ports.onFault(error as Error);
+                this.refuse(ResultCode.OutcomeUnknown, "internal error");
+            }
         }
         this.isBusy = false;
         this.socket.resume();
--- a/programs/entry/src/DirectoryFeeds.test.ts
+++ b/programs/entry/src/DirectoryFeeds.test.ts
@@ -42,3 +42,27 @@
     await vi.waitFor(() => expect(directory.routes?.version).toBe(14));
     stopping.abort();
 });
+
+it("leaves the configuration in force when the next one cannot be read", async () => {
+    const directory = ServiceDirectory.create(() => {
+        throw new Error("no instance is listed");
+    });
+    const stopping = new AbortController();
+    const counters = Counters.create();
+    DirectoryFeeds.create({
+        reader: createReader([{ ...configurationRow(6), value: encode({ version: 6 }) }]),
+        directory,
+        logger: createLogger("test", "vm-1"),
+        counters,
+        signal: stopping.signal,
+        configurationWaitMs: 4_000,
+        onSilent: () => {},
+        onMembers: () => {},
+        onAuthority: () => {},
+    }).start();
+    await vi.waitFor(() => expect(directory.routes?.version).toBe(4));
+    await new Promise(resolve => setTimeout(resolve, 300));
+    expect(directory.routes?.version).toBe(4);
+    expect(counters.read("store_lost")).toBe(0);
+    stopping.abort();
+});
--- a/programs/entry/src/DirectoryFeeds.ts
+++ b/programs/entry/src/DirectoryFeeds.ts
@@ -1,3 +1,5 @@
+import { PomeloturnError } from "@pomeloturn/errors/PomeloturnError";
+import { ResultCode } from "@pomeloturn/errors/ResultCode";
 import { followTable } from "@pomeloturn/follow-table/followTable";
 import type { Counters } from "@pomeloturn/logger/Counters";
 import type { ProcessLogger } from "@pomeloturn/logger/createLogger";
@@ -7,7 +9,7 @@
 import { CONFIGURATION_KEY, INSTANCE_TABLE, OPERATOR_TABLE, OWN_TABLE, readAuthorityKey, readMemberKey } from "@pomeloturn/platform/tables";
 import type { ServiceDirectory } from "@pomeloturn/service-directory/ServiceDirectory";
 import type { Authority } from "@pomeloturn/types/Protocols";
-import type { InstanceEntry } from "@pomeloturn/types/ServiceEntries";
+import type { InstanceEntry, RouteTable } from "@pomeloturn/types/ServiceEntries";
 import type { StoreRow, TableReader } from "@pomeloturn/types/StoreRow";
 
 /** Wait of the listings' feeds. Connections that have gone silent are noticed by the configuration's. */
@@ -78,8 +80,21 @@
         const { directory, logger } = this.options;
         // A feed states each change of the row, the newest last.
         const row = rows.findLast(({ key, isDeleted }) => key === CONFIGURATION_KEY && !isDeleted);
-        if (row !== undefined && directory.adoptRoutes(decodeRoutes(row.value))) {
-            logger.info("configuration in force", { version: directory.routes?.version, routes: directory.routes?.routes.size });
+        const table = row === undefined ? undefined : this.readRoutes(row);
+        if (table !== undefined && directory.adoptRoutes(table)) {
+            logger.info("configuration in force", { version: table.version, routes: table.routes.size });
+        }
+    }
+
+    /** A configuration that cannot be read leaves the one before in force. */
+    private readRoutes(row: StoreRow): RouteTable | undefined {
+        try {
+            return decodeRoutes(row.value);
+        }
+        catch (error) {
+            const { message } = PomeloturnError.create(ResultCode.ConfigurationInvalid, `revision ${row.version}`, error as Error);
+            this.options.logger.error("configuration not readable", { reason: message });
+            return undefined;
         }
     }
 
--- a/programs/entry/src/Entry.ts
+++ b/programs/entry/src/Entry.ts
@@ -130,6 +130,10 @@
                 this.replacements.suspect(service, instanceId);
             },
             onStatement: record => statements.record(record, performance.now()),
+            onFault: error => {
+                this.metrics.counters.add("faults");
+                this.logger.error("a statement failed inside the proxy", { reason: error.stack ?? error.message });
+            },
         };
     }
 
--- a/tests/promises/support/PromiseSimulation.ts
+++ b/tests/promises/support/PromiseSimulation.ts
@@ -185,6 +185,7 @@
             distanceTo: () => Distance.SameDomain,
             onSuspect: () => {},
             onStatement: () => {},
+            onFault: error => this.group.violations.push(`FAULT ${error.message}`),
         };
     }
 
