--- a/scripts/buildEntry.js
+++ b/scripts/buildEntry.js
@@ -1,8 +1,7 @@
 // Bundles the entry program for the users' platform into one file under target/.
 import { build } from "esbuild";
-import { mkdirSync, rmSync } from "node:fs";
+import { mkdirSync } from "node:fs";
 
-rmSync("target", { recursive: true, force: true });
 mkdirSync("target", { recursive: true });
 
 await build({
