Send nothing for a caller that has gone or has its answer

Found by reading: a read's second attempt, or a statement of a caller that had left, went out when its wait for a connection ended. Test: a read and a write of callers that go while they wait are not sent; it fails on the old code.

--- a/packages/process/statement-runner/src/Operation.ts
+++ b/packages/process/statement-runner/src/Operation.ts
@@ -18,6 +18,8 @@
     attempts: number;
     /** Last instance that was tried. */
     instance: string;
+    /** Whether the statement has its answer or its caller has gone: nothing more is sent for it. */
+    isDone: boolean;
 }
 
 /** Share of a statement's time limit for which it may wait without being sent. */
@@ -43,4 +45,5 @@
     deadlineAtMs: nowMs + route.timeoutMs - ANSWER_MARGIN_MS,
     attempts: 0,
     instance: "",
+    isDone: false,
 });
--- a/packages/process/statement-runner/src/SessionRunner.ts
+++ b/packages/process/statement-runner/src/SessionRunner.ts
@@ -22,6 +22,7 @@
 export class SessionRunner {
     private readonly state: SessionState;
     private transaction: Transaction | undefined;
+    private operation: Operation | undefined;
     private idleTimer: NodeJS.Timeout | undefined;
     private isClosed = false;
 
@@ -50,6 +51,9 @@
     /** The caller has gone: an open transaction is rolled back. */
     close(): void {
         this.isClosed = true;
+        if (this.operation !== undefined) {
+            this.operation.isDone = true;
+        }
         clearTimeout(this.idleTimer);
         this.transaction?.rollback();
     }
@@ -77,10 +81,12 @@
 
     private async runAtInstance(statement: Statement, route: RouteEntry, service: ServiceRuntime): Promise<CallerReply> {
         const operation = createOperation(this.state, statement, route, service, this.ports.nowMs());
+        this.operation = operation;
         const isWrite = statement.kind === StatementKind.Write || operation.prepared?.isWrite === true;
         const outcome = this.transaction !== undefined
             ? await this.transaction.run(operation)
             : await (isWrite ? runWrite(operation, this.ports) : runRead(operation, this.ports));
+        operation.isDone = true;
         const reply = "detail" in outcome ? outcome : this.convert(outcome, statement, isWrite, operation);
         this.report(operation, reply);
         return this.transaction === undefined ? reply : this.applyToTransaction(statement, reply);
--- a/packages/process/statement-runner/src/attemptRead.ts
+++ b/packages/process/statement-runner/src/attemptRead.ts
@@ -4,6 +4,7 @@
 import { alignConnection, type Alignment } from "@pomeloturn/statement-session/ConnectionContents";
 import { CommandKind, type InstanceReply } from "@pomeloturn/types/InstanceCommand";
 import type { LogPosition } from "@pomeloturn/types/LogPosition";
+import { TransactionStatus } from "@pomeloturn/types/Request";
 import { beginAtLeader } from "./beginAtLeader.ts";
 import type { Operation } from "./Operation.ts";
 import type { RunnerPorts } from "./RunnerPorts.ts";
@@ -66,6 +67,11 @@
     if (lease === undefined) {
         return undefined;
     }
+    if (operation.isDone) {
+        // Another attempt has answered meanwhile.
+        lease.release(TransactionStatus.Idle);
+        return undefined;
+    }
     const { commands, preparedName } = alignFor(lease, operation);
     const sentAtMs = ports.nowMs();
     const { statement } = operation;
@@ -94,6 +100,11 @@
         return undefined;
     }
     const { lease, instance } = begun;
+    if (operation.isDone) {
+        const [ended] = lease.connection.send([{ kind: CommandKind.Rollback }]);
+        void ended!.then(({ status }) => lease.release(status));
+        return undefined;
+    }
     const sentAtMs = ports.nowMs();
     const { statement } = operation;
     const [answer, ended] = lease.connection.send([
--- a/packages/process/statement-runner/src/hedging.test.ts
+++ b/packages/process/statement-runner/src/hedging.test.ts
@@ -7,6 +7,7 @@
 import { Freshness } from "@pomeloturn/types/ServiceEntries";
 import { type Statement, StatementKind } from "@pomeloturn/types/Statement";
 import { afterEach, beforeEach, expect, it, vi } from "vitest";
+import type { RunnerPorts } from "./RunnerPorts.ts";
 import { SessionRunner } from "./SessionRunner.ts";
 
 const TIMEOUT_MS = 800;
@@ -22,6 +23,9 @@
     let isSilent = false;
     let freeAtMs = 0;
     const answer = (command: InstanceCommand): Promise<InstanceReply> => {
+        if (command.kind === CommandKind.Forward) {
+            sent.push(command.statement.id);
+        }
         isSilent ||= command.kind === CommandKind.Forward && command.statement.id === "lost" && opened === 1;
         freeAtMs = Math.max(freeAtMs, performance.now()) + (command.kind === CommandKind.Forward ? READ_MS : 0);
         return isSilent ? new Promise(() => {}) : after(freeAtMs - performance.now());
@@ -30,6 +34,7 @@
     return { greeting: after(1), isClosed: false, outstandingCount: 0, send: commands => commands.map(answer), close: () => {} };
 };
 let opened = 0;
+let sent: string[] = [];
 
 const route = {
     database: "orders",
@@ -64,24 +69,43 @@
 
 beforeEach(() => {
     opened = 0;
+    sent = [];
     vi.useFakeTimers({ toFake: ["setTimeout", "clearTimeout", "setImmediate", "clearImmediate", "performance"] });
 });
 afterEach(() => {
     vi.useRealTimers();
 });
 
+const createPorts = (): RunnerPorts => ({
+    directory: createDirectory(),
+    nowMs: (): number => performance.now(),
+    checkSuspended: (): number => 0,
+    distanceTo: (): Distance => Distance.SameDomain,
+    onSuspect: (): void => {},
+    onStatement: (): void => {},
+    onFault: (error: Error): void => {
+        throw error;
+    },
+});
+
+it("sends nothing for a caller that has gone while its statement waited", async () => {
+    const ports = createPorts();
+    const busy = ["a", "b", "c"].map(name => SessionRunner.create("orders", ports).run(read(name)));
+    const gone = ["READ", "WRITE"].map(word => {
+        const runner = SessionRunner.create("orders", ports);
+        void runner.run({ ...read("gone"), kind: word === "READ" ? StatementKind.Read : StatementKind.Write });
+        return runner;
+    });
+    await vi.advanceTimersByTimeAsync(5);
+    gone.forEach(runner => runner.close());
+    await vi.advanceTimersByTimeAsync(TIMEOUT_MS);
+    await Promise.all(busy);
+    expect(sent).toEqual(expect.arrayContaining(["a", "b", "c"]));
+    expect(sent).not.toContain("gone");
+});
+
 it("repeats a read whose answer was lost, also where others always wait for a connection", async () => {
-    const ports = {
-        directory: createDirectory(),
-        nowMs: (): number => performance.now(),
-        checkSuspended: (): number => 0,
-        distanceTo: (): Distance => Distance.SameDomain,
-        onSuspect: (): void => {},
-        onStatement: (): void => {},
-        onFault: (error: Error): void => {
-            throw error;
-        },
-    };
+    const ports = createPorts();
     const reply = SessionRunner.create("orders", ports).run(read("lost"));
     await vi.advanceTimersByTimeAsync(10);
     const keepReading = async (name: string): Promise<void> => {
--- a/packages/process/statement-runner/src/runRead.ts
+++ b/packages/process/statement-runner/src/runRead.ts
@@ -119,8 +119,8 @@
 
     private isOver(): boolean {
         const nowMs = this.ports.nowMs();
-        const { deadlineAtMs, holdUntilMs, attempts } = this.operation;
-        return nowMs >= deadlineAtMs || (this.pending.size === 0 && (nowMs >= holdUntilMs || attempts >= MAXIMUM_ATTEMPTS));
+        const { deadlineAtMs, holdUntilMs, attempts, isDone } = this.operation;
+        return isDone || nowMs >= deadlineAtMs || (this.pending.size === 0 && (nowMs >= holdUntilMs || attempts >= MAXIMUM_ATTEMPTS));
     }
 
     private hedgeMs(): number {
--- a/packages/process/statement-runner/src/runWrite.ts
+++ b/packages/process/statement-runner/src/runWrite.ts
@@ -4,6 +4,7 @@
 import { createContents } from "@pomeloturn/statement-session/ConnectionContents";
 import type { CallerReply } from "@pomeloturn/types/CallerMessage";
 import { CommandKind, type InstanceReply } from "@pomeloturn/types/InstanceCommand";
+import { TransactionStatus } from "@pomeloturn/types/Request";
 import { alignFor, awaitReply, forgetPrepared } from "./attemptRead.ts";
 import { judgeWrite, Verdict } from "./judgeReply.ts";
 import type { Operation } from "./Operation.ts";
@@ -32,6 +33,15 @@
     return code === ResultCode.Ok;
 };
 
+/** The caller may have gone while its write waited: the write is not sent then. */
+const takeUnlessDone = (operation: Operation, lease: Lease): Lease | undefined => {
+    if (operation.isDone) {
+        lease.release(TransactionStatus.Idle);
+        return undefined;
+    }
+    return lease;
+};
+
 /** Takes a verified connection to the primary. @returns undefined when none can be had now */
 const acquireAtLeader = async (operation: Operation, ports: RunnerPorts): Promise<Lease | undefined> => {
     const { service, holdUntilMs, route } = operation;
@@ -47,7 +57,7 @@
     }
     operation.instance = leader.entry.id;
     if (await isAlive(lease)) {
-        return lease;
+        return takeUnlessDone(operation, lease);
     }
     ports.onSuspect(service.name, leader.entry.id, Evidence.Silent);
     return undefined;
@@ -79,7 +89,7 @@
 /** Runs a write outside a transaction. Once it was sent it is repeated only if it surely did not run. */
 export const runWrite = async (operation: Operation, ports: RunnerPorts): Promise<InstanceReply | CallerReply> => {
     let lastCode: number = ResultCode.NoInstance;
-    while (operation.attempts < MAXIMUM_ATTEMPTS && ports.nowMs() < operation.holdUntilMs) {
+    while (!operation.isDone && operation.attempts < MAXIMUM_ATTEMPTS && ports.nowMs() < operation.holdUntilMs) {
         const lease = await acquireAtLeader(operation, ports);
         if (lease === undefined) {
             continue;
