Keep the time limits that writes, transactions and samples share in one place

The limit of a BEGIN stood in two files and the return time of a refused statement in two; two functions were exported that nothing else calls. Values and behaviour are unchanged.

--- a/packages/process/statement-runner/src/Transaction.ts
+++ b/packages/process/statement-runner/src/Transaction.ts
@@ -13,12 +13,10 @@
 import { recordLeaderPosition } from "./recordLeaderPosition.ts";
 import type { RunnerPorts } from "./RunnerPorts.ts";
 import { chooseForRead } from "./runRead.ts";
-import { sleep, within } from "./timing.ts";
+import { BEGIN_TIMEOUT_MS, PRIMARY_RETRY_AFTER_MS, sleep, within } from "./timing.ts";
 
 const PAUSE_MS = 20;
 const BUSY_PAUSE_MS = 15;
-const BEGIN_TIMEOUT_MS = 300;
-const RETRY_AFTER_MS = 400;
 
 /** Replies after which a statement of an open transaction may be sent once more. */
 const REPEATABLE_CODES: ReadonlySet<number> = new Set<number>([ResultCode.QueueFull, ResultCode.UnknownPreparedStatement]);
@@ -43,7 +41,12 @@
     async run(operation: Operation): Promise<InstanceReply | CallerReply> {
         this.begun ??= await this.begin(operation);
         if (this.begun === undefined) {
-            return refused(ResultCode.NoInstance, "no instance could begin the transaction", TransactionStatus.Failed, RETRY_AFTER_MS);
+            return refused(
+                ResultCode.NoInstance,
+                "no instance could begin the transaction",
+                TransactionStatus.Failed,
+                PRIMARY_RETRY_AFTER_MS,
+            );
         }
         if (this.isEnded) {
             this.rollback();
--- a/packages/process/statement-runner/src/beginAtLeader.ts
+++ b/packages/process/statement-runner/src/beginAtLeader.ts
@@ -5,7 +5,7 @@
 import { CommandKind, type InstanceCommand } from "@pomeloturn/types/InstanceCommand";
 import { recordLeaderPosition } from "./recordLeaderPosition.ts";
 import { Evidence, type RunnerPorts } from "./RunnerPorts.ts";
-import { within } from "./timing.ts";
+import { BEGIN_TIMEOUT_MS, within } from "./timing.ts";
 
 /** A transaction that has begun at the primary. */
 export interface BegunTransaction {
@@ -13,9 +13,6 @@
     readonly instance: InstanceRuntime;
 }
 
-/** Time within which an instance answers a BEGIN, which needs no slot. */
-const BEGIN_TIMEOUT_MS = 300;
-
 /**
  * Begins a transaction at the primary, which proves that it leads. Nothing may be sent behind the BEGIN before
  * its answer: after a refusal the statement would run outside any transaction.
--- a/packages/process/statement-runner/src/runRead.ts
+++ b/packages/process/statement-runner/src/runRead.ts
@@ -50,7 +50,7 @@
     && (instance.position === undefined || !isAtOrAfter(instance.position, after));
 
 /** Describes the service's instances for a read. */
-export const describeCandidates = ({ service }: Operation, after: LogPosition | undefined, ports: RunnerPorts): Candidate[] => {
+const describeCandidates = ({ service }: Operation, after: LogPosition | undefined, ports: RunnerPorts): Candidate[] => {
     const nowMs = ports.nowMs();
     return [...service.instances.values()].map(instance => ({
         id: instance.entry.id,
--- a/packages/process/statement-runner/src/runWrite.ts
+++ b/packages/process/statement-runner/src/runWrite.ts
@@ -10,14 +10,13 @@
 import type { Operation } from "./Operation.ts";
 import { recordLeaderPosition } from "./recordLeaderPosition.ts";
 import { Evidence, type RunnerPorts } from "./RunnerPorts.ts";
-import { sleep, within } from "./timing.ts";
+import { PRIMARY_RETRY_AFTER_MS, sleep, within } from "./timing.ts";
 
 /** A connection that was idle for longer is asked for a sign of life before a write goes out on it. */
 const VERIFY_IDLE_MS = 1_000;
 const VERIFY_TIMEOUT_MS = 250;
 const MAXIMUM_ATTEMPTS = 10;
 const PAUSE_MS = 25;
-const RETRY_AFTER_MS = 400;
 
 /** Whether a connection still answers: one that has gone silent would leave a write in doubt. */
 const isAlive = async (lease: Lease): Promise<boolean> => {
@@ -102,5 +101,5 @@
         lastCode = reply.code;
         await sleep(PAUSE_MS);
     }
-    return refused(ResultCode.NoInstance, `last result ${lastCode}`, operation.session.status, RETRY_AFTER_MS);
+    return refused(ResultCode.NoInstance, `last result ${lastCode}`, operation.session.status, PRIMARY_RETRY_AFTER_MS);
 };
--- a/packages/request/rank-candidates/src/rankCandidates.ts
+++ b/packages/request/rank-candidates/src/rankCandidates.ts
@@ -35,7 +35,7 @@
 const PRIMARY_SHARE = 0.03;
 
 /** Expected time of a read, with the paid way weighed as time. */
-export const weighCandidate = (candidate: Candidate, targetLatencyMs: number): number =>
+const weighCandidate = (candidate: Candidate, targetLatencyMs: number): number =>
     candidate.latencyMs * (1 + LOAD_SHARE * candidate.load)
     + targetLatencyMs * (DISTANCE_SHARE[candidate.distance] + (candidate.isPrimary ? PRIMARY_SHARE : 0));
 
