Report each failed call of the leases, link budgets and the controller instead of dropping it

The lease rules still take a failed call as unanswered; now the controller writes a line, at most two a second, with the count of those left out. Test: a store that fails is named with its call and subject (the option did not exist before).

--- a/packages/process/lease-runner/src/ActionRunner.ts
+++ b/packages/process/lease-runner/src/ActionRunner.ts
@@ -86,7 +86,7 @@
                     return database.probe(group, instance);
                 }),
             [GroupActionKind.Follow]: (group, { instance, upstream }) =>
-                void withTimeout(database.follow(group, instance, upstream)).catch(() => undefined),
+                void this.attempt("follow", `${group}/${instance}`, withTimeout(database.follow(group, instance, upstream))),
             [GroupActionKind.Promote]: (group, { instance }) => void this.promote(group, instance),
             [GroupActionKind.FinishPromotion]: (group, { code }) => this.reports.onPromotionFinished(group, code),
             [GroupActionKind.Changed]: group => this.reports.onChanged(group),
@@ -108,8 +108,8 @@
     }
 
     private async readRows(groups: readonly string[]): Promise<void> {
-        const rows = await this.options.table.read(groups.map(groupRowKey)).catch(() => []);
-        const byKey = new Map(rows.map(row => [row.key, row]));
+        const rows = await this.attempt("read rows", groups.join(" "), this.options.table.read(groups.map(groupRowKey)));
+        const byKey = new Map(rows?.map(row => [row.key, row]));
         this.reports.onEvents(
             groups.map(group => ({ group, event: { kind: GroupEventKind.RowRead, row: byKey.get(groupRowKey(group)) } })),
         );
@@ -117,7 +117,7 @@
 
     private async writeRow(group: string, { operationId, expectedVersion, value }: ActionOf<"writeRow">): Promise<void> {
         const write = { key: groupRowKey(group), expectedVersion, value };
-        const result = await this.options.table.transact(operationId, [write]).catch(() => undefined);
+        const result = await this.attempt("write row", group, this.options.table.transact(operationId, [write]));
         this.report(group, { kind: GroupEventKind.RowWritten, operationId, result });
     }
 
@@ -128,12 +128,23 @@
         call: () => Promise<InstanceProbe>,
     ): Promise<void> {
         const sentAtMs = this.options.nowMs();
-        const probe = await withTimeout(call()).catch(() => undefined);
+        const probe = await this.attempt("probe", `${group}/${instance}`, withTimeout(call()));
         this.report(group, { kind, instance, sentAtMs, probe });
     }
 
     private async promote(group: string, instance: string): Promise<void> {
-        await withTimeout(this.options.database.promote(group, instance)).catch(() => undefined);
+        await this.attempt("promote", `${group}/${instance}`, withTimeout(this.options.database.promote(group, instance)));
         this.report(group, { kind: GroupEventKind.Promoted, instance });
     }
+
+    /** @returns undefined when the call failed, which is reported; it may have taken effect */
+    private async attempt<Value>(name: string, subject: string, call: Promise<Value>): Promise<Value | undefined> {
+        try {
+            return await call;
+        }
+        catch (error) {
+            this.options.onCallFailed(name, subject, error as Error);
+            return undefined;
+        }
+    }
 }
--- a/packages/process/lease-runner/src/LeaseRunner.test.ts
+++ b/packages/process/lease-runner/src/LeaseRunner.test.ts
@@ -56,6 +56,7 @@
             nowMs: () => performance.now(),
             random: () => 0,
             onChange: () => undefined,
+            onCallFailed: () => undefined,
         });
         runner.setVms(VMS);
         runner.setGroups({ [GROUP]: INSTANCES });
@@ -94,3 +95,23 @@
     await waitFor(() => leaders().length === 1);
     expect(leaders()).not.toContain(first);
 });
+
+test("a call that fails is reported with what it was about, and tried again", async () => {
+    const failures: string[] = [];
+    const [self] = VMS;
+    const runner = LeaseRunner.create({
+        vm: self!.vm,
+        incarnation: self!.incarnation,
+        table: { read: () => Promise.reject(new Error("no answer")), transact: () => Promise.reject(new Error("no answer")) },
+        database: createDatabase(),
+        send: () => undefined,
+        nowMs: () => performance.now(),
+        random: () => 0,
+        onChange: () => undefined,
+        onCallFailed: (call, subject, error) => failures.push(`${call} ${subject}: ${error.message}`),
+    });
+    runners = new Map([[self!.vm, runner]]);
+    runner.setGroups({ [GROUP]: INSTANCES });
+    await waitFor(() => failures.length > 1);
+    expect(new Set(failures)).toEqual(new Set([`read rows ${GROUP}: no answer`]));
+});
--- a/packages/process/link-budget/src/LinkBudgets.test.ts
+++ b/packages/process/link-budget/src/LinkBudgets.test.ts
@@ -30,13 +30,22 @@
 
 describe("LinkBudgets", () => {
     let budgets: LinkBudgets;
+    let failedRenewals: string[] = [];
     afterEach(() => budgets.close());
 
     it.each([0, 2])("leases a share for its demand when %i answers of the store are lost", async lostAnswers => {
         const table = new FakeTable();
+        failedRenewals = [];
         table.lostAnswers = lostAnswers;
         let nowMs = 0;
-        budgets = LinkBudgets.create({ processId: "vm-1#1", table, links: () => [LINK], nowMs: () => nowMs, month: () => 24_312 });
+        budgets = LinkBudgets.create({
+            processId: "vm-1#1",
+            table,
+            links: () => [LINK],
+            nowMs: () => nowMs,
+            month: () => 24_312,
+            onRenewalFailed: link => failedRenewals.push(link),
+        });
         expect(budgets.charge("ro-nord", "ro-sud", 0, 1_000)).toBe(ResultCode.LinkBudgetExhausted);
         let code: ResultCode = ResultCode.LinkBudgetExhausted;
         for (let tries = 0; tries < TRIES && code !== ResultCode.Ok; tries++) {
@@ -45,6 +54,7 @@
             code = budgets.charge("ro-nord", "ro-sud", 0, 1_000);
         }
         expect(code).toBe(ResultCode.Ok);
+        expect(failedRenewals).toEqual(Array<string>(lostAnswers).fill("link/ro-nord/ro-sud"));
         expect(table.rows[0]!.version).toBe(1);
         expect(budgets.uses()[0]).toMatchObject({ sentBytes: 1_000 });
         expect(budgets.charge("ro-sud", "ro-nord", 0, 1e9)).toBe(ResultCode.Ok);
--- a/packages/process/link-budget/src/LinkBudgets.ts
+++ b/packages/process/link-budget/src/LinkBudgets.ts
@@ -19,6 +19,8 @@
     nowMs(): number;
     /** Months since the year 0, in UTC. */
     month(): number;
+    /** Told of a renewal that failed; it is tried again. */
+    onRenewalFailed(link: string, error: Error): void;
 }
 
 /** Use of one link by this process. */
@@ -101,7 +103,9 @@
             const isDue = account.lease.pending !== undefined || isRenewalDue(account, this.options.nowMs());
             if (isDue && !this.renewing.has(key)) {
                 this.renewing.add(key);
-                void this.renew(key, account).catch(() => undefined).finally(() => this.renewing.delete(key));
+                void this.renew(key, account)
+                    .catch((error: Error) => this.options.onRenewalFailed(key, error))
+                    .finally(() => this.renewing.delete(key));
             }
         }
     }
--- a/packages/shared/types/src/Leadership.ts
+++ b/packages/shared/types/src/Leadership.ts
@@ -58,6 +58,8 @@
     random(): number;
     /** Called when a group's leadership changed; the lease's expiry alone is read by `leadership`. */
     onChange(leadership: GroupLeadership): void;
+    /** Told of a call that failed. The lease rules take it as unanswered and try again where they have to. */
+    onCallFailed(call: string, subject: string, error: Error): void;
 }
 
 /** Leases, witnesses and promotion of all groups, as the controller of one VM runs them. */
--- a/programs/bench/src/controlCost.ts
+++ b/programs/bench/src/controlCost.ts
@@ -158,6 +158,7 @@
                     nowMs: () => performance.now(),
                     random: Math.random,
                     onChange: () => node.pushView(),
+                    onCallFailed: (call, subject, error) => console.error(call, subject, error.message),
                 }),
             nowMs: () => performance.now(),
             onConfigurationInvalid: () => undefined,
--- a/programs/controller/src/Controller.ts
+++ b/programs/controller/src/Controller.ts
@@ -5,6 +5,7 @@
 import type { pomeloturn } from "@pomeloturn/control-messages/generated/control";
 import { LeaseRunner } from "@pomeloturn/lease-runner/LeaseRunner";
 import { createLogger, type ProcessLogger } from "@pomeloturn/logger/createLogger";
+import { LineBudget } from "@pomeloturn/logger/LineBudget";
 import { Condition, type Member } from "@pomeloturn/membership/Member";
 import { HEARTBEAT_INTERVAL_MS } from "@pomeloturn/membership/stepMembership";
 import { OperatorServer } from "@pomeloturn/operator-link/OperatorServer";
@@ -21,6 +22,8 @@
 type IControlMessage = pomeloturn.control.IControlMessage;
 
 const VIEW_INTERVAL_MS = 100;
+/** Lines a second for calls that failed; an outage of the store fails one call a group and interval. */
+const FAILURE_LINES_PER_SECOND = 2;
 
 /** A whole controller: sockets and timers around a `ControllerNode`, in one process or embedded. */
 export class Controller {
@@ -31,10 +34,18 @@
     private readonly server: ControlServer;
     private readonly database: DatabaseClient;
     private readonly operators = OperatorServer.create({
-        status: () => describeStatus(this.settings.vm, this.node, this.database, monotonicNowMs()),
+        status: () =>
+            describeStatus(
+                this.settings.vm,
+                this.node,
+                this.database,
+                (subject, error) => this.logFailure("probe", subject, error),
+                monotonicNowMs(),
+            ),
         drain: args => this.drainVm(args["vm"] ?? this.settings.vm),
         promote: async args => ({ code: await this.node.leases.promote(args["group"] ?? "", args["instance"] ?? "") }),
     });
+    private readonly failureLines = LineBudget.create(FAILURE_LINES_PER_SECOND);
     private readonly timers: NodeJS.Timeout[] = [];
     private controllerDrain: ControllerDrain | undefined;
     /** Called when a graceful shutdown is complete. */
@@ -50,7 +61,11 @@
             onMessage: (from, message) => this.receiveFromPeer(from, message),
             nowMs: monotonicNowMs,
         });
-        this.database = DatabaseClient.create(settings.vm, () => this.node.configuration.configuration);
+        this.database = DatabaseClient.create(
+            settings.vm,
+            () => this.node.configuration.configuration,
+            (subject, error) => this.logFailure("close connection", subject, error),
+        );
         this.server = ControlServer.create((hello, writer) => this.accept(hello, writer));
         this.node = this.createNode(incarnation);
     }
@@ -80,6 +95,7 @@
             releaseLeases: () => this.node.leases.release(),
             nowMs: monotonicNowMs,
             onDrained: () => this.onDrained(),
+            onReleaseFailed: error => this.logFailure("release leases", this.settings.vm, error),
         }, durationMs);
     }
 
@@ -137,9 +153,18 @@
             nowMs: monotonicNowMs,
             random: Math.random,
             onChange: () => node.pushView(),
+            onCallFailed: (call, subject, error) => this.logFailure(call, subject, error),
         });
     }
 
+    /** One line for a failed call; those that come in quick succession are counted. */
+    private logFailure(call: string, subject: string, error: Error): void {
+        const droppedLines = this.failureLines.take(monotonicNowMs());
+        if (droppedLines !== undefined) {
+            this.logger.warn({ event: "call failed", call, subject, message: error.message, droppedLines });
+        }
+    }
+
     private startTimers(): void {
         this.node.tick();
         this.timers.push(
--- a/programs/controller/src/ControllerDrain.ts
+++ b/programs/controller/src/ControllerDrain.ts
@@ -14,6 +14,8 @@
     releaseLeases(): Promise<void>;
     nowMs(): number;
     onDrained(): void;
+    /** Told when the leases could not be handed over; they expire by themselves. */
+    onReleaseFailed(error: Error): void;
 }
 
 /** Carries out a controller's graceful shutdown. */
@@ -56,7 +58,7 @@
     };
 
     private async release(): Promise<void> {
-        await this.options.releaseLeases().catch(() => undefined);
+        await this.options.releaseLeases().catch((error: Error) => this.options.onReleaseFailed(error));
         this.isReleased = true;
     }
 }
--- a/programs/controller/src/DatabaseClient.ts
+++ b/programs/controller/src/DatabaseClient.ts
@@ -17,10 +17,19 @@
 export class DatabaseClient implements DatabaseControl {
     private readonly clients = new Map<string, Promise<pg.Client>>();
 
-    private constructor(private readonly vm: string, private readonly configuration: () => Configuration | undefined) {}
-
-    static create(vm: string, configuration: () => Configuration | undefined): DatabaseClient {
-        return new DatabaseClient(vm, configuration);
+    private constructor(
+        private readonly vm: string,
+        private readonly configuration: () => Configuration | undefined,
+        private readonly onCloseFailed: (subject: string, error: Error) => void,
+    ) {}
+
+    /** @param onCloseFailed told of connections that were never opened or did not end in order; they are gone all the same */
+    static create(
+        vm: string,
+        configuration: () => Configuration | undefined,
+        onCloseFailed: (subject: string, error: Error) => void,
+    ): DatabaseClient {
+        return new DatabaseClient(vm, configuration, onCloseFailed);
     }
 
     probe(group: string, instance: string): Promise<InstanceProbe> {
@@ -56,7 +65,7 @@
     private drop(key: string): void {
         const client = this.clients.get(key);
         this.clients.delete(key);
-        void client?.then(each => each.end()).catch(() => undefined);
+        void client?.then(each => each.end()).catch((error: Error) => this.onCloseFailed(key, error));
     }
 
     private describeUpstream(group: string, upstream: string): string {
--- a/programs/controller/src/describeStatus.ts
+++ b/programs/controller/src/describeStatus.ts
@@ -10,11 +10,12 @@
     vm: string,
     node: ControllerNode,
     database: DatabaseControl,
+    onProbeFailed: (subject: string, error: Error) => void,
     nowMs: number,
 ): Promise<SystemStatus> => ({
     vm,
     configVersion: node.configuration.version,
-    groups: await describeGroups(node.view, database, nowMs),
+    groups: await describeGroups(node.view, database, onProbeFailed, nowMs),
     vms: describeVmStatuses(vm, node, node.members.state, nowMs),
     // Use of paid links is known to the proxies, not to the controller.
     links: [],
@@ -23,12 +24,19 @@
 const describeGroups = async (
     view: ControlView | undefined,
     database: DatabaseControl,
+    onProbeFailed: (subject: string, error: Error) => void,
     nowMs: number,
 ): Promise<Record<string, GroupStatusView>> => {
     const groups: Record<string, GroupStatusView> = {};
     for (const [group, { term, primary, holders, leaseExpiresAtMs }] of Object.entries(view?.groups ?? {})) {
         const names = Object.keys(view!.configuration.groups[group]!.instances);
-        const probes = await Promise.all(names.map(name => database.probe(group, name).catch(() => undefined)));
+        const probes = await Promise.all(names.map(name =>
+            database.probe(group, name).catch((error: Error) => {
+                // The status shows the instance as not reachable.
+                onProbeFailed(`${group}/${name}`, error);
+                return undefined;
+            })
+        ));
         const written = probes[names.indexOf(primary)]?.position;
         const instances = names.map((name, index) => [name, describeInstance(holders[name], name === primary, probes[index], written)]);
         groups[group] = {
--- a/programs/proxy/src/Proxy.ts
+++ b/programs/proxy/src/Proxy.ts
@@ -66,7 +66,11 @@
         this.gate = RequestGate.create(this.local, monotonicNowMs);
         this.router = RequestRouter.create(settings.vm, this.gate, view, monotonicNowMs);
         this.statusPuller = StatusPuller.create({ vm: settings.vm, router: this.router, local: this.local, view, nowMs: monotonicNowMs });
-        this.links = createLinkBudgets(settings, view);
+        this.links = createLinkBudgets(
+            settings,
+            view,
+            (link, error) => this.logger.warn({ event: "link lease not renewed", link, message: error.message }),
+        );
         this.router.chargeLink = this.links?.chargeRequest ?? this.router.chargeLink;
         this.peerServer = PeerServer.create(this.links?.meter(this.gate) ?? this.gate);
         this.peerServer.onStatusAsk = (vm, onStatus) => this.local.askStatus(vm, onStatus);
--- a/programs/proxy/src/createLinkBudgets.ts
+++ b/programs/proxy/src/createLinkBudgets.ts
@@ -25,7 +25,11 @@
 };
 
 /** Opens the budgets of a proxy's paid links; undefined when its settings name no platform. */
-export const createLinkBudgets = (settings: ProxySettings, view: () => ControlView): ProxyLinks | undefined => {
+export const createLinkBudgets = (
+    settings: ProxySettings,
+    view: () => ControlView,
+    onRenewalFailed: (link: string, error: Error) => void,
+): ProxyLinks | undefined => {
     const { vm, failureDomain, platformUrl } = settings;
     if (platformUrl === undefined) {
         return undefined;
@@ -36,6 +40,7 @@
         links: () => view().configuration.links,
         nowMs: monotonicNowMs,
         month: currentMonth,
+        onRenewalFailed,
     });
     const ownRegion = (): string => view().configuration.failureDomains[failureDomain] ?? "";
     // A VM that the view does not know counts as one of the own region.
