Send nothing through a connection that was given back

Cause: a statement of a transaction that the instance shed is repeated after 15 ms. When the caller left in that pause the transaction was rolled back and its connection given back, and the repetition still went out on it: outside its transaction, or inside the next user's. When it was shed again the connection was given back a second time, so that two users shared it. Change: a lease can be used and given back only once; the repetition looks whether the caller is still there; a connection that refuses a command for the session's state is closed, as its comment said.

--- a/packages/connection/instance-pool/src/InstancePool.ts
+++ b/packages/connection/instance-pool/src/InstancePool.ts
@@ -3,6 +3,7 @@
 import { type ConnectionContents, createContents } from "@pomeloturn/statement-session/ConnectionContents";
 import type { InstanceReply } from "@pomeloturn/types/InstanceCommand";
 import { TransactionStatus } from "@pomeloturn/types/Request";
+import { Lease } from "./Lease.ts";
 import {
     countToOpen,
     createPoolState,
@@ -29,18 +30,6 @@
     readonly onLost: (reason: string) => void;
 }
 
-/** A connection in use by one request or transaction. */
-export interface Lease {
-    readonly connection: CommandChannel;
-    readonly contents: ConnectionContents;
-    /** Time for which the connection had not been used. */
-    readonly idleMs: number;
-    /** Gives the connection back. @param status state of the connection after its last reply */
-    readonly release: (status: TransactionStatus) => void;
-    /** Closes the connection. */
-    readonly discard: (reason: string) => void;
-}
-
 interface PooledConnection {
     readonly connection: CommandChannel;
     readonly contents: ConnectionContents;
@@ -230,17 +219,11 @@
         pooled.isBusy = true;
         this.state.busyCount++;
         const idleMs = this.ports.nowMs() - pooled.usedAtMs;
-        return {
-            connection: pooled.connection,
-            contents: pooled.contents,
-            idleMs,
-            release: status => this.release(pooled, status),
-            discard: reason => pooled.connection.close(reason),
-        };
+        return Lease.create(pooled.connection, pooled.contents, idleMs, status => this.release(pooled, status));
     }
 
     private release(pooled: PooledConnection, status: TransactionStatus): void {
-        if (!pooled.isBusy || pooled.connection.isClosed) {
+        if (pooled.connection.isClosed) {
             return;
         }
         if (status !== TransactionStatus.Idle || pooled.connection.outstandingCount > 0) {
--- a/packages/process/replacement-runner/src/inspectInstance.ts
+++ b/packages/process/replacement-runner/src/inspectInstance.ts
@@ -39,7 +39,7 @@
     if (lease === undefined) {
         return { id, isDraining, state: undefined };
     }
-    const [sent] = lease.connection.send([{ kind: CommandKind.Status }]);
+    const [sent] = lease.send([{ kind: CommandKind.Status }]);
     const reply = await awaitReply(sent!, SURVEY_TIMEOUT_MS);
     if (reply === undefined) {
         lease.discard("no answer to a survey in time");
@@ -53,7 +53,7 @@
 export const stepDownInstance = async ({ pool }: InstanceRuntime, term: number): Promise<void> => {
     const lease = await pool.acquire(SURVEY_RANK, SURVEY_TIMEOUT_MS);
     if (lease !== undefined) {
-        const [sent] = lease.connection.send([{ kind: CommandKind.StepDown, term }]);
+        const [sent] = lease.send([{ kind: CommandKind.StepDown, term }]);
         const reply = await awaitReply(sent!, SURVEY_TIMEOUT_MS);
         lease.release(reply?.status ?? "E");
     }
--- a/packages/process/statement-runner/src/Transaction.ts
+++ b/packages/process/statement-runner/src/Transaction.ts
@@ -1,5 +1,6 @@
 import { ResultCode } from "@pomeloturn/errors/ResultCode";
-import type { Lease } from "@pomeloturn/instance-pool/InstancePool";
+import { lostReply } from "@pomeloturn/instance-connection/InstanceConnection";
+import type { Lease } from "@pomeloturn/instance-pool/Lease";
 import type { InstanceRuntime } from "@pomeloturn/service-directory/InstanceRuntime";
 import { refused } from "@pomeloturn/statement-session/answerLocally";
 import type { CallerReply } from "@pomeloturn/types/CallerMessage";
@@ -13,6 +14,7 @@
 import { recordLeaderPosition } from "./recordLeaderPosition.ts";
 import type { RunnerPorts } from "./RunnerPorts.ts";
 import { chooseForRead } from "./runRead.ts";
+import { sendAligned } from "./sendAligned.ts";
 import { BEGIN_TIMEOUT_MS, PRIMARY_RETRY_AFTER_MS, sleep, within } from "./timing.ts";
 
 const PAUSE_MS = 20;
@@ -64,11 +66,11 @@
     rollback(): void {
         this.isEnded = true;
         const { begun } = this;
-        if (begun === undefined || begun.lease.connection.outstandingCount > 0) {
+        if (begun === undefined || begun.lease.outstandingCount > 0) {
             return;
         }
         this.begun = undefined;
-        const [reply] = begun.lease.connection.send([{ kind: CommandKind.Rollback }]);
+        const [reply] = begun.lease.send([{ kind: CommandKind.Rollback }]);
         void reply!.then(({ code, status }) =>
             code === ResultCode.Ok ? begun.lease.release(status) : begun.lease.discard("rollback refused")
         );
@@ -107,8 +109,8 @@
             return undefined;
         }
         const { commands } = alignFor(lease, operation);
-        const replies = lease.connection.send([...commands, { kind: CommandKind.BeginRead, after: requirement.after }]);
-        const reply = await within(replies.at(-1)!, BEGIN_TIMEOUT_MS);
+        const sent = sendAligned(lease, commands, { kind: CommandKind.BeginRead, after: requirement.after });
+        const reply = await within(sent, BEGIN_TIMEOUT_MS);
         if (reply?.code === ResultCode.Ok) {
             return { lease, instance };
         }
@@ -134,17 +136,15 @@
         for (;;) {
             operation.attempts++;
             const { commands, preparedName } = alignFor(begun.lease, operation);
-            const replies = begun.lease.connection.send([...commands, {
-                kind: CommandKind.Forward,
-                statement,
-                preparedName,
-                after: undefined,
-            }]);
-            const reply = await awaitReply(replies.at(-1)!, begun.lease, operation, this.ports);
+            const sent = sendAligned(begun.lease, commands, { kind: CommandKind.Forward, statement, preparedName, after: undefined });
+            const reply = await awaitReply(sent, begun.lease, operation, this.ports);
             forgetPrepared(begun.lease, reply);
             const isRepeatable = REPEATABLE_CODES.has(reply.code) && reply.status === TransactionStatus.Open;
             if (isRepeatable && this.ports.nowMs() < operation.holdUntilMs) {
                 await sleep(BUSY_PAUSE_MS);
+                if (this.isEnded) {
+                    return lostReply("the caller left, and the transaction was rolled back");
+                }
                 continue;
             }
             this.learn(operation, begun, reply, sentAtMs, suspensions);
--- a/packages/process/statement-runner/src/attemptRead.ts
+++ b/packages/process/statement-runner/src/attemptRead.ts
@@ -1,5 +1,5 @@
 import { ResultCode } from "@pomeloturn/errors/ResultCode";
-import type { Lease } from "@pomeloturn/instance-pool/InstancePool";
+import type { Lease } from "@pomeloturn/instance-pool/Lease";
 import type { InstanceRuntime } from "@pomeloturn/service-directory/InstanceRuntime";
 import { alignConnection, type Alignment } from "@pomeloturn/statement-session/ConnectionContents";
 import { CommandKind, type InstanceReply } from "@pomeloturn/types/InstanceCommand";
@@ -8,6 +8,7 @@
 import { beginAtLeader } from "./beginAtLeader.ts";
 import type { Operation } from "./Operation.ts";
 import type { RunnerPorts } from "./RunnerPorts.ts";
+import { sendAligned } from "./sendAligned.ts";
 
 /** Time after a statement's limit at which a connection that has not answered is closed. */
 const ABANDON_MARGIN_MS = 20;
@@ -75,8 +76,8 @@
     const { commands, preparedName } = alignFor(lease, operation);
     const sentAtMs = ports.nowMs();
     const { statement } = operation;
-    const replies = lease.connection.send([...commands, { kind: CommandKind.Forward, statement, preparedName, after }]);
-    const reply = await awaitReply(replies.at(-1)!, lease, operation, ports);
+    const sent = sendAligned(lease, commands, { kind: CommandKind.Forward, statement, preparedName, after });
+    const reply = await awaitReply(sent, lease, operation, ports);
     forgetPrepared(lease, reply);
     lease.release(reply.status);
     learn(instance, reply, sentAtMs, isOwnPosition, ports);
@@ -101,13 +102,13 @@
     }
     const { lease, instance } = begun;
     if (operation.isDone) {
-        const [ended] = lease.connection.send([{ kind: CommandKind.Rollback }]);
+        const [ended] = lease.send([{ kind: CommandKind.Rollback }]);
         void ended!.then(({ status }) => lease.release(status));
         return undefined;
     }
     const sentAtMs = ports.nowMs();
     const { statement } = operation;
-    const [answer, ended] = lease.connection.send([
+    const [answer, ended] = lease.send([
         { kind: CommandKind.Forward, statement, preparedName, after: undefined },
         { kind: CommandKind.Rollback },
     ]);
--- a/packages/process/statement-runner/src/beginAtLeader.ts
+++ b/packages/process/statement-runner/src/beginAtLeader.ts
@@ -1,10 +1,11 @@
 import { ResultCode } from "@pomeloturn/errors/ResultCode";
-import type { Lease } from "@pomeloturn/instance-pool/InstancePool";
+import type { Lease } from "@pomeloturn/instance-pool/Lease";
 import type { InstanceRuntime } from "@pomeloturn/service-directory/InstanceRuntime";
 import type { ServiceRuntime } from "@pomeloturn/service-directory/ServiceRuntime";
 import { CommandKind, type InstanceCommand } from "@pomeloturn/types/InstanceCommand";
 import { recordLeaderPosition } from "./recordLeaderPosition.ts";
 import { Evidence, type RunnerPorts } from "./RunnerPorts.ts";
+import { sendAligned } from "./sendAligned.ts";
 import { BEGIN_TIMEOUT_MS, within } from "./timing.ts";
 
 /** A transaction that has begun at the primary. */
@@ -36,8 +37,7 @@
     const commands = typeof prepare === "function" ? prepare(lease) : prepare;
     const askedAtMs = ports.nowMs();
     const suspensions = ports.checkSuspended();
-    const replies = lease.connection.send([...commands, { kind: CommandKind.Begin }]);
-    const reply = await within(replies.at(-1)!, BEGIN_TIMEOUT_MS);
+    const reply = await within(sendAligned(lease, commands, { kind: CommandKind.Begin }), BEGIN_TIMEOUT_MS);
     if (reply?.code === ResultCode.Ok) {
         recordLeaderPosition(service, instance.entry.id, reply, askedAtMs, suspensions, ports);
         return { lease, instance };
--- a/packages/process/statement-runner/src/runWrite.ts
+++ b/packages/process/statement-runner/src/runWrite.ts
@@ -1,5 +1,5 @@
 import { ResultCode } from "@pomeloturn/errors/ResultCode";
-import type { Lease } from "@pomeloturn/instance-pool/InstancePool";
+import type { Lease } from "@pomeloturn/instance-pool/Lease";
 import { refused } from "@pomeloturn/statement-session/answerLocally";
 import { createContents } from "@pomeloturn/statement-session/ConnectionContents";
 import type { CallerReply } from "@pomeloturn/types/CallerMessage";
@@ -10,6 +10,7 @@
 import type { Operation } from "./Operation.ts";
 import { recordLeaderPosition } from "./recordLeaderPosition.ts";
 import { Evidence, type RunnerPorts } from "./RunnerPorts.ts";
+import { sendAligned } from "./sendAligned.ts";
 import { PRIMARY_RETRY_AFTER_MS, sleep, within } from "./timing.ts";
 
 /** A connection that was idle for longer is asked for a sign of life before a write goes out on it. */
@@ -23,7 +24,7 @@
     if (lease.idleMs < VERIFY_IDLE_MS) {
         return true;
     }
-    const [reply] = lease.connection.send([{ kind: CommandKind.Reset }]);
+    const [reply] = lease.send([{ kind: CommandKind.Reset }]);
     Object.assign(lease.contents, createContents());
     const { code } = await within(reply!, VERIFY_TIMEOUT_MS) ?? { code: ResultCode.BackendLost };
     if (code !== ResultCode.Ok) {
@@ -68,8 +69,8 @@
     const { commands, preparedName } = alignFor(lease, operation);
     const sentAtMs = ports.nowMs();
     const suspensions = ports.checkSuspended();
-    const replies = lease.connection.send([...commands, { kind: CommandKind.Forward, statement, preparedName, after: undefined }]);
-    const reply = await awaitReply(replies.at(-1)!, lease, operation, ports);
+    const sent = sendAligned(lease, commands, { kind: CommandKind.Forward, statement, preparedName, after: undefined });
+    const reply = await awaitReply(sent, lease, operation, ports);
     forgetPrepared(lease, reply);
     lease.release(reply.status);
     if (reply.code === ResultCode.Ok) {
--- a/packages/process/statement-runner/src/sampleLeader.ts
+++ b/packages/process/statement-runner/src/sampleLeader.ts
@@ -15,7 +15,7 @@
     if (begun === undefined) {
         return;
     }
-    const [reply] = begun.lease.connection.send([{ kind: CommandKind.Rollback }]);
+    const [reply] = begun.lease.send([{ kind: CommandKind.Rollback }]);
     const { code, status } = await reply!;
     if (code === ResultCode.Ok) {
         begun.lease.release(status);
--- a/tests/promises/promises.test.ts
+++ b/tests/promises/promises.test.ts
@@ -19,14 +19,14 @@
 
 const fault: fc.Arbitrary<ScriptedFault> = fc.record({
     atMs: fc.integer({ min: 50, max: 2_000 }),
-    kind: fc.constantFrom("promote", "crashLeader", "darkReplica", "lag", "answersLost", "busy", "suspend"),
+    kind: fc.constantFrom("promote", "crashLeader", "darkReplica", "lag", "answersLost", "busy", "suspend", "leave"),
     target: fc.integer({ min: 0, max: 1 }),
 });
 
 const script = fc.record({
     seed: fc.integer({ min: 1, max: 1_000_000 }),
     operations: fc.array(operation, { minLength: 40, maxLength: 120 }),
-    faults: fc.array(fault, { minLength: 0, maxLength: 4 }),
+    faults: fc.array(fault, { minLength: 0, maxLength: 6 }),
 });
 
 type Script = typeof script extends fc.Arbitrary<infer Value> ? Value : never;
--- a/tests/promises/support/PromiseSimulation.ts
+++ b/tests/promises/support/PromiseSimulation.ts
@@ -6,7 +6,9 @@
 import { ServiceDirectory } from "@pomeloturn/service-directory/ServiceDirectory";
 import type { RunnerPorts } from "@pomeloturn/statement-runner/RunnerPorts";
 import { SessionRunner } from "@pomeloturn/statement-runner/SessionRunner";
+import { refused } from "@pomeloturn/statement-session/answerLocally";
 import type { CallerReply } from "@pomeloturn/types/CallerMessage";
+import { TransactionStatus } from "@pomeloturn/types/Request";
 import { Freshness, type RouteEntry } from "@pomeloturn/types/ServiceEntries";
 import { type Statement, StatementKind } from "@pomeloturn/types/Statement";
 import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
@@ -31,7 +33,7 @@
 /** A fault at a time of the script. */
 export interface ScriptedFault {
     readonly atMs: number;
-    readonly kind: "promote" | "crashLeader" | "darkReplica" | "lag" | "answersLost" | "busy" | "suspend";
+    readonly kind: "promote" | "crashLeader" | "darkReplica" | "lag" | "answersLost" | "busy" | "suspend" | "leave";
     readonly target: number;
 }
 
@@ -51,11 +53,13 @@
 const ROUTES = [route("strict", Freshness.Primary), route("aged", Freshness.Bounded), route("own", Freshness.ReadYourWrites)];
 
 interface SimulatedSession {
+    /** Differs for each caller, also at the same place. */
+    readonly key: number;
     readonly runner: SessionRunner;
     readonly route: RouteEntry;
     readonly values: Map<string, string>;
     transactions: number;
-    last: Promise<void>;
+    isGone: boolean;
 }
 
 /** VMs with sessions before one modelled group, in virtual time. */
@@ -65,6 +69,9 @@
     private readonly faults: ChannelFaults;
     private readonly directories: ServiceDirectory[] = [];
     private readonly sessions: SimulatedSession[] = [];
+    /** The last operation at each session's place. */
+    private readonly last: Promise<void>[] = [];
+    private nextKey = 1;
     private nextId = 1;
     private revision = 1;
     private suspensions = 0;
@@ -78,22 +85,26 @@
         }
         this.list();
         for (let session = 0; session < 6; session++) {
-            const chosen = ROUTES[session % ROUTES.length]!;
-            const runner = SessionRunner.create(chosen.database, this.createPorts(this.directories[session % 2]!));
-            this.sessions.push({ runner, route: chosen, values: new Map(), transactions: 0, last: Promise.resolve() });
+            this.sessions.push(this.createSession(session));
+            this.last.push(Promise.resolve());
         }
     }
 
+    private createSession(place: number): SimulatedSession {
+        const route = ROUTES[place % ROUTES.length]!;
+        const runner = SessionRunner.create(route.database, this.createPorts(this.directories[place % 2]!));
+        return { key: this.nextKey++, runner, route, values: new Map(), transactions: 0, isGone: false };
+    }
+
     /** Starts a session's operation behind the one before. */
     start({ session: index, kind, gapMs }: ScriptedOperation): void {
-        const session = this.sessions[index]!;
-        session.last = session.last.then(() => new Promise(resolve => setTimeout(resolve, gapMs))).then(() =>
-            this.operate(session, index, kind)
+        this.last[index] = this.last[index]!.then(() => new Promise(resolve => setTimeout(resolve, gapMs))).then(() =>
+            this.operate(this.sessions[index]!, kind)
         );
     }
 
     async finished(): Promise<void> {
-        await Promise.all(this.sessions.map(({ last }) => last));
+        await Promise.all(this.last);
     }
 
     inject({ kind, target }: ScriptedFault): void {
@@ -116,6 +127,7 @@
             answersLost: () => this.during(share => faults.answerLostShare = share, 0.3),
             busy: () => this.during(share => faults.busyShare = share, 0.5),
             suspend: () => this.suspendAll(),
+            leave: () => this.sessions.forEach((_session, place) => this.leave(place)),
         };
         handlers[kind]();
     }
@@ -125,6 +137,14 @@
         setTimeout(() => set(0), TIMEOUT_MS);
     }
 
+    /** A caller leaves, maybe in the middle of an operation; another one takes its place. */
+    private leave(place: number): void {
+        const session = this.sessions[place]!;
+        session.isGone = true;
+        session.runner.close();
+        this.sessions[place] = this.createSession(place);
+    }
+
     /** The VMs notice that they stood still: what they know has unknown age. */
     private suspendAll(): void {
         this.suspensions++;
@@ -189,25 +209,25 @@
         };
     }
 
-    private async operate(session: SimulatedSession, index: number, kind: ScriptedOperation["kind"]): Promise<void> {
+    private async operate(session: SimulatedSession, kind: ScriptedOperation["kind"]): Promise<void> {
         const single = (statementKind: StatementKind, name = "", argument = "", isWrite = false): Promise<CallerReply> =>
-            this.run(session, index, { kind: statementKind, name, argument, isWrite }, undefined, []);
+            this.run(session, { kind: statementKind, name, argument, isWrite }, undefined, []);
         const handlers: Readonly<Record<ScriptedOperation["kind"], () => Promise<unknown>>> = {
             read: () => single(StatementKind.Read),
             write: () => single(StatementKind.Write),
             executeRead: async () => {
-                await single(StatementKind.Prepare, "p", `read${index}`);
+                await single(StatementKind.Prepare, "p", `read${session.key}`);
                 await single(StatementKind.Execute, "p", "x");
             },
             executeWrite: async () => {
-                await single(StatementKind.Prepare, "q", `write${index}`, true);
+                await single(StatementKind.Prepare, "q", `write${session.key}`, true);
                 await single(StatementKind.Execute, "q", "x");
             },
-            readTransaction: () => this.transact(session, index, StatementKind.BeginRead, [StatementKind.Read, StatementKind.Read], true),
-            writeTransaction: () => this.transact(session, index, StatementKind.Begin, [StatementKind.Read, StatementKind.Write], true),
-            rollback: () => this.transact(session, index, StatementKind.Begin, [StatementKind.Write], false),
+            readTransaction: () => this.transact(session, StatementKind.BeginRead, [StatementKind.Read, StatementKind.Read], true),
+            writeTransaction: () => this.transact(session, StatementKind.Begin, [StatementKind.Read, StatementKind.Write], true),
+            rollback: () => this.transact(session, StatementKind.Begin, [StatementKind.Write], false),
             setValue: () => {
-                session.values.set("language", `${index}-${this.nextId}`);
+                session.values.set("language", `${session.key}-${this.nextId}`);
                 return single(StatementKind.Set, "language", session.values.get("language"));
             },
         };
@@ -216,7 +236,6 @@
 
     private async transact(
         session: SimulatedSession,
-        index: number,
         begin: StatementKind,
         kinds: readonly StatementKind[],
         isCommitted: boolean,
@@ -224,30 +243,32 @@
         const transaction = ++session.transactions;
         const ids: string[] = [];
         const plain = { name: "", argument: "", isWrite: false };
-        await this.run(session, index, { kind: begin, ...plain }, transaction, ids);
+        await this.run(session, { kind: begin, ...plain }, transaction, ids);
         for (const kind of kinds) {
-            const reply = await this.run(session, index, { kind, ...plain }, transaction, ids);
+            const reply = await this.run(session, { kind, ...plain }, transaction, ids);
             if (reply.code !== ResultCode.Ok) {
-                await this.run(session, index, { kind: StatementKind.Rollback, ...plain }, transaction, []);
+                await this.run(session, { kind: StatementKind.Rollback, ...plain }, transaction, []);
                 return;
             }
             await new Promise(resolve => setTimeout(resolve, 15));
         }
-        await this.run(session, index, { kind: isCommitted ? StatementKind.Commit : StatementKind.Rollback, ...plain }, transaction, ids);
+        await this.run(session, { kind: isCommitted ? StatementKind.Commit : StatementKind.Rollback, ...plain }, transaction, ids);
     }
 
     /** Runs a statement and tells the check what the caller was told. @param ids requests of the attempt so far */
     private async run(
         session: SimulatedSession,
-        index: number,
         part: Pick<Statement, "kind" | "name" | "argument" | "isWrite">,
         transaction: number | undefined,
         ids: string[],
     ): Promise<CallerReply> {
+        if (session.isGone) {
+            return refused(ResultCode.TransactionLost, "the caller has gone", TransactionStatus.Idle);
+        }
         const id = `r${this.nextId++}`;
-        const shape = part.kind === StatementKind.Execute ? `${part.name === "p" ? "read" : "write"}${index}` : undefined;
+        const shape = part.kind === StatementKind.Execute ? `${part.name === "p" ? "read" : "write"}${session.key}` : undefined;
         this.group.expectations.set(id, {
-            session: index,
+            session: session.key,
             sentAtMs: performance.now(),
             maximumAgeMs: session.route.freshness === Freshness.Primary ? 0 : MAXIMUM_AGE_MS,
             seesOwn: session.route.freshness === Freshness.ReadYourWrites,
@@ -260,7 +281,7 @@
         this.served += reply.code === ResultCode.Ok ? 1 : 0;
         const isDurable = transaction === undefined || part.kind === StatementKind.Commit;
         if (reply.code === ResultCode.Ok && isDurable) {
-            this.group.acknowledge(ids, index);
+            this.group.acknowledge(ids, session.key);
         }
         if (resultTable.get(reply.code as ResultCode)?.effect === PROMISED_EFFECT) {
             this.group.promise(ids);
