Pace the lower ranks at instances that refuse work for want of a slot

Cause: an instance's refusal (BUSY) taught nothing. Each statement came back after 15 to 25 ms, whatever its rank, so that in bursts three of four arrivals were refused, the most urgent rank as often as the others, and the refusals made most of the bytes between zones. Change: packages/request/pace-attempts. A refusal doubles the interval at which this VM sends statements of lower ranks to that instance (10 to 200 ms, jittered), a served statement shortens it; the most urgent rank comes back after 15 ms. The wait counts in the choice of the instance; a statement whose turn comes too late is refused at once.

--- a/packages/process/logger/src/createLogger.ts
+++ b/packages/process/logger/src/createLogger.ts
@@ -1,4 +1,5 @@
 import { type ILogObj, Logger } from "tslog";
+import { standardOutput } from "./standardOutput.ts";
 
 /** A logger that writes a JSON line for each change of state. */
 export type ProcessLogger = Logger<ILogObj>;
@@ -10,4 +11,5 @@
         type: process.env["POMELOTURN_LOG"] === "off" ? "hidden" : "json",
         hideLogPositionForProduction: true,
         stylePrettyLogs: false,
+        overwrite: { transportJSON: line => standardOutput().write(JSON.stringify(line)) },
     });
--- a/packages/process/statement-runner/src/Operation.ts
+++ b/packages/process/statement-runner/src/Operation.ts
@@ -13,7 +13,7 @@
     readonly service: ServiceRuntime;
     readonly startedAtMs: number;
     /** Until when a statement that has not been sent may wait. */
-    readonly holdUntilMs: number;
+    holdUntilMs: number;
     readonly deadlineAtMs: number;
     attempts: number;
     /** Last instance that was tried. */
--- a/packages/process/statement-runner/src/RunnerPorts.ts
+++ b/packages/process/statement-runner/src/RunnerPorts.ts
@@ -33,6 +33,8 @@
     readonly directory: ServiceDirectory;
     /** Monotonic milliseconds. Samples are void when the VM was suspended; see `checkSuspended`. */
     readonly nowMs: () => number;
+    /** 0 to 1, seeded in tests. */
+    readonly random: () => number;
     /** Counts suspensions of this VM: a sample that was asked for under another count is not kept. */
     readonly checkSuspended: () => number;
     readonly distanceTo: (failureDomain: string) => Distance;
--- a/packages/process/statement-runner/src/Transaction.ts
+++ b/packages/process/statement-runner/src/Transaction.ts
@@ -9,6 +9,7 @@
 import { Freshness, type RouteEntry } from "@pomeloturn/types/ServiceEntries";
 import { StatementKind } from "@pomeloturn/types/Statement";
 import { alignFor, awaitReply, forgetPrepared } from "./attemptRead.ts";
+import { awaitTurn } from "./awaitTurn.ts";
 import { beginAtLeader, type BegunTransaction } from "./beginAtLeader.ts";
 import type { Operation } from "./Operation.ts";
 import { recordLeaderPosition } from "./recordLeaderPosition.ts";
@@ -90,7 +91,11 @@
         return undefined;
     }
 
-    private beginAtLeader(operation: Operation): Promise<BegunTransaction | undefined> {
+    private async beginAtLeader(operation: Operation): Promise<BegunTransaction | undefined> {
+        const { leader } = operation.service;
+        if (leader !== undefined && !await awaitTurn(leader, operation, this.ports)) {
+            return undefined;
+        }
         const waitMs = Math.max(1, operation.holdUntilMs - this.ports.nowMs());
         const align = (lease: Lease): ReturnType<typeof alignFor>["commands"] => alignFor(lease, operation).commands;
         return beginAtLeader(operation.service, operation.route.rank, waitMs, align, this.ports);
@@ -104,7 +109,9 @@
         }
         const { instance, requirement } = found;
         excluded.add(instance.entry.id);
-        const lease = await instance.pool.acquire(operation.route.rank, Math.max(1, operation.holdUntilMs - this.ports.nowMs()));
+        const isTurn = await awaitTurn(instance, operation, this.ports);
+        const waitMs = Math.max(1, operation.holdUntilMs - this.ports.nowMs());
+        const lease = isTurn ? await instance.pool.acquire(operation.route.rank, waitMs) : undefined;
         if (lease === undefined) {
             return undefined;
         }
@@ -139,6 +146,9 @@
             const sent = sendAligned(begun.lease, commands, { kind: CommandKind.Forward, statement, preparedName, after: undefined });
             const reply = await awaitReply(sent, begun.lease, operation, this.ports);
             forgetPrepared(begun.lease, reply);
+            if (reply.code === ResultCode.QueueFull) {
+                begun.instance.recordBusy(this.ports.random(), this.ports.nowMs());
+            }
             const isRepeatable = REPEATABLE_CODES.has(reply.code) && reply.status === TransactionStatus.Open;
             if (isRepeatable && this.ports.nowMs() < operation.holdUntilMs) {
                 await sleep(BUSY_PAUSE_MS);
--- a/packages/process/statement-runner/src/attemptRead.ts
+++ b/packages/process/statement-runner/src/attemptRead.ts
@@ -5,6 +5,7 @@
 import { CommandKind, type InstanceReply } from "@pomeloturn/types/InstanceCommand";
 import type { LogPosition } from "@pomeloturn/types/LogPosition";
 import { TransactionStatus } from "@pomeloturn/types/Request";
+import { awaitTurn } from "./awaitTurn.ts";
 import { beginAtLeader } from "./beginAtLeader.ts";
 import type { Operation } from "./Operation.ts";
 import type { RunnerPorts } from "./RunnerPorts.ts";
@@ -45,6 +46,9 @@
     if (reply.code === ResultCode.Ok) {
         instance.recordAnswered(ports.nowMs() - sentAtMs, reply.position);
     }
+    else if (reply.code === ResultCode.QueueFull) {
+        instance.recordBusy(ports.random(), ports.nowMs());
+    }
     else if (reply.code === ResultCode.ReplicaBehind && !isOwnPosition) {
         instance.recordBehind(reply.position, ports.nowMs());
     }
@@ -64,7 +68,7 @@
     waitMs: number,
     ports: RunnerPorts,
 ): Promise<InstanceReply | undefined> => {
-    const lease = await instance.pool.acquire(operation.route.rank, waitMs);
+    const lease = await awaitTurn(instance, operation, ports) ? await instance.pool.acquire(operation.route.rank, waitMs) : undefined;
     if (lease === undefined) {
         return undefined;
     }
@@ -96,7 +100,9 @@
         preparedName = alignment.preparedName;
         return alignment.commands;
     };
-    const begun = await beginAtLeader(operation.service, operation.route.rank, waitMs, align, ports);
+    const { leader } = operation.service;
+    const isTurn = leader === undefined || await awaitTurn(leader, operation, ports);
+    const begun = isTurn ? await beginAtLeader(operation.service, operation.route.rank, waitMs, align, ports) : undefined;
     if (begun === undefined) {
         return undefined;
     }
--- /dev/null
+++ b/packages/process/statement-runner/src/awaitTurn.ts
@@ -0,0 +1,28 @@
+import { takeTurn, waitForTurn } from "@pomeloturn/pace-attempts/AttemptPace";
+import type { InstanceRuntime } from "@pomeloturn/service-directory/InstanceRuntime";
+import type { Operation } from "./Operation.ts";
+import type { RunnerPorts } from "./RunnerPorts.ts";
+import { sleep } from "./timing.ts";
+
+/**
+ * Waits for the statement's turn at an instance that was busy. A statement whose turn comes after its holding time
+ * is not held any longer.
+ *
+ * @returns whether the statement may be sent now
+ */
+export const awaitTurn = async (instance: InstanceRuntime, operation: Operation, ports: RunnerPorts): Promise<boolean> => {
+    const { rank } = operation.route;
+    for (;;) {
+        const nowMs = ports.nowMs();
+        const waitMs = waitForTurn(instance.pace, rank, nowMs);
+        if (waitMs === 0) {
+            takeTurn(instance.pace, rank, nowMs);
+            return true;
+        }
+        if (operation.isDone || nowMs + waitMs > operation.holdUntilMs) {
+            operation.holdUntilMs = Math.min(operation.holdUntilMs, nowMs);
+            return false;
+        }
+        await sleep(waitMs);
+    }
+};
--- a/packages/process/statement-runner/src/hedging.test.ts
+++ b/packages/process/statement-runner/src/hedging.test.ts
@@ -79,6 +79,7 @@
 const createPorts = (): RunnerPorts => ({
     directory: createDirectory(),
     nowMs: (): number => performance.now(),
+    random: (): number => 1 / 2,
     checkSuspended: (): number => 0,
     distanceTo: (): Distance => Distance.SameDomain,
     onSuspect: (): void => {},
--- a/packages/process/statement-runner/src/leavingCaller.test.ts
+++ b/packages/process/statement-runner/src/leavingCaller.test.ts
@@ -62,6 +62,7 @@
     return {
         directory,
         nowMs: (): number => performance.now(),
+        random: (): number => 1 / 2,
         checkSuspended: (): number => 0,
         distanceTo: (): Distance => Distance.SameDomain,
         onSuspect: (): void => {},
--- a/packages/process/statement-runner/src/runRead.ts
+++ b/packages/process/statement-runner/src/runRead.ts
@@ -1,4 +1,5 @@
 import { ResultCode } from "@pomeloturn/errors/ResultCode";
+import { waitForTurn } from "@pomeloturn/pace-attempts/AttemptPace";
 import { combinePositions, findProof, isAtOrAfter } from "@pomeloturn/position-samples/PositionSamples";
 import { type Candidate, chooseCandidate } from "@pomeloturn/rank-candidates/rankCandidates";
 import type { InstanceRuntime } from "@pomeloturn/service-directory/InstanceRuntime";
@@ -50,7 +51,7 @@
     && (instance.position === undefined || !isAtOrAfter(instance.position, after));
 
 /** Describes the service's instances for a read. */
-const describeCandidates = ({ service }: Operation, after: LogPosition | undefined, ports: RunnerPorts): Candidate[] => {
+const describeCandidates = ({ service, route }: Operation, after: LogPosition | undefined, ports: RunnerPorts): Candidate[] => {
     const nowMs = ports.nowMs();
     return [...service.instances.values()].map(instance => ({
         id: instance.entry.id,
@@ -61,6 +62,7 @@
         isUnreachable: instance.pool.isUnreachable,
         isPrimary: instance === service.leader,
         isBehind: isBehind(instance, after, nowMs),
+        waitMs: waitForTurn(instance.pace, route.rank, nowMs),
     }));
 };
 
@@ -184,9 +186,6 @@
         }
         this.wasSent ||= reply.code === ResultCode.BackendLost;
         this.lastCode = reply.code;
-        if (reply.code === ResultCode.QueueFull) {
-            await sleep(PAUSE_MS);
-        }
         return undefined;
     }
 
--- a/packages/process/statement-runner/src/runWrite.ts
+++ b/packages/process/statement-runner/src/runWrite.ts
@@ -6,6 +6,7 @@
 import { CommandKind, type InstanceReply } from "@pomeloturn/types/InstanceCommand";
 import { TransactionStatus } from "@pomeloturn/types/Request";
 import { alignFor, awaitReply, forgetPrepared } from "./attemptRead.ts";
+import { awaitTurn } from "./awaitTurn.ts";
 import { judgeWrite, Verdict } from "./judgeReply.ts";
 import type { Operation } from "./Operation.ts";
 import { recordLeaderPosition } from "./recordLeaderPosition.ts";
@@ -50,6 +51,9 @@
         await service.waitForChange(Math.min(2 * PAUSE_MS, Math.max(1, holdUntilMs - ports.nowMs())));
         return undefined;
     }
+    if (!await awaitTurn(leader, operation, ports)) {
+        return undefined;
+    }
     const lease = await leader.pool.acquire(route.rank, Math.max(1, holdUntilMs - ports.nowMs()));
     if (lease === undefined) {
         await sleep(PAUSE_MS);
@@ -80,6 +84,9 @@
             session.ownPositions.set(service.name, reply.position);
         }
     }
+    else if (reply.code === ResultCode.QueueFull) {
+        service.instances.get(instance)?.recordBusy(ports.random(), ports.nowMs());
+    }
     else if (reply.code === ResultCode.NotPrimary) {
         service.denyLeader(instance);
     }
@@ -100,7 +107,9 @@
             return reply;
         }
         lastCode = reply.code;
-        await sleep(PAUSE_MS);
+        if (reply.code !== ResultCode.QueueFull) {
+            await sleep(PAUSE_MS);
+        }
     }
     return refused(ResultCode.NoInstance, `last result ${lastCode}`, operation.session.status, PRIMARY_RETRY_AFTER_MS);
 };
--- a/packages/request/rank-candidates/src/rankCandidates.test.ts
+++ b/packages/request/rank-candidates/src/rankCandidates.test.ts
@@ -10,6 +10,7 @@
     isUnreachable: false,
     isPrimary: false,
     isBehind: false,
+    waitMs: 0,
 };
 const zone: Candidate = { ...near, id: "zone", distance: Distance.SameRegion };
 const far: Candidate = { ...near, id: "far", distance: Distance.OtherRegion, latencyMs: 40 };
@@ -20,6 +21,7 @@
         ["the nearest", [far, zone, near], [], "near"],
         ["the nearest, as long as its wait is worth the way", [{ ...near, load: 5 }, zone], [], "near"],
         ["another one when the nearest has many requests", [{ ...near, load: 20 }, zone], [], "zone"],
+        ["another one when the nearest has been busy", [{ ...near, waitMs: 200 }, far], [], "far"],
         ["none that is leaving", [{ ...near, isDraining: true }, far], [], "far"],
         ["none that is behind", [{ ...near, isBehind: true }, far], [], "far"],
         ["none that was tried", [near, zone], ["near"], "zone"],
--- a/packages/request/rank-candidates/src/rankCandidates.ts
+++ b/packages/request/rank-candidates/src/rankCandidates.ts
@@ -11,6 +11,8 @@
     readonly isPrimary: boolean;
     /** Whether the instance is known to lack what the read must see. */
     readonly isBehind: boolean;
+    /** Time until a statement may be sent there, after the instance was busy. */
+    readonly waitMs: number;
 }
 
 /** Constants for how far an instance is from this VM. */
@@ -36,7 +38,7 @@
 
 /** Expected time of a read, with the paid way weighed as time. */
 const weighCandidate = (candidate: Candidate, targetLatencyMs: number): number =>
-    candidate.latencyMs * (1 + LOAD_SHARE * candidate.load)
+    candidate.waitMs + candidate.latencyMs * (1 + LOAD_SHARE * candidate.load)
     + targetLatencyMs * (DISTANCE_SHARE[candidate.distance] + (candidate.isPrimary ? PRIMARY_SHARE : 0));
 
 /**
--- a/programs/entry/src/Entry.ts
+++ b/programs/entry/src/Entry.ts
@@ -123,6 +123,7 @@
         return {
             directory: this.directory,
             nowMs: () => performance.now(),
+            random: Math.random,
             checkSuspended: () => this.detector.check(performance.now(), Date.now()),
             distanceTo: failureDomain => this.distanceTo(failureDomain),
             onSuspect: (service, instanceId, evidence) => {
