--- a/programs/bench/src/main.ts
+++ b/programs/bench/src/main.ts
@@ -1,6 +1,7 @@
 import { controlCost } from "./controlCost.ts";
 import { decisionCost } from "./decisionCost.ts";
 import { routingTable } from "./routingTable.ts";
+import { statementCost } from "./statementCost.ts";
 import { writeTraces } from "./writeTraces.ts";
 
 type Measurement = () => unknown;
@@ -9,6 +10,7 @@
     control: controlCost,
     decisions: decisionCost,
     routing: routingTable,
+    statements: statementCost,
     writeTraces,
 };
 
--- /dev/null
+++ b/programs/bench/src/statementCost.ts
@@ -0,0 +1,160 @@
+import type { CommandChannel } from "@pomeloturn/instance-connection/CommandChannel";
+import { InstancePool } from "@pomeloturn/instance-pool/InstancePool";
+import { LineWriter } from "@pomeloturn/logger/LineWriter";
+import { encodeInstanceReply } from "@pomeloturn/platform/encodeInstanceReply";
+import { lineCallerProtocol, lineInstanceProtocol } from "@pomeloturn/platform/lineProtocol";
+import { Distance } from "@pomeloturn/rank-candidates/rankCandidates";
+import { ServiceDirectory } from "@pomeloturn/service-directory/ServiceDirectory";
+import type { RunnerPorts } from "@pomeloturn/statement-runner/RunnerPorts";
+import { SessionRunner } from "@pomeloturn/statement-runner/SessionRunner";
+import { CallerMessageKind } from "@pomeloturn/types/CallerMessage";
+import { CommandKind, type InstanceCommand, type InstanceReply } from "@pomeloturn/types/InstanceCommand";
+import { TransactionStatus } from "@pomeloturn/types/Request";
+import { Freshness } from "@pomeloturn/types/ServiceEntries";
+import { openSync } from "node:fs";
+
+const WARM_UP_COUNT = 20_000;
+const MEASURED_COUNT = 50_000;
+const SESSION_COUNT = 5_000;
+const LINE_COUNT = 20_000;
+const MICROSECONDS = 1_000;
+const DATABASE = "orders";
+const SERVICE = "ledger";
+const ROW = "qhzkwmtrbelo";
+const PROOF = "7.1f3.c.2b.90e1c4d2a7b3f655";
+
+/** What a statement costs between its line from the caller and the answer's line, and what a session and a log line cost. */
+export interface StatementCost {
+    readonly readAtReplicaMicroseconds: number;
+    readonly readAtPrimaryMicroseconds: number;
+    readonly writeMicroseconds: number;
+    readonly idleSessionBytes: number;
+    readonly logLineMicroseconds: number;
+}
+
+/** An instance without a network: commands are encoded, and answers decoded, as over a socket. */
+const openChannel = (): CommandChannel => {
+    const decoder = lineInstanceProtocol.createDecoder();
+    let number = 0;
+    let status: TransactionStatus = TransactionStatus.Idle;
+    const reply = (rows: readonly string[]): InstanceReply => {
+        const text = encodeInstanceReply({ rows, proof: PROOF, status, position: { term: 1, position: ++number } });
+        return decoder.push(Buffer.from(text, "latin1"))[0]!;
+    };
+    const answer = (command: InstanceCommand): InstanceReply => {
+        Buffer.from(lineInstanceProtocol.encodeCommand(command), "latin1");
+        if (command.kind === CommandKind.Begin || command.kind === CommandKind.Rollback) {
+            status = command.kind === CommandKind.Begin ? TransactionStatus.Open : TransactionStatus.Idle;
+        }
+        return reply(command.kind === CommandKind.Forward ? [ROW] : []);
+    };
+    return {
+        greeting: Promise.resolve(reply([])),
+        isClosed: false,
+        outstandingCount: 0,
+        send: commands => commands.map(command => Promise.resolve(answer(command))),
+        close: () => {},
+    };
+};
+
+const createDirectory = (): ServiceDirectory => {
+    const directory = ServiceDirectory.create(() =>
+        InstancePool.create({ nowMs: () => performance.now(), open: openChannel, onOpenFailed: () => {}, onLost: () => {} })
+    );
+    const plain = { service: SERVICE, timeoutMs: 1_000, targetLatencyMs: 500, rank: 0 };
+    const strict = { ...plain, database: DATABASE, freshness: Freshness.Primary, maximumAgeMs: undefined };
+    const aged = { ...plain, database: `${DATABASE}-aged`, freshness: Freshness.Bounded, maximumAgeMs: 1_500 };
+    directory.adoptRoutes({
+        version: 1,
+        routes: new Map([strict, aged].map(route => [route.database, route])),
+        services: new Map([[SERVICE, { name: SERVICE, connectionLimit: 16 }]]),
+        transactionIdleMs: 3_000,
+    });
+    ["one", "two", "three"].forEach((id, index) =>
+        directory.applyEntry({
+            id,
+            service: SERVICE,
+            host: "127.0.0.1",
+            port: index + 1,
+            failureDomain: "north-a",
+            slots: 2,
+            isDraining: false,
+            isPrimary: index === 0,
+            bornAtMs: undefined,
+            revision: index + 1,
+        })
+    );
+    return directory;
+};
+
+const createPorts = (): RunnerPorts => ({
+    directory: createDirectory(),
+    nowMs: () => performance.now(),
+    random: () => 1 / 2,
+    checkSuspended: () => 0,
+    distanceTo: () => Distance.SameDomain,
+    onSuspect: () => {},
+    onStatement: () => {},
+    onFault: error => {
+        throw error;
+    },
+});
+
+/** @returns processor time a statement, in microseconds */
+const measureStatement = async (database: string, text: string, ports: RunnerPorts): Promise<number> => {
+    const runner = SessionRunner.create(database, ports);
+    const decoder = lineCallerProtocol.createDecoder();
+    const line = Buffer.from(`QUERY 5c0e7a21d94b36f8 ${text}\r\n`, "latin1");
+    const run = async (count: number): Promise<void> => {
+        for (let index = 0; index < count; index++) {
+            for (const message of decoder.push(line)) {
+                if (message.kind === CallerMessageKind.Statement) {
+                    lineCallerProtocol.encodeReply(await runner.run(message.statement));
+                }
+            }
+        }
+    };
+    await run(WARM_UP_COUNT);
+    const before = process.cpuUsage();
+    await run(MEASURED_COUNT);
+    const { user, system } = process.cpuUsage(before);
+    return (user + system) / MEASURED_COUNT;
+};
+
+/** Heap of an idle session with its decoder, without the socket. */
+const measureSession = (ports: RunnerPorts): number => {
+    const sessions: unknown[] = [];
+    globalThis.gc?.();
+    const before = process.memoryUsage().heapUsed;
+    for (let index = 0; index < SESSION_COUNT; index++) {
+        sessions.push([SessionRunner.create(DATABASE, ports), lineCallerProtocol.createDecoder()]);
+    }
+    globalThis.gc?.();
+    return (process.memoryUsage().heapUsed - before) / sessions.length;
+};
+
+const measureLogLine = async (): Promise<number> => {
+    const writer = LineWriter.create(openSync("/dev/null", "w"));
+    const line = { requestId: "5c0e7a21d94b36f8", service: SERVICE, rank: 0, code: 0, latencyMs: 12.5, instance: "one", attempts: 1 };
+    const before = process.cpuUsage();
+    for (let index = 0; index < LINE_COUNT; index++) {
+        writer.write(JSON.stringify(line));
+    }
+    await new Promise<void>(resolve => writer.flush(resolve));
+    const { user, system } = process.cpuUsage(before);
+    return (user + system) / LINE_COUNT;
+};
+
+const round = (value: number): number => Math.round(value * MICROSECONDS) / MICROSECONDS;
+
+/** Measures the entry program's path without sockets. */
+export const statementCost = async (): Promise<StatementCost> => {
+    const ports = createPorts();
+    return {
+        readAtReplicaMicroseconds: round(await measureStatement(`${DATABASE}-aged`, "READ 1a4", ports)),
+        readAtPrimaryMicroseconds: round(await measureStatement(DATABASE, "READ 1a4", ports)),
+        writeMicroseconds: round(await measureStatement(DATABASE, "WRITE 1a4 xkqpwnzd", ports)),
+        idleSessionBytes: Math.round(measureSession(ports)),
+        logLineMicroseconds: round(await measureLogLine()),
+    };
+};
--- a/programs/controller/src/main.ts
+++ b/programs/controller/src/main.ts
@@ -1,3 +1,4 @@
+import { standardOutput } from "@pomeloturn/logger/standardOutput";
 import { loadSettings } from "@pomeloturn/settings/loadSettings";
 import { parseArgs } from "node:util";
 import { Controller } from "./Controller.ts";
@@ -9,10 +10,10 @@
     const { values } = parseArgs({ options: { settings: { type: "string" } } });
     const settings = loadSettings<ControllerSettings>(values.settings ?? "controller.json", controllerSettingsSchema);
     const controller = await Controller.create(settings);
-    controller.onSuperseded = () => process.exit(EXIT_FAILURE);
+    controller.onSuperseded = () => standardOutput().flush(() => process.exit(EXIT_FAILURE));
     controller.onDrained = () => {
         controller.close();
-        process.exit();
+        standardOutput().flush(() => process.exit());
     };
     process.on("SIGTERM", () => controller.drain(settings.drainDeadlineMs));
 };
--- a/programs/entry/src/Entry.ts
+++ b/programs/entry/src/Entry.ts
@@ -2,6 +2,7 @@
 import { InstanceConnection } from "@pomeloturn/instance-connection/InstanceConnection";
 import { InstancePool } from "@pomeloturn/instance-pool/InstancePool";
 import type { ProcessLogger } from "@pomeloturn/logger/createLogger";
+import { standardOutput } from "@pomeloturn/logger/standardOutput";
 import { lineCallerProtocol, lineInstanceProtocol } from "@pomeloturn/platform/lineProtocol";
 import { PlatformAuthority } from "@pomeloturn/platform/PlatformAuthority";
 import { PlatformPromoter } from "@pomeloturn/platform/PlatformPromoter";
@@ -140,11 +141,21 @@
 
     private tick(): void {
         this.ports.checkSuspended();
+        this.countDroppedLines();
         this.directory.tick();
         const isActive = this.replacements.tick(this.directory.services.values());
         setTimeout(() => this.tick(), isActive ? ACTIVE_TICK_MS : TICK_MS);
     }
 
+    /** Lines for which the reader of the logs was too slow. */
+    private countDroppedLines(): void {
+        const count = standardOutput().takeDropped();
+        if (count > 0) {
+            this.metrics.counters.add("log_lines_dropped", count);
+            this.logger.warn("log lines dropped, their reader is too slow", { count });
+        }
+    }
+
     private async register(): Promise<void> {
         const value = Buffer.from(JSON.stringify({ failureDomain: this.settings.failureDomain })).toString("base64");
         try {
--- a/programs/entry/src/main.ts
+++ b/programs/entry/src/main.ts
@@ -1,4 +1,5 @@
 import { createLogger } from "@pomeloturn/logger/createLogger";
+import { standardOutput } from "@pomeloturn/logger/standardOutput";
 import { loadPlatformSettings } from "@pomeloturn/platform/PlatformSettings";
 import { findSettingsFile } from "@pomeloturn/platform/tables";
 import { Entry } from "./Entry.ts";
@@ -8,7 +9,7 @@
 const logger = createLogger("entry", settings.vm);
 const entry = Entry.create(settings, logger);
 
-process.on("SIGTERM", () => entry.drain(() => process.exit(0)));
+process.on("SIGTERM", () => entry.drain(() => standardOutput().flush(() => process.exit(0))));
 process.on("SIGHUP", () => {
     try {
         entry.reload(loadPlatformSettings(file));
--- a/programs/proxy/src/main.ts
+++ b/programs/proxy/src/main.ts
@@ -1,3 +1,4 @@
+import { standardOutput } from "@pomeloturn/logger/standardOutput";
 import { loadSettings } from "@pomeloturn/settings/loadSettings";
 import { parseArgs } from "node:util";
 import { Proxy } from "./Proxy.ts";
@@ -12,7 +13,7 @@
     const proxy = await Proxy.create(settings);
     proxy.onDrained = () => {
         proxy.close();
-        process.exit();
+        standardOutput().flush(() => process.exit());
     };
     process.on("SIGTERM", () => proxy.drain(settings.drainDeadlineMs ?? DEFAULT_DRAIN_DEADLINE_MS));
 };
