Leave no group with its holder as the only witness where other VMs run

Ruled out: the store (it answered), slow elections (none can start without a witness). Change: a VM that knows no other waits 3 s before it creates a row; too few witnesses, none of them gone, are added to at once and not after 1.5 s. Test: createFirstRow.test.ts, the row of a lone VM; red before (written after 0.6 s). A VM killed in its first moments as the only one known remains a holder that nobody can follow.

--- /dev/null
+++ b/packages/version/promote-primary/src/createFirstRow.test.ts
@@ -0,0 +1,29 @@
+import { ALL_GUARDS } from "@pomeloturn/group-lease/LeaseGuards";
+import type { ControllerVm } from "@pomeloturn/types/Leadership";
+import { expect, it } from "vitest";
+import { createFirstRow } from "./createFirstRow.ts";
+import { GroupActionKind } from "./GroupAction.ts";
+import { createGroup } from "./GroupState.ts";
+
+const GROUP = "ledger-1";
+const INSTANCES = { one: "north-a", two: "north-b" };
+const vm = (name: string): ControllerVm => ({ vm: name, incarnation: 1, failureDomain: "north-a", isLeaving: false });
+
+/** Whether the VM "first" writes the row of a group that has had none for a time. */
+const isCreated = (vms: readonly ControllerVm[], missingMs: number): boolean => {
+    const nowMs = 10_000;
+    const state = createGroup(GROUP, INSTANCES, 0, 0);
+    state.found.set("one", { isReplica: false, position: 1, timeline: 1 });
+    state.found.set("two", { isReplica: true, position: 1, timeline: 1 });
+    const step = { self: { vm: "first", incarnation: 1 }, vms, nowMs, random: 0, guards: ALL_GUARDS, actions: [] };
+    createFirstRow(state, step, nowMs - missingMs);
+    return step.actions.some(({ kind }: { kind: string; }) => kind === GroupActionKind.WriteRow);
+};
+
+it.each([
+    ["at once or in its turn beside another VM, which can follow it", [vm("first"), vm("second")], 600, true],
+    ["not at once when it knows no other VM", [vm("first")], 600, false],
+    ["after a while when it stays alone", [vm("first")], 3_100, true],
+])("a VM creates the first row %s", (_what, vms, missingMs, expected) => {
+    expect(isCreated(vms, missingMs)).toBe(expected);
+});
--- a/packages/version/promote-primary/src/createFirstRow.ts
+++ b/packages/version/promote-primary/src/createFirstRow.ts
@@ -3,13 +3,14 @@
 import { rankVms } from "@pomeloturn/group-lease/rankVms";
 import { GroupActionKind } from "./GroupAction.ts";
 import type { GroupState, Step } from "./GroupState.ts";
-import { CREATE_STAGGER_MS, ORDER_INTERVAL_MS } from "./promotionTiming.ts";
+import { ALONE_WAIT_MS, CREATE_STAGGER_MS, ORDER_INTERVAL_MS } from "./promotionTiming.ts";
 import { startChange } from "./rowChange.ts";
 
 /** Creates the row of a group that has none: the first instance by name that is not in recovery is the primary. */
 export const createFirstRow = (state: GroupState, step: Step, missingSinceMs: number): void => {
     const order = rankVms(step.vms, state.group).findIndex(({ vm }) => vm === step.self.vm);
-    if (order < 0 || step.nowMs - missingSinceMs < order * CREATE_STAGGER_MS || state.change !== undefined) {
+    const waitMs = step.vms.length === 1 ? ALONE_WAIT_MS : order * CREATE_STAGGER_MS;
+    if (order < 0 || step.nowMs - missingSinceMs < waitMs || state.change !== undefined) {
         return;
     }
     const instances = Object.keys(state.instances).sort();
--- a/packages/version/promote-primary/src/leadGroup.ts
+++ b/packages/version/promote-primary/src/leadGroup.ts
@@ -142,7 +142,8 @@
         return undefined;
     }
     state.witnessesGoneSinceMs ??= step.nowMs;
-    if (step.nowMs - state.witnessesGoneSinceMs < WITNESS_GONE_MS) {
+    const isGone = alive.length < row.witnesses.length;
+    if (isGone && step.nowMs - state.witnessesGoneSinceMs < WITNESS_GONE_MS) {
         return undefined;
     }
     const chosen = chooseWitnesses(state.group, step.self.vm, step.vms, alive);
--- a/packages/version/promote-primary/src/promotionTiming.ts
+++ b/packages/version/promote-primary/src/promotionTiming.ts
@@ -46,6 +46,8 @@
 export const READ_INTERVAL_MS = 30_000;
 /** Time between two rounds of orders to the replicas to follow the primary. */
 export const REPAIR_INTERVAL_MS = 5_000;
+/** Time for which a VM that knows no other waits for one before it creates a row: nobody could follow it as the holder. */
+export const ALONE_WAIT_MS = 3_000;
 /** Delay between two VMs that would create a row. */
 export const CREATE_STAGGER_MS = 500;
 /** Time that leadership stays where a failure has brought it, before it moves to the primary's failure domain. */
