--- a/packages/version/promote-primary/src/leadGroup.ts
+++ b/packages/version/promote-primary/src/leadGroup.ts
@@ -142,8 +142,7 @@
         return undefined;
     }
     state.witnessesGoneSinceMs ??= step.nowMs;
-    const isGone = alive.length < row.witnesses.length;
-    if (isGone && step.nowMs - state.witnessesGoneSinceMs < WITNESS_GONE_MS) {
+    if (step.nowMs - state.witnessesGoneSinceMs < WITNESS_GONE_MS) {
         return undefined;
     }
     const chosen = chooseWitnesses(state.group, step.self.vm, step.vms, alive);
