--- a/packages/connection/session/src/receiveAnswer.ts
+++ b/packages/connection/session/src/receiveAnswer.ts
@@ -14,9 +14,7 @@
 import { type SessionAction, SessionActionKind, type SessionContext } from "./sessionMessages.ts";
 import type { CurrentRequest, SessionState } from "./SessionState.ts";
 import { buildTokenStatus } from "./tokenStatus.ts";
-
-/** Time beyond the deadline in which the holder may still state the certain outcome. */
-export const DEADLINE_GRACE_MS = 250;
+import { DEADLINE_GRACE_MS, wakeAtDeadline } from "./wakeAtDeadline.ts";
 
 /** Relays a part of an answer, or retries, and starts the next unit after the last part. */
 export const receiveAnswer = (state: SessionState, part: AnswerPart, context: SessionContext, nowMs: number): SessionAction[] => {
@@ -157,12 +155,6 @@
     return [{ kind: SessionActionKind.Forward, vm: current.vm, request: current.request }, wakeAtDeadline(current)];
 };
 
-/** Asks to be woken when the request's deadline has passed without an answer. */
-export const wakeAtDeadline = (current: CurrentRequest): SessionAction => ({
-    kind: SessionActionKind.Wake,
-    atMs: current.deadlineAtMs + DEADLINE_GRACE_MS,
-});
-
 /** Sends the retry that is due, or ends a request whose deadline has passed. */
 export const wake = (state: SessionState, context: SessionContext, nowMs: number): SessionAction[] => {
     const { current } = state;
--- a/packages/connection/session/src/receiveMessages.ts
+++ b/packages/connection/session/src/receiveMessages.ts
@@ -9,10 +9,10 @@
 import { buildUnit } from "./buildUnit.ts";
 import { endImplicit, forgetTransaction, loseTransaction, replyError } from "./giveUp.ts";
 import { planRequest } from "./planRequest.ts";
-import { wakeAtDeadline } from "./receiveAnswer.ts";
 import { type SessionAction, SessionActionKind, type SessionContext } from "./sessionMessages.ts";
 import type { RequestUnit, SessionState } from "./SessionState.ts";
 import { buildTokenStatus } from "./tokenStatus.ts";
+import { wakeAtDeadline } from "./wakeAtDeadline.ts";
 
 const UNIT_ENDS: ReadonlySet<number> = new Set([FrontendType.Query, FrontendType.Sync, FrontendType.Flush]);
 
--- a/packages/connection/session/src/stepSession.test.ts
+++ b/packages/connection/session/src/stepSession.test.ts
@@ -10,10 +10,10 @@
 import { BackendType } from "@pomeloturn/wire-messages/messageTypes";
 import { serialize } from "pg-protocol";
 import { beforeEach, describe, expect, it } from "vitest";
-import { DEADLINE_GRACE_MS } from "./receiveAnswer.ts";
 import type { SessionAction, SessionContext, SessionEvent } from "./sessionMessages.ts";
 import { createSession, type SessionState } from "./SessionState.ts";
 import { stepSession } from "./stepSession.ts";
+import { DEADLINE_GRACE_MS } from "./wakeAtDeadline.ts";
 
 const DEADLINE_MS = 1_000;
 
--- a/packages/process/instance-holder/src/AnswerRelay.ts
+++ b/packages/process/instance-holder/src/AnswerRelay.ts
@@ -4,7 +4,7 @@
 import { readTransactionStatus } from "@pomeloturn/wire-messages/readMessage";
 import { checkAcknowledge } from "./checkRequest.ts";
 import { failedAnswer } from "./failedAnswer.ts";
-import type { InstanceEnvironment } from "./InstanceHolder.ts";
+import type { InstanceEnvironment } from "./InstanceEnvironment.ts";
 
 const PART_SIZE_BYTES = 64 * 1024;
 /** Bytes that may be on their way to the caller before reading from the backend server pauses. */
--- a/packages/process/instance-holder/src/HolderConnections.ts
+++ b/packages/process/instance-holder/src/HolderConnections.ts
@@ -3,7 +3,7 @@
 import { shareConnections } from "@pomeloturn/connection-pool/shareConnections";
 import { type PoolAction, type PoolEvent, PoolEventKind, stepPool } from "@pomeloturn/connection-pool/stepPool";
 import type { ResultCode } from "@pomeloturn/errors/ResultCode";
-import type { InstanceEnvironment } from "./InstanceHolder.ts";
+import type { InstanceEnvironment } from "./InstanceEnvironment.ts";
 import { resetConnection } from "./resetConnection.ts";
 import { sendCancel } from "./sendCancel.ts";
 
--- a/packages/process/instance-holder/src/InstanceHolder.ts
+++ b/packages/process/instance-holder/src/InstanceHolder.ts
@@ -1,20 +1,13 @@
-import {
-    type AdmissionOptions,
-    type AdmissionRank,
-    type AdmissionState,
-    createAdmission,
-    setAdmissionOptions,
-} from "@pomeloturn/admit-request/AdmissionState";
+import { type AdmissionOptions, type AdmissionState, createAdmission, setAdmissionOptions } from "@pomeloturn/admit-request/AdmissionState";
 import { type AdmissionEvent, AdmissionEventKind, stepAdmission } from "@pomeloturn/admit-request/stepAdmission";
 import { ResultCode } from "@pomeloturn/errors/ResultCode";
 import type { pomeloturn } from "@pomeloturn/peer-messages/generated/peer";
-import type { GroupConfiguration, InstanceConfiguration } from "@pomeloturn/types/Configuration";
-import type { GroupView } from "@pomeloturn/types/ControlView";
 import { type AnswerPart, type ForwardRequest, TransactionStatus } from "@pomeloturn/types/Request";
 import { checkRequest } from "./checkRequest.ts";
 import { describeInstance } from "./describeInstance.ts";
 import { failedAnswer } from "./failedAnswer.ts";
 import { HolderConnections } from "./HolderConnections.ts";
+import type { InstanceEnvironment } from "./InstanceEnvironment.ts";
 import { InstanceProber } from "./InstanceProber.ts";
 import { opensTransaction } from "./opensTransaction.ts";
 import { PendingRequests } from "./PendingRequests.ts";
@@ -29,26 +22,6 @@
 const CANCEL_GRACE_MS = 1_000;
 const MICROSECONDS_PER_MILLISECOND = 1_000;
 
-/** What an instance holder needs to know from outside, read anew for each decision. */
-export interface InstanceEnvironment {
-    /** Name of this VM. */
-    readonly vm: string;
-    readonly group: string;
-    readonly instance: string;
-    readonly groupConfiguration: GroupConfiguration;
-    readonly instanceConfiguration: InstanceConfiguration;
-    /** Term of which this holder has written the marker into the primary. */
-    markedTerm?: number;
-    /** Ranks of the service that uses the group. */
-    readonly ranks: readonly AdmissionRank[];
-    groupView(): GroupView | undefined;
-    nowMs(): number;
-    /** Seeded or system random number, 0 to 1. */
-    random(): number;
-    /** Called after each probe of the instance. */
-    onHealth(isReachable: boolean): void;
-}
-
 /** Owns the connections, slots and queues of one instance and runs requests on it. */
 export class InstanceHolder {
     private readonly admission: AdmissionState;
--- a/packages/process/instance-holder/src/RequestRun.test.ts
+++ b/packages/process/instance-holder/src/RequestRun.test.ts
@@ -7,7 +7,7 @@
 import { serialize } from "pg-protocol";
 import { beforeEach, describe, expect, it } from "vitest";
 import { countSteps, leavesSessionState } from "./callerMessages.ts";
-import type { InstanceEnvironment } from "./InstanceHolder.ts";
+import type { InstanceEnvironment } from "./InstanceEnvironment.ts";
 import { RequestRun } from "./RequestRun.ts";
 
 const LEASE_END_MS = 1_000;
--- a/packages/process/instance-holder/src/RequestRun.ts
+++ b/packages/process/instance-holder/src/RequestRun.ts
@@ -3,7 +3,7 @@
 import { type AnswerPart, type ForwardRequest, RequestMode, TransactionStatus } from "@pomeloturn/types/Request";
 import { AnswerRelay } from "./AnswerRelay.ts";
 import { leavesSessionState } from "./callerMessages.ts";
-import type { InstanceEnvironment } from "./InstanceHolder.ts";
+import type { InstanceEnvironment } from "./InstanceEnvironment.ts";
 import { markTerm } from "./markTerm.ts";
 import type { RoundAnswer, RunContext } from "./RunContext.ts";
 import { runPrimary } from "./runPrimary.ts";
--- a/packages/process/instance-holder/src/RunContext.ts
+++ b/packages/process/instance-holder/src/RunContext.ts
@@ -1,7 +1,7 @@
 import type { ResultCode } from "@pomeloturn/errors/ResultCode";
 import type { ForwardRequest } from "@pomeloturn/types/Request";
 import type { AnswerRelay } from "./AnswerRelay.ts";
-import type { InstanceEnvironment } from "./InstanceHolder.ts";
+import type { InstanceEnvironment } from "./InstanceEnvironment.ts";
 
 /** Reads the answers of one round trip. */
 export interface RoundAnswer {
--- /dev/null
+++ b/packages/version/promote-primary/src/freezeInstances.ts
@@ -0,0 +1,14 @@
+import { GroupActionKind } from "./GroupAction.ts";
+import type { Election, Step } from "./GroupState.ts";
+import { ORDER_INTERVAL_MS } from "./promotionTiming.ts";
+
+/** Orders the instances that are not frozen yet to stop following. */
+export const freezeInstances = (step: Step, election: Election, instances: readonly string[]): void => {
+    for (const instance of instances) {
+        const orderedAtMs = election.orderedAtMs.get(instance) ?? -Infinity;
+        if (election.frozen.get(instance)?.isReplica !== true && step.nowMs - orderedAtMs >= ORDER_INTERVAL_MS) {
+            election.orderedAtMs.set(instance, step.nowMs);
+            step.actions.push({ kind: step.guards.areReplicasFrozen ? GroupActionKind.Freeze : GroupActionKind.Probe, instance });
+        }
+    }
+};
--- /dev/null
+++ b/packages/version/promote-primary/src/orderPromotion.ts
@@ -0,0 +1,23 @@
+import { chooseWitnesses } from "@pomeloturn/group-lease/chooseWitnesses";
+import type { GroupRow } from "@pomeloturn/group-lease/GroupRow";
+import type { InstanceProbe } from "@pomeloturn/types/Leadership";
+import { extendHistory } from "./choosePrimary.ts";
+import type { GroupState, Step } from "./GroupState.ts";
+import { startChange } from "./rowChange.ts";
+
+/** The row with this VM as its holder. A candidate names only VMs that have promised, as others may be gone or paused. */
+export const rowWithHolder = (state: GroupState, step: Step, row: GroupRow): GroupRow => {
+    const { election } = state;
+    if (election?.isOwn !== false) {
+        return { ...row, holder: step.self };
+    }
+    const answering = step.vms.filter(({ vm }) => vm === step.self.vm || election.promises.has(vm));
+    return { ...row, holder: step.self, witnesses: chooseWitnesses(state.group, step.self.vm, answering, row.witnesses) };
+};
+
+/** Starts the change of the row to a new term at the chosen replica. */
+export const promote = (state: GroupState, step: Step, row: GroupRow, primary: string, probe: InstanceProbe): void => {
+    const term = row.term + 1;
+    const next = { ...rowWithHolder(state, step, row), term, primary, history: extendHistory(row.history, term, probe) };
+    startChange(state, step, next, false);
+};
--- a/packages/version/promote-primary/src/runElection.ts
+++ b/packages/version/promote-primary/src/runElection.ts
@@ -1,13 +1,13 @@
-import { chooseWitnesses } from "@pomeloturn/group-lease/chooseWitnesses";
 import { majorityOf } from "@pomeloturn/group-lease/computeLeaseExpiry";
-import type { GroupRow, StoredRow } from "@pomeloturn/group-lease/GroupRow";
+import type { StoredRow } from "@pomeloturn/group-lease/GroupRow";
 import { LeaseMessageKind } from "@pomeloturn/group-lease/LeaseMessage";
 import { PROMISE_AFTER_MS } from "@pomeloturn/group-lease/leaseTiming";
-import type { InstanceProbe } from "@pomeloturn/types/Leadership";
-import { choosePrimary, extendHistory, isEligible } from "./choosePrimary.ts";
+import { choosePrimary, isEligible } from "./choosePrimary.ts";
+import { freezeInstances } from "./freezeInstances.ts";
 import { GroupActionKind } from "./GroupAction.ts";
 import type { Election, GroupState, Step } from "./GroupState.ts";
-import { ORDER_INTERVAL_MS, PREPARE_INTERVAL_MS, REPLICA_WAIT_MS, YIELD_AFTER_MS } from "./promotionTiming.ts";
+import { promote, rowWithHolder } from "./orderPromotion.ts";
+import { PREPARE_INTERVAL_MS, REPLICA_WAIT_MS, YIELD_AFTER_MS } from "./promotionTiming.ts";
 import { startChange } from "./rowChange.ts";
 import { runPlannedPromotion } from "./runPlannedPromotion.ts";
 import { isPrimaryLost, probePrimary } from "./watchPrimary.ts";
@@ -78,16 +78,6 @@
     }
 };
 
-/** The row with this VM as its holder. A candidate names only VMs that have promised, as others may be gone or paused. */
-export const rowWithHolder = (state: GroupState, step: Step, row: GroupRow): GroupRow => {
-    const { election } = state;
-    if (election?.isOwn !== false) {
-        return { ...row, holder: step.self };
-    }
-    const answering = step.vms.filter(({ vm }) => vm === step.self.vm || election.promises.has(vm));
-    return { ...row, holder: step.self, witnesses: chooseWitnesses(state.group, step.self.vm, answering, row.witnesses) };
-};
-
 const keepPrimary = (state: GroupState, step: Step, election: Election, { version, row }: StoredRow): void => {
     if (election.isOwn && state.releasedVersion !== version) {
         state.election = undefined;
@@ -113,24 +103,6 @@
     }
 };
 
-/** Orders the instances that are not frozen yet to stop following. */
-export const freezeInstances = (step: Step, election: Election, instances: readonly string[]): void => {
-    for (const instance of instances) {
-        const orderedAtMs = election.orderedAtMs.get(instance) ?? -Infinity;
-        if (election.frozen.get(instance)?.isReplica !== true && step.nowMs - orderedAtMs >= ORDER_INTERVAL_MS) {
-            election.orderedAtMs.set(instance, step.nowMs);
-            step.actions.push({ kind: step.guards.areReplicasFrozen ? GroupActionKind.Freeze : GroupActionKind.Probe, instance });
-        }
-    }
-};
-
-/** Starts the change of the row to a new term at the chosen replica. */
-export const promote = (state: GroupState, step: Step, row: GroupRow, primary: string, probe: InstanceProbe): void => {
-    const term = row.term + 1;
-    const next = { ...rowWithHolder(state, step, row), term, primary, history: extendHistory(row.history, term, probe) };
-    startChange(state, step, next, false);
-};
-
 /** Lets the witnesses stand at once, because this VM reaches neither the primary nor a replica. */
 const releaseLease = (state: GroupState, step: Step, { version, row }: StoredRow): void => {
     state.releasedVersion = version;
--- a/packages/version/promote-primary/src/runPlannedPromotion.ts
+++ b/packages/version/promote-primary/src/runPlannedPromotion.ts
@@ -1,10 +1,11 @@
 import { ResultCode } from "@pomeloturn/errors/ResultCode";
 import type { StoredRow } from "@pomeloturn/group-lease/GroupRow";
 import { isEligible } from "./choosePrimary.ts";
+import { freezeInstances } from "./freezeInstances.ts";
 import { GroupActionKind } from "./GroupAction.ts";
 import type { Election, GroupState, Step } from "./GroupState.ts";
+import { promote } from "./orderPromotion.ts";
 import { FAST_PROBE_INTERVAL_MS, PLANNED_LIMIT_MS } from "./promotionTiming.ts";
-import { freezeInstances, promote } from "./runElection.ts";
 import { probePrimary } from "./watchPrimary.ts";
 
 /**
