--- a/packages/process/statement-runner/src/Operation.ts
+++ b/packages/process/statement-runner/src/Operation.ts
@@ -47,3 +47,6 @@
     instance: "",
     isDone: false,
 });
+
+/** Time for which the statement may still wait without being sent, at least 1 ms. */
+export const holdLeftMs = ({ holdUntilMs }: Operation, nowMs: number): number => Math.max(1, holdUntilMs - nowMs);
--- a/packages/process/statement-runner/src/Transaction.ts
+++ b/packages/process/statement-runner/src/Transaction.ts
@@ -1,3 +1,4 @@
+import { within } from "@pomeloturn/clock/within";
 import { ResultCode } from "@pomeloturn/errors/ResultCode";
 import { lostReply } from "@pomeloturn/instance-connection/InstanceConnection";
 import type { Lease } from "@pomeloturn/instance-pool/Lease";
@@ -9,14 +10,16 @@
 import { Freshness, type RouteEntry } from "@pomeloturn/types/ServiceEntries";
 import { StatementKind } from "@pomeloturn/types/Statement";
 import { alignFor, awaitReply, forgetPrepared } from "./attemptRead.ts";
-import { awaitTurn } from "./awaitTurn.ts";
+import { awaitLeaderTurn, awaitTurn } from "./awaitTurn.ts";
 import { beginAtLeader, type BegunTransaction } from "./beginAtLeader.ts";
-import type { Operation } from "./Operation.ts";
+import { learnFromReply } from "./learnFromReply.ts";
+import { holdLeftMs, type Operation } from "./Operation.ts";
 import { recordLeaderPosition } from "./recordLeaderPosition.ts";
+import { rollBack } from "./rollBack.ts";
 import type { RunnerPorts } from "./RunnerPorts.ts";
 import { chooseForRead } from "./runRead.ts";
 import { sendAligned } from "./sendAligned.ts";
-import { BEGIN_TIMEOUT_MS, PRIMARY_RETRY_AFTER_MS, sleep, within } from "./timing.ts";
+import { BEGIN_TIMEOUT_MS, PRIMARY_RETRY_AFTER_MS, sleep } from "./timing.ts";
 
 const PAUSE_MS = 20;
 const BUSY_PAUSE_MS = 15;
@@ -71,10 +74,7 @@
             return;
         }
         this.begun = undefined;
-        const [reply] = begun.lease.send([{ kind: CommandKind.Rollback }]);
-        void reply!.then(({ code, status }) =>
-            code === ResultCode.Ok ? begun.lease.release(status) : begun.lease.discard("rollback refused")
-        );
+        void rollBack(begun.lease);
     }
 
     private async begin(operation: Operation): Promise<BegunTransaction | undefined> {
@@ -86,17 +86,16 @@
                 operation.instance = begun.instance.entry.id;
                 return begun;
             }
-            await operation.service.waitForChange(Math.min(PAUSE_MS, Math.max(1, operation.holdUntilMs - this.ports.nowMs())));
+            await operation.service.waitForChange(Math.min(PAUSE_MS, holdLeftMs(operation, this.ports.nowMs())));
         }
         return undefined;
     }
 
     private async beginAtLeader(operation: Operation): Promise<BegunTransaction | undefined> {
-        const { leader } = operation.service;
-        if (leader !== undefined && !await awaitTurn(leader, operation, this.ports)) {
+        if (!await awaitLeaderTurn(operation, this.ports)) {
             return undefined;
         }
-        const waitMs = Math.max(1, operation.holdUntilMs - this.ports.nowMs());
+        const waitMs = holdLeftMs(operation, this.ports.nowMs());
         const align = (lease: Lease): ReturnType<typeof alignFor>["commands"] => alignFor(lease, operation).commands;
         return beginAtLeader(operation.service, operation.route.rank, waitMs, align, this.ports);
     }
@@ -110,7 +109,7 @@
         const { instance, requirement } = found;
         excluded.add(instance.entry.id);
         const isTurn = await awaitTurn(instance, operation, this.ports);
-        const waitMs = Math.max(1, operation.holdUntilMs - this.ports.nowMs());
+        const waitMs = holdLeftMs(operation, this.ports.nowMs());
         const lease = isTurn ? await instance.pool.acquire(operation.route.rank, waitMs) : undefined;
         if (lease === undefined) {
             return undefined;
@@ -146,9 +145,7 @@
             const sent = sendAligned(begun.lease, commands, { kind: CommandKind.Forward, statement, preparedName, after: undefined });
             const reply = await awaitReply(sent, begun.lease, operation, this.ports);
             forgetPrepared(begun.lease, reply);
-            if (reply.code === ResultCode.QueueFull) {
-                begun.instance.recordBusy(this.ports.random(), this.ports.nowMs());
-            }
+            learnFromReply(begun.instance, reply, sentAtMs, this.ports);
             const isRepeatable = REPEATABLE_CODES.has(reply.code) && reply.status === TransactionStatus.Open;
             if (isRepeatable && this.ports.nowMs() < operation.holdUntilMs) {
                 await sleep(BUSY_PAUSE_MS);
@@ -166,7 +163,6 @@
         const { service, statement, session, prepared } = operation;
         if (reply.code === ResultCode.Ok) {
             this.hasWritten ||= statement.kind === StatementKind.Write || prepared?.isWrite === true;
-            begun.instance.recordAnswered(this.ports.nowMs() - sentAtMs, reply.position);
         }
         if (reply.code === ResultCode.NotPrimary) {
             service.denyLeader(begun.instance.entry.id);
--- a/packages/process/statement-runner/src/attemptRead.ts
+++ b/packages/process/statement-runner/src/attemptRead.ts
@@ -5,9 +5,11 @@
 import { CommandKind, type InstanceReply } from "@pomeloturn/types/InstanceCommand";
 import type { LogPosition } from "@pomeloturn/types/LogPosition";
 import { TransactionStatus } from "@pomeloturn/types/Request";
-import { awaitTurn } from "./awaitTurn.ts";
+import { awaitLeaderTurn, awaitTurn } from "./awaitTurn.ts";
 import { beginAtLeader } from "./beginAtLeader.ts";
+import { learnFromReply } from "./learnFromReply.ts";
 import type { Operation } from "./Operation.ts";
+import { rollBack } from "./rollBack.ts";
 import type { RunnerPorts } from "./RunnerPorts.ts";
 import { sendAligned } from "./sendAligned.ts";
 
@@ -43,13 +45,8 @@
 
 /** Learns from the reply to a read. */
 const learn = (instance: InstanceRuntime, reply: InstanceReply, sentAtMs: number, isOwnPosition: boolean, ports: RunnerPorts): void => {
-    if (reply.code === ResultCode.Ok) {
-        instance.recordAnswered(ports.nowMs() - sentAtMs, reply.position);
-    }
-    else if (reply.code === ResultCode.QueueFull) {
-        instance.recordBusy(ports.random(), ports.nowMs());
-    }
-    else if (reply.code === ResultCode.ReplicaBehind && !isOwnPosition) {
+    learnFromReply(instance, reply, sentAtMs, ports);
+    if (reply.code === ResultCode.ReplicaBehind && !isOwnPosition) {
         instance.recordBehind(reply.position, ports.nowMs());
     }
 };
@@ -100,16 +97,14 @@
         preparedName = alignment.preparedName;
         return alignment.commands;
     };
-    const { leader } = operation.service;
-    const isTurn = leader === undefined || await awaitTurn(leader, operation, ports);
+    const isTurn = await awaitLeaderTurn(operation, ports);
     const begun = isTurn ? await beginAtLeader(operation.service, operation.route.rank, waitMs, align, ports) : undefined;
     if (begun === undefined) {
         return undefined;
     }
     const { lease, instance } = begun;
     if (operation.isDone) {
-        const [ended] = lease.send([{ kind: CommandKind.Rollback }]);
-        void ended!.then(({ status }) => lease.release(status));
+        void rollBack(lease);
         return undefined;
     }
     const sentAtMs = ports.nowMs();
--- a/packages/process/statement-runner/src/awaitTurn.ts
+++ b/packages/process/statement-runner/src/awaitTurn.ts
@@ -26,3 +26,9 @@
         await sleep(waitMs);
     }
 };
+
+/** The same at the primary; a statement that knows none is not held back here. */
+export const awaitLeaderTurn = (operation: Operation, ports: RunnerPorts): Promise<boolean> => {
+    const { leader } = operation.service;
+    return leader === undefined ? Promise.resolve(true) : awaitTurn(leader, operation, ports);
+};
--- a/packages/process/statement-runner/src/beginAtLeader.ts
+++ b/packages/process/statement-runner/src/beginAtLeader.ts
@@ -1,3 +1,4 @@
+import { within } from "@pomeloturn/clock/within";
 import { ResultCode } from "@pomeloturn/errors/ResultCode";
 import type { Lease } from "@pomeloturn/instance-pool/Lease";
 import type { InstanceRuntime } from "@pomeloturn/service-directory/InstanceRuntime";
@@ -6,7 +7,7 @@
 import { recordLeaderPosition } from "./recordLeaderPosition.ts";
 import { Evidence, type RunnerPorts } from "./RunnerPorts.ts";
 import { sendAligned } from "./sendAligned.ts";
-import { BEGIN_TIMEOUT_MS, within } from "./timing.ts";
+import { BEGIN_TIMEOUT_MS } from "./timing.ts";
 
 /** A transaction that has begun at the primary. */
 export interface BegunTransaction {
--- /dev/null
+++ b/packages/process/statement-runner/src/learnFromReply.ts
@@ -0,0 +1,14 @@
+import { ResultCode } from "@pomeloturn/errors/ResultCode";
+import type { InstanceRuntime } from "@pomeloturn/service-directory/InstanceRuntime";
+import type { InstanceReply } from "@pomeloturn/types/InstanceCommand";
+import type { RunnerPorts } from "./RunnerPorts.ts";
+
+/** Keeps how fast an instance answers and whether it is busy. @param sentAtMs when the statement was first sent */
+export const learnFromReply = (instance: InstanceRuntime | undefined, reply: InstanceReply, sentAtMs: number, ports: RunnerPorts): void => {
+    if (reply.code === ResultCode.Ok) {
+        instance?.recordAnswered(ports.nowMs() - sentAtMs, reply.position);
+    }
+    else if (reply.code === ResultCode.QueueFull) {
+        instance?.recordBusy(ports.random(), ports.nowMs());
+    }
+};
--- a/packages/process/statement-runner/src/leavingCaller.test.ts
+++ b/packages/process/statement-runner/src/leavingCaller.test.ts
@@ -1,17 +1,14 @@
 import { ResultCode } from "@pomeloturn/errors/ResultCode";
 import type { CommandChannel } from "@pomeloturn/instance-connection/CommandChannel";
-import { InstancePool } from "@pomeloturn/instance-pool/InstancePool";
-import { Distance } from "@pomeloturn/rank-candidates/rankCandidates";
-import { ServiceDirectory } from "@pomeloturn/service-directory/ServiceDirectory";
 import { CommandKind, type InstanceCommand, type InstanceReply } from "@pomeloturn/types/InstanceCommand";
 import { TransactionStatus } from "@pomeloturn/types/Request";
-import { Freshness } from "@pomeloturn/types/ServiceEntries";
 import { type Statement, StatementKind } from "@pomeloturn/types/Statement";
 import { afterEach, beforeEach, expect, it, vi } from "vitest";
-import type { RunnerPorts } from "./RunnerPorts.ts";
 import { SessionRunner } from "./SessionRunner.ts";
+import { createTestPorts, TEST_DATABASE } from "./support/createTestPorts.ts";
 
 const ANSWER_MS = 2;
+const TIMEOUT_MS = 2_000;
 
 /** What the one connection was sent, in order. */
 let sent: string[] = [];
@@ -42,37 +39,6 @@
     };
 };
 
-const createPorts = (): RunnerPorts => {
-    const directory = ServiceDirectory.create(() =>
-        InstancePool.create({ nowMs: () => performance.now(), open, onOpenFailed: () => {}, onLost: () => {} })
-    );
-    const route = {
-        database: "orders",
-        service: "ledger",
-        freshness: Freshness.Primary,
-        maximumAgeMs: undefined,
-        timeoutMs: 2_000,
-        targetLatencyMs: 500,
-        rank: 0,
-    };
-    const services = new Map([["ledger", { name: "ledger", connectionLimit: 1 }]]);
-    directory.adoptRoutes({ version: 1, routes: new Map([["orders", route]]), services, transactionIdleMs: 3_000 });
-    const instance = { id: "i-1", service: "ledger", host: "127.0.0.1", port: 1, failureDomain: "domain", slots: 2 };
-    directory.applyEntry({ ...instance, isDraining: false, isPrimary: true, bornAtMs: undefined, revision: 1 });
-    return {
-        directory,
-        nowMs: (): number => performance.now(),
-        random: (): number => 1 / 2,
-        checkSuspended: (): number => 0,
-        distanceTo: (): Distance => Distance.SameDomain,
-        onSuspect: (): void => {},
-        onStatement: (): void => {},
-        onFault: (error: Error): void => {
-            throw error;
-        },
-    };
-};
-
 const statement = (id: string, kind: StatementKind): Statement => ({ id, kind, text: id, name: "", argument: "", isWrite: false });
 
 beforeEach(() => {
@@ -85,7 +51,7 @@
 });
 
 it.each([0, 3, 8, 14])("sends nothing more in a transaction whose caller left %i ms after a statement was shed", async waitMs => {
-    const runner = SessionRunner.create("orders", createPorts());
+    const runner = SessionRunner.create(TEST_DATABASE, createTestPorts(open, TIMEOUT_MS));
     await runner.run(statement("begin", StatementKind.Begin));
     void runner.run(statement("shed", StatementKind.Read));
     while (!sent.includes("shed")) {
--- a/packages/process/statement-runner/src/runRead.ts
+++ b/packages/process/statement-runner/src/runRead.ts
@@ -1,3 +1,4 @@
+import { within } from "@pomeloturn/clock/within";
 import { ResultCode } from "@pomeloturn/errors/ResultCode";
 import { waitForTurn } from "@pomeloturn/pace-attempts/AttemptPace";
 import { combinePositions, findProof, isAtOrAfter } from "@pomeloturn/position-samples/PositionSamples";
@@ -10,10 +11,10 @@
 import { Freshness } from "@pomeloturn/types/ServiceEntries";
 import { attemptPrimaryRead, attemptRead } from "./attemptRead.ts";
 import { judgeRead, Verdict } from "./judgeReply.ts";
-import type { Operation } from "./Operation.ts";
+import { holdLeftMs, type Operation } from "./Operation.ts";
 import type { RunnerPorts } from "./RunnerPorts.ts";
 import { renewSamples, sampleLeader } from "./sampleLeader.ts";
-import { sleep, within } from "./timing.ts";
+import { sleep } from "./timing.ts";
 
 /** Share of a route's largest age that a proof may have. */
 const AGE_SHARE = 0.95;
@@ -141,7 +142,7 @@
         }
         else if (this.pending.size === 0) {
             this.excluded.clear();
-            await operation.service.waitForChange(Math.min(PAUSE_MS * 2, Math.max(1, operation.holdUntilMs - ports.nowMs())));
+            await operation.service.waitForChange(Math.min(PAUSE_MS * 2, holdLeftMs(operation, ports.nowMs())));
         }
     }
 
--- a/packages/process/statement-runner/src/runWrite.ts
+++ b/packages/process/statement-runner/src/runWrite.ts
@@ -1,3 +1,4 @@
+import { within } from "@pomeloturn/clock/within";
 import { ResultCode } from "@pomeloturn/errors/ResultCode";
 import type { Lease } from "@pomeloturn/instance-pool/Lease";
 import { refused } from "@pomeloturn/statement-session/answerLocally";
@@ -8,11 +9,12 @@
 import { alignFor, awaitReply, forgetPrepared } from "./attemptRead.ts";
 import { awaitTurn } from "./awaitTurn.ts";
 import { judgeWrite, Verdict } from "./judgeReply.ts";
-import type { Operation } from "./Operation.ts";
+import { learnFromReply } from "./learnFromReply.ts";
+import { holdLeftMs, type Operation } from "./Operation.ts";
 import { recordLeaderPosition } from "./recordLeaderPosition.ts";
 import { Evidence, type RunnerPorts } from "./RunnerPorts.ts";
 import { sendAligned } from "./sendAligned.ts";
-import { PRIMARY_RETRY_AFTER_MS, sleep, within } from "./timing.ts";
+import { PRIMARY_RETRY_AFTER_MS, sleep } from "./timing.ts";
 
 /** A connection that was idle for longer is asked for a sign of life before a write goes out on it. */
 const VERIFY_IDLE_MS = 1_000;
@@ -45,16 +47,16 @@
 
 /** Takes a verified connection to the primary. @returns undefined when none can be had now */
 const acquireAtLeader = async (operation: Operation, ports: RunnerPorts): Promise<Lease | undefined> => {
-    const { service, holdUntilMs, route } = operation;
+    const { service, route } = operation;
     const { leader } = service;
     if (leader === undefined || leader.pool.isUnreachable) {
-        await service.waitForChange(Math.min(2 * PAUSE_MS, Math.max(1, holdUntilMs - ports.nowMs())));
+        await service.waitForChange(Math.min(2 * PAUSE_MS, holdLeftMs(operation, ports.nowMs())));
         return undefined;
     }
     if (!await awaitTurn(leader, operation, ports)) {
         return undefined;
     }
-    const lease = await leader.pool.acquire(route.rank, Math.max(1, holdUntilMs - ports.nowMs()));
+    const lease = await leader.pool.acquire(route.rank, holdLeftMs(operation, ports.nowMs()));
     if (lease === undefined) {
         await sleep(PAUSE_MS);
         return undefined;
@@ -77,16 +79,13 @@
     const reply = await awaitReply(sent, lease, operation, ports);
     forgetPrepared(lease, reply);
     lease.release(reply.status);
+    learnFromReply(service.instances.get(instance), reply, sentAtMs, ports);
     if (reply.code === ResultCode.Ok) {
         recordLeaderPosition(service, instance, reply, sentAtMs, suspensions, ports);
-        service.instances.get(instance)?.recordAnswered(ports.nowMs() - sentAtMs, reply.position);
         if (reply.position !== undefined) {
             session.ownPositions.set(service.name, reply.position);
         }
     }
-    else if (reply.code === ResultCode.QueueFull) {
-        service.instances.get(instance)?.recordBusy(ports.random(), ports.nowMs());
-    }
     else if (reply.code === ResultCode.NotPrimary) {
         service.denyLeader(instance);
     }
--- a/packages/process/statement-runner/src/sampleLeader.ts
+++ b/packages/process/statement-runner/src/sampleLeader.ts
@@ -1,8 +1,7 @@
-import { ResultCode } from "@pomeloturn/errors/ResultCode";
 import { newestAgeMs } from "@pomeloturn/position-samples/PositionSamples";
 import type { ServiceRuntime } from "@pomeloturn/service-directory/ServiceRuntime";
-import { CommandKind } from "@pomeloturn/types/InstanceCommand";
 import { beginAtLeader } from "./beginAtLeader.ts";
+import { rollBack } from "./rollBack.ts";
 import type { RunnerPorts } from "./RunnerPorts.ts";
 
 /** A sample is renewed once it has reached this share of the age that a route allows. */
@@ -12,16 +11,8 @@
 
 const takeSample = async (service: ServiceRuntime, ports: RunnerPorts): Promise<void> => {
     const begun = await beginAtLeader(service, SAMPLE_RANK, SAMPLE_WAIT_MS, [], ports);
-    if (begun === undefined) {
-        return;
-    }
-    const [reply] = begun.lease.send([{ kind: CommandKind.Rollback }]);
-    const { code, status } = await reply!;
-    if (code === ResultCode.Ok) {
-        begun.lease.release(status);
-    }
-    else {
-        begun.lease.discard("the rollback was refused");
+    if (begun !== undefined) {
+        await rollBack(begun.lease);
     }
 };
 
--- /dev/null
+++ b/packages/process/statement-runner/src/support/createTestPorts.ts
@@ -0,0 +1,40 @@
+import type { CommandChannel } from "@pomeloturn/instance-connection/CommandChannel";
+import { InstancePool } from "@pomeloturn/instance-pool/InstancePool";
+import { Distance } from "@pomeloturn/rank-candidates/rankCandidates";
+import { ServiceDirectory } from "@pomeloturn/service-directory/ServiceDirectory";
+import { Freshness } from "@pomeloturn/types/ServiceEntries";
+import type { RunnerPorts } from "../RunnerPorts.ts";
+
+export const TEST_DATABASE = "orders";
+
+/** A proxy before one primary with a single connection, whose channels the test makes. */
+export const createTestPorts = (open: () => CommandChannel, timeoutMs: number): RunnerPorts => {
+    const directory = ServiceDirectory.create(() =>
+        InstancePool.create({ nowMs: () => performance.now(), open, onOpenFailed: () => {}, onLost: () => {} })
+    );
+    const route = {
+        database: TEST_DATABASE,
+        service: "ledger",
+        freshness: Freshness.Primary,
+        maximumAgeMs: undefined,
+        timeoutMs,
+        targetLatencyMs: timeoutMs,
+        rank: 0,
+    };
+    const services = new Map([["ledger", { name: "ledger", connectionLimit: 1 }]]);
+    directory.adoptRoutes({ version: 1, routes: new Map([[TEST_DATABASE, route]]), services, transactionIdleMs: 3_000 });
+    const instance = { id: "i-1", service: "ledger", host: "127.0.0.1", port: 1, failureDomain: "domain", slots: 2 };
+    directory.applyEntry({ ...instance, isDraining: false, isPrimary: true, bornAtMs: undefined, revision: 1 });
+    return {
+        directory,
+        nowMs: () => performance.now(),
+        random: () => 1 / 2,
+        checkSuspended: () => 0,
+        distanceTo: () => Distance.SameDomain,
+        onSuspect: () => {},
+        onStatement: () => {},
+        onFault: error => {
+            throw error;
+        },
+    };
+};
--- a/packages/process/statement-runner/src/timing.ts
+++ b/packages/process/statement-runner/src/timing.ts
@@ -6,19 +6,3 @@
 
 /** Resolves after a time. */
 export const sleep = (waitMs: number): Promise<void> => new Promise(resolve => setTimeout(resolve, Math.max(0, waitMs)));
-
-/** The promise's value, or undefined when it takes longer than `waitMs`. What came meanwhile is read first, as timers run before sockets. */
-export const within = <Value>(promise: Promise<Value>, waitMs: number): Promise<Value | undefined> =>
-    new Promise((resolve, reject) => {
-        const timer = setTimeout(() => setImmediate(() => resolve(undefined)), Math.max(0, waitMs));
-        promise.then(
-            value => {
-                clearTimeout(timer);
-                resolve(value);
-            },
-            (error: Error) => {
-                clearTimeout(timer);
-                reject(error);
-            },
-        );
-    });
--- a/packages/version/replace-primary/src/ReplacementState.ts
+++ b/packages/version/replace-primary/src/ReplacementState.ts
@@ -67,7 +67,7 @@
     isSurveying: boolean;
     nextSurveyAtMs: number;
     order: Order | undefined;
-    /** The leaving primary's position when it stopped taking writes. */
+    /** Whether the leaving primary has been told to take no more writes. */
     isSteppedDown: boolean;
 }
 
--- a/packages/version/replace-primary/src/chooseSuccessor.ts
+++ b/packages/version/replace-primary/src/chooseSuccessor.ts
@@ -1,8 +1,7 @@
+import { isAtOrAfter } from "@pomeloturn/position-samples/PositionSamples";
 import type { LogPosition } from "@pomeloturn/types/LogPosition";
 import type { SurveyedInstance } from "./replacementMessages.ts";
 
-const compare = (a: LogPosition, b: LogPosition): number => a.term - b.term || a.position - b.position;
-
 const receivedOf = ({ state }: SurveyedInstance): LogPosition => state?.received ?? { term: 0, position: 0 };
 
 /**
@@ -14,7 +13,7 @@
     const answered = instances.filter(({ id, state }) => id !== excludedId && state !== undefined && !state.isPrimary);
     const staying = answered.filter(({ isDraining }) => !isDraining);
     return (staying.length > 0 ? staying : answered).reduce<SurveyedInstance | undefined>(
-        (best, each) => best === undefined || compare(receivedOf(each), receivedOf(best)) > 0 ? each : best,
+        (best, each) => best !== undefined && isAtOrAfter(receivedOf(best), receivedOf(each)) ? best : each,
         undefined,
     );
 };
@@ -28,7 +27,7 @@
 
 /** Whether an instance has received all that another one has. */
 export const hasCaughtUp = (successor: SurveyedInstance, leaving: SurveyedInstance | undefined): boolean =>
-    leaving?.state === undefined || compare(receivedOf(successor), receivedOf(leaving)) >= 0;
+    leaving?.state === undefined || isAtOrAfter(receivedOf(successor), receivedOf(leaving));
 
 /** Commits that an instance lacks of another's; infinite across terms. */
 export const missingCommits = (successor: SurveyedInstance, leaving: SurveyedInstance): number => {
--- a/programs/entry/src/DirectoryFeeds.test.ts
+++ b/programs/entry/src/DirectoryFeeds.test.ts
@@ -2,7 +2,7 @@
 import { createLogger } from "@pomeloturn/logger/createLogger";
 import { ServiceDirectory } from "@pomeloturn/service-directory/ServiceDirectory";
 import type { RowsAnswer, StoreRow, TableReader } from "@pomeloturn/types/StoreRow";
-import { expect, it, vi } from "vitest";
+import { afterEach, beforeEach, expect, it, vi } from "vitest";
 import { DirectoryFeeds } from "./DirectoryFeeds.ts";
 
 const encode = (value: object): string => Buffer.from(JSON.stringify(value)).toString("base64");
@@ -23,46 +23,41 @@
     };
 };
 
-it("takes the newest of several versions that one answer of the feed states", async () => {
+/** Follows a table of routes whose feed states these rows. */
+const follow = (changes: readonly StoreRow[]): { readonly directory: ServiceDirectory; readonly counters: Counters; } => {
     const directory = ServiceDirectory.create(() => {
         throw new Error("no instance is listed");
     });
-    const stopping = new AbortController();
+    const counters = Counters.create();
     DirectoryFeeds.create({
-        reader: createReader([configurationRow(6), configurationRow(14)]),
+        reader: createReader(changes),
         directory,
         logger: createLogger("test", "vm-1"),
-        counters: Counters.create(),
+        counters,
         signal: stopping.signal,
         configurationWaitMs: 4_000,
         onSilent: () => {},
         onMembers: () => {},
         onAuthority: () => {},
     }).start();
+    return { directory, counters };
+};
+
+let stopping = new AbortController();
+beforeEach(() => {
+    stopping = new AbortController();
+});
+afterEach(() => stopping.abort());
+
+it("takes the newest of several versions that one answer of the feed states", async () => {
+    const { directory } = follow([configurationRow(6), configurationRow(14)]);
     await vi.waitFor(() => expect(directory.routes?.version).toBe(14));
-    stopping.abort();
 });
 
 it("leaves the configuration in force when the next one cannot be read", async () => {
-    const directory = ServiceDirectory.create(() => {
-        throw new Error("no instance is listed");
-    });
-    const stopping = new AbortController();
-    const counters = Counters.create();
-    DirectoryFeeds.create({
-        reader: createReader([{ ...configurationRow(6), value: encode({ version: 6 }) }]),
-        directory,
-        logger: createLogger("test", "vm-1"),
-        counters,
-        signal: stopping.signal,
-        configurationWaitMs: 4_000,
-        onSilent: () => {},
-        onMembers: () => {},
-        onAuthority: () => {},
-    }).start();
+    const { directory, counters } = follow([{ ...configurationRow(6), value: encode({ version: 6 }) }]);
     await vi.waitFor(() => expect(directory.routes?.version).toBe(4));
     await new Promise(resolve => setTimeout(resolve, 300));
     expect(directory.routes?.version).toBe(4);
     expect(counters.read("store_lost")).toBe(0);
-    stopping.abort();
 });
--- a/programs/standin/src/findPorts.ts
+++ b/programs/standin/src/findPorts.ts
@@ -24,8 +24,12 @@
         if (port === undefined) {
             await (claiming ??= claimBlock().finally(() => claiming = undefined));
         }
-        else if (await release(await bind(port))) {
-            ports.push(port);
+        else {
+            const server = await bind(port);
+            if (server !== undefined) {
+                await new Promise(resolve => server.close(resolve));
+                ports.push(port);
+            }
         }
     }
     return ports;
@@ -51,13 +55,3 @@
         server.once("error", () => resolve(undefined));
         server.listen(port, "127.0.0.1", () => resolve(server));
     });
-
-const release = (server: Server | undefined): Promise<boolean> =>
-    new Promise(resolve => {
-        if (server === undefined) {
-            resolve(false);
-        }
-        else {
-            server.close(() => resolve(true));
-        }
-    });
