Wait for a third VM before the first row of a group names a single witness

The test kills that VM and stops the store: no other witness can be named, and the killed VM returns as an incarnation that the row does not name. When it returned within the lease, the test passed. Change: a VM that knows fewer than three VMs waits 3 s for more before it creates a row; until now only one that knew none other. The row of createFirstRow.test.ts that expected a row of two VMs at once is replaced: it stated the fault. Three rows more; the one for two VMs is red before the change.

--- a/packages/version/promote-primary/src/createFirstRow.test.ts
+++ b/packages/version/promote-primary/src/createFirstRow.test.ts
@@ -21,9 +21,11 @@
 };
 
 it.each([
-    ["immediately or in its turn when it knows another VM, which can take over", [vm("first"), vm("second")], 600, true],
-    ["not immediately when it knows no other VM", [vm("first")], 600, false],
-    ["after a delay when it still knows no other VM", [vm("first")], 3_100, true],
-])("a VM creates the first row %s", (_what, vms, missingMs, expected) => {
-    expect(isCreated(vms, missingMs)).toBe(expected);
+    ["immediately or in its turn when it knows two other VMs", ["first", "second", "third"], 600, true],
+    ["not immediately when it knows one other VM, the only one that could witness its lease", ["first", "second"], 600, false],
+    ["after a delay when it still knows one other VM", ["first", "second"], 3_600, true],
+    ["not immediately when it knows no other VM", ["first"], 600, false],
+    ["after a delay when it still knows no other VM", ["first"], 3_100, true],
+])("a VM creates the first row %s", (_what, names, missingMs, expected) => {
+    expect(isCreated(names.map(vm), missingMs)).toBe(expected);
 });
--- a/packages/version/promote-primary/src/promotionTiming.ts
+++ b/packages/version/promote-primary/src/promotionTiming.ts
@@ -46,8 +46,13 @@
 export const READ_INTERVAL_MS = 30_000;
 /** Interval at which the replicas are ordered to follow the primary. */
 export const REPAIR_INTERVAL_MS = 5_000;
-/** Time for which a VM that knows no other VM waits before it creates a row, because no VM could take over from it as the holder. */
-export const SINGLE_VM_CREATE_DELAY_MS = 3_000;
+/** Number of VMs that make a set of witnesses of which one may be lost. */
+export const REDUNDANT_VM_COUNT = 3;
+/**
+ * Time for which a VM that knows fewer than `REDUNDANT_VM_COUNT` VMs waits for more before it creates a row. A row with one
+ * witness loses its holder with that witness, and no other witness can be named while the table service is down.
+ */
+export const FEW_VMS_CREATE_DELAY_MS = 3_000;
 /** Additional delay of each VM before it creates a row, by its index in the hash order. */
 export const CREATE_STAGGER_MS = 500;
 /** Minimum time after a row change before leadership is transferred to the primary's failure domain. */
