Refuse on arrival what cannot be served in time, and give second attempts a budget

Cause: a statement waited for 0.4 of its limit for a connection whatever the queue, and was refused at the end of it. Change: packages/request/admit-waiting estimates the wait on arrival from the queue, the time that requests keep a connection, what more urgent ranks use and how long the queue has stood still; what would wait longer than it may is refused at once with the time after which to retry, spread over the time in which the queue drains. The estimate counts in the choice of an instance. Second attempts at an instance without a free connection come from a budget of 5% of a service's requests. Tests: five loads replayed in virtual time (2.6 times one kind for 6 s; two kinds in turn; instance dead in a burst; all replicas behind; cold start): refused requests are held for a quarter of the time or less, as many are served, the urgent rank starts within 100 ms.

--- a/packages/connection/instance-pool/src/InstancePool.ts
+++ b/packages/connection/instance-pool/src/InstancePool.ts
@@ -1,3 +1,5 @@
+import { type ConnectionUse, createConnectionUse, recordUse, recordUseStart } from "@pomeloturn/admit-waiting/ConnectionUse";
+import { estimateWaitMs } from "@pomeloturn/admit-waiting/decideAdmission";
 import { ResultCode } from "@pomeloturn/errors/ResultCode";
 import { type CommandChannel } from "@pomeloturn/instance-connection/CommandChannel";
 import { type ConnectionState, createConnectionState } from "@pomeloturn/statement-session/ConnectionState";
@@ -5,7 +7,9 @@
 import { TransactionStatus } from "@pomeloturn/types/Request";
 import { ConnectionLease } from "./ConnectionLease.ts";
 import {
+    countFree,
     countToOpen,
+    countUsable,
     createPoolState,
     isAssignable,
     isIdleTooLong,
@@ -35,6 +39,9 @@
     readonly connection: CommandChannel;
     readonly connectionState: ConnectionState;
     lastUsedAtMs: number;
+    leasedAtMs: number;
+    /** Rank of the request that uses the connection. */
+    rank: number;
     isBusy: boolean;
 }
 
@@ -46,6 +53,7 @@
 /** Pool of the connections from this VM to one instance. */
 export class InstancePool {
     private readonly state: PoolState = createPoolState();
+    private readonly use: ConnectionUse = createConnectionUse();
     private readonly idle: PooledConnection[] = [];
     private readonly all = new Set<PooledConnection>();
     /** Most urgent rank first, then oldest first. */
@@ -73,6 +81,17 @@
         return this.state.failureCount > 0 && this.openCount === 0;
     }
 
+    /** Returns the expected wait of a request of this rank for a connection, in milliseconds; see `estimateWaitMs`. */
+    estimateWaitMs(rank: number): number {
+        const queue = {
+            use: this.use,
+            aheadCount: this.waiters.filter(waiter => waiter.rank <= rank).length,
+            connectionCount: countUsable(this.state, rank),
+            freeCount: countFree(this.state, rank),
+        };
+        return estimateWaitMs(queue, rank, this.ports.nowMs());
+    }
+
     /** Updates the limits; see `updateLimits`. */
     setLimit(connectionLimit: number, vmCount: number): void {
         updateLimits(this.state, connectionLimit, vmCount);
@@ -91,7 +110,7 @@
         }
         const idleConnection = isAssignable(this.state, rank) ? this.idle.pop() : undefined;
         if (idleConnection !== undefined) {
-            return Promise.resolve(this.createLease(idleConnection));
+            return Promise.resolve(this.createLease(idleConnection, rank));
         }
         return new Promise(resolve => {
             const timer = setTimeout(() => this.cancelWaiter(waiter), waitMs);
@@ -172,7 +191,14 @@
         const startedAtMs = this.ports.nowMs();
         this.state.openingCount++;
         const connection = this.ports.open((reason, isRemote) => this.handleClosed(pooled, reason, isRemote));
-        const pooled: PooledConnection = { connection, connectionState: createConnectionState(), lastUsedAtMs: startedAtMs, isBusy: false };
+        const pooled: PooledConnection = {
+            connection,
+            connectionState: createConnectionState(),
+            lastUsedAtMs: startedAtMs,
+            leasedAtMs: startedAtMs,
+            rank: 0,
+            isBusy: false,
+        };
         const timer = setTimeout(
             () => connection.close(`the instance did not answer the start-up message within ${OPEN_TIMEOUT_MS} ms`),
             OPEN_TIMEOUT_MS,
@@ -219,18 +245,21 @@
         if (next !== undefined && isAssignable(this.state, next.rank)) {
             this.waiters.shift();
             this.state.waitingCount = this.waiters.length;
-            next.resolve(this.createLease(pooled));
+            next.resolve(this.createLease(pooled, next.rank));
             return;
         }
         this.idle.push(pooled);
         this.state.idleCount = this.idle.length;
     }
 
-    private createLease(pooled: PooledConnection): ConnectionLease {
+    private createLease(pooled: PooledConnection, rank: number): ConnectionLease {
         this.state.idleCount = this.idle.length;
         pooled.isBusy = true;
         this.state.busyCount++;
-        const idleMs = this.ports.nowMs() - pooled.lastUsedAtMs;
+        pooled.leasedAtMs = this.ports.nowMs();
+        pooled.rank = rank;
+        recordUseStart(this.use, pooled.leasedAtMs);
+        const idleMs = pooled.leasedAtMs - pooled.lastUsedAtMs;
         return ConnectionLease.create(pooled.connection, pooled.connectionState, idleMs, status => this.release(pooled, status));
     }
 
@@ -247,6 +276,7 @@
         pooled.isBusy = false;
         this.state.busyCount--;
         pooled.lastUsedAtMs = this.ports.nowMs();
+        recordUse(this.use, pooled.rank, pooled.lastUsedAtMs - pooled.leasedAtMs, pooled.lastUsedAtMs);
         this.assignOrMakeIdle(pooled);
     }
 
--- a/packages/connection/instance-pool/src/PoolState.ts
+++ b/packages/connection/instance-pool/src/PoolState.ts
@@ -85,7 +85,14 @@
 
 /** Whether a request of this rank may use an idle connection; one is reserved for rank 0. */
 export const isAssignable = (state: PoolState, rank: number): boolean =>
-    rank === 0 || state.limit < MINIMUM_LIMIT_FOR_RESERVE || state.busyCount < state.limit - 1;
+    rank === 0 || state.limit < MINIMUM_LIMIT_FOR_RESERVE || state.busyCount < countUsable(state, rank);
+
+/** Number of connections that requests of this rank may use at the same time. */
+export const countUsable = (state: PoolState, rank: number): number =>
+    rank === 0 || state.limit < MINIMUM_LIMIT_FOR_RESERVE ? state.limit : state.limit - 1;
+
+/** Number of connections that are idle or may be opened for requests of this rank. */
+export const countFree = (state: PoolState, rank: number): number => Math.max(0, countUsable(state, rank) - state.busyCount);
 
 export const recordOpened = (state: PoolState): void => {
     state.failureCount = 0;
--- a/packages/process/service-directory/src/ServiceRuntime.ts
+++ b/packages/process/service-directory/src/ServiceRuntime.ts
@@ -1,3 +1,4 @@
+import { createHedgeBudget, type HedgeBudget } from "@pomeloturn/plan-retry/hedgeBudget";
 import { createSamples, type PositionSamples } from "@pomeloturn/position-samples/PositionSamples";
 import { createKnownLeader, type KnownLeader, recordConfirmation, recordDenial } from "@pomeloturn/replace-primary/knownLeader";
 import type { InstanceRuntime } from "./InstanceRuntime.ts";
@@ -7,6 +8,7 @@
     readonly instances = new Map<string, InstanceRuntime>();
     readonly samples: PositionSamples = createSamples();
     readonly knownLeader: KnownLeader = createKnownLeader();
+    readonly hedgeBudget: HedgeBudget = createHedgeBudget();
     /** Pending request for a sample of the primary's position. */
     pendingSample: Promise<void> | undefined;
     private readonly changeWaiters = new Set<() => void>();
--- a/packages/process/statement-runner/src/Operation.ts
+++ b/packages/process/statement-runner/src/Operation.ts
@@ -15,6 +15,8 @@
     /** Monotonic time until which the statement may wait before it is first sent. */
     sendDeadlineAtMs: number;
     readonly deadlineAtMs: number;
+    /** Time after which the caller may retry, as known when the statement's waiting time was ended early; otherwise undefined. */
+    retryAfterMs: number | undefined;
     attempts: number;
     /** Id of the last instance that was tried; empty before the first attempt. */
     instance: string;
@@ -43,6 +45,7 @@
     startedAtMs: nowMs,
     sendDeadlineAtMs: nowMs + route.timeoutMs * SEND_WAIT_SHARE,
     deadlineAtMs: nowMs + route.timeoutMs - ANSWER_MARGIN_MS,
+    retryAfterMs: undefined,
     attempts: 0,
     instance: "",
     isDone: false,
--- a/packages/process/statement-runner/src/Transaction.ts
+++ b/packages/process/statement-runner/src/Transaction.ts
@@ -19,7 +19,7 @@
 import { chooseReadInstance } from "./runRead.ts";
 import { sendAfterSynchronization } from "./sendAfterSynchronization.ts";
 import { BEGIN_TIMEOUT_MS, PRIMARY_RETRY_AFTER_MS, sleep } from "./timing.ts";
-import { waitForLeaderPacing, waitForPacing } from "./waitForPacing.ts";
+import { waitForLeaderTurn, waitForTurn } from "./waitForTurn.ts";
 
 const RETRY_PAUSE_MS = 20;
 const BUSY_PAUSE_MS = 15;
@@ -54,7 +54,7 @@
                 ResultCode.NoInstance,
                 `no instance could begin the transaction of service ${operation.route.service} in time`,
                 TransactionStatus.Failed,
-                PRIMARY_RETRY_AFTER_MS,
+                operation.retryAfterMs ?? PRIMARY_RETRY_AFTER_MS,
             );
         }
         if (this.isEnded) {
@@ -99,7 +99,7 @@
     }
 
     private async beginAtLeader(operation: Operation): Promise<BegunTransaction | undefined> {
-        if (!await waitForLeaderPacing(operation, this.ports)) {
+        if (!await waitForLeaderTurn(operation, operation.sendDeadlineAtMs, this.ports)) {
             return undefined;
         }
         const waitMs = sendTimeLeftMs(operation, this.ports.nowMs());
@@ -116,7 +116,7 @@
         }
         const { instance, requirement } = found;
         excluded.add(instance.entry.id);
-        const isAllowed = await waitForPacing(instance, operation, this.ports);
+        const isAllowed = await waitForTurn(instance, operation, operation.sendDeadlineAtMs, this.ports);
         const waitMs = sendTimeLeftMs(operation, this.ports.nowMs());
         const lease = isAllowed ? await instance.pool.acquire(operation.route.rank, waitMs) : undefined;
         if (lease === undefined) {
--- a/packages/process/statement-runner/src/attemptRead.ts
+++ b/packages/process/statement-runner/src/attemptRead.ts
@@ -11,7 +11,7 @@
 import { rollBack } from "./rollBack.ts";
 import type { RunnerPorts } from "./RunnerPorts.ts";
 import { sendAfterSynchronization } from "./sendAfterSynchronization.ts";
-import { waitForLeaderPacing, waitForPacing } from "./waitForPacing.ts";
+import { waitForLeaderTurn, waitForTurn } from "./waitForTurn.ts";
 
 /** Time after a statement's deadline at which a connection that has not answered is closed. */
 const ABANDON_MARGIN_MS = 20;
@@ -73,7 +73,9 @@
     waitMs: number,
     ports: RunnerPorts,
 ): Promise<InstanceReply | undefined> => {
-    const lease = await waitForPacing(instance, operation, ports) ? await instance.pool.acquire(operation.route.rank, waitMs) : undefined;
+    const lease = await waitForTurn(instance, operation, ports.nowMs() + waitMs, ports)
+        ? await instance.pool.acquire(operation.route.rank, waitMs)
+        : undefined;
     if (lease === undefined) {
         return undefined;
     }
@@ -106,7 +108,7 @@
         preparedName = plan.preparedName;
         return plan.commands;
     };
-    const isAllowed = await waitForLeaderPacing(operation, ports);
+    const isAllowed = await waitForLeaderTurn(operation, ports.nowMs() + waitMs, ports);
     const begun = isAllowed ? await beginAtLeader(operation.service, operation.route.rank, waitMs, synchronize, ports) : undefined;
     if (begun === undefined) {
         return undefined;
--- a/packages/process/statement-runner/src/runRead.ts
+++ b/packages/process/statement-runner/src/runRead.ts
@@ -1,6 +1,7 @@
 import { withTimeout } from "@pomeloturn/clock/withTimeout";
 import { ResultCode } from "@pomeloturn/errors/ResultCode";
 import { waitBeforeAttemptMs } from "@pomeloturn/pace-attempts/AttemptPace";
+import { depositHedge, takeHedge } from "@pomeloturn/plan-retry/hedgeBudget";
 import { findProvenPosition, isAtOrAfter, laterPosition } from "@pomeloturn/position-samples/PositionSamples";
 import { type Candidate, chooseCandidate } from "@pomeloturn/rank-candidates/rankCandidates";
 import type { InstanceRuntime } from "@pomeloturn/service-directory/InstanceRuntime";
@@ -69,7 +70,7 @@
         isUnreachable: instance.pool.isUnreachable,
         isPrimary: instance === service.leader,
         isBehind: isBehind(instance, after, nowMs),
-        waitMs: waitBeforeAttemptMs(instance.pace, route.rank, nowMs),
+        waitMs: Math.max(waitBeforeAttemptMs(instance.pace, route.rank, nowMs), instance.pool.estimateWaitMs(route.rank)),
     }));
 };
 
@@ -112,6 +113,7 @@
 
     async run(): Promise<InstanceReply | CallerReply> {
         const { operation, ports } = this;
+        depositHedge(operation.service.hedgeBudget);
         while (!this.isFinished()) {
             if (this.pending.size < 2 && operation.attempts < MAXIMUM_ATTEMPTS) {
                 await this.startAttempt();
@@ -159,10 +161,16 @@
         }
     }
 
+    /** Whether this would be a second attempt that the budget does not allow at an instance without a free connection. */
+    private isHeldBack(instance: InstanceRuntime): boolean {
+        const { service, route } = this.operation;
+        return this.pending.size > 0 && instance.pool.estimateWaitMs(route.rank) > 0 && !takeHedge(service.hedgeBudget);
+    }
+
     private startAtLeader(): Attempt | undefined {
         const { operation, ports } = this;
         const instance = operation.service.leader;
-        if (instance === undefined || instance.pool.isUnreachable) {
+        if (instance === undefined || instance.pool.isUnreachable || this.isHeldBack(instance)) {
             return undefined;
         }
         return { instance, reply: attemptPrimaryRead(operation, this.connectionWaitMs(), ports) };
@@ -175,6 +183,9 @@
             return undefined;
         }
         const { instance, requirement } = found;
+        if (this.isHeldBack(instance)) {
+            return undefined;
+        }
         this.excluded.add(instance.entry.id);
         return {
             instance,
@@ -220,7 +231,7 @@
             code,
             `no instance of service ${this.operation.service.name} served the read; last result ${this.lastResultCode}`,
             session.status,
-            RETRY_AFTER_MS,
+            this.operation.retryAfterMs ?? RETRY_AFTER_MS,
         );
     }
 }
--- a/packages/process/statement-runner/src/runWrite.ts
+++ b/packages/process/statement-runner/src/runWrite.ts
@@ -14,7 +14,7 @@
 import { AttemptFailure, type RunnerPorts } from "./RunnerPorts.ts";
 import { sendAfterSynchronization } from "./sendAfterSynchronization.ts";
 import { PRIMARY_RETRY_AFTER_MS, sleep } from "./timing.ts";
-import { waitForPacing } from "./waitForPacing.ts";
+import { waitForTurn } from "./waitForTurn.ts";
 
 /** A connection that was idle for this long is verified before a write is sent on it. */
 const VERIFY_IDLE_MS = 1_000;
@@ -53,7 +53,7 @@
         await service.waitForChange(Math.min(2 * RETRY_PAUSE_MS, sendTimeLeftMs(operation, ports.nowMs())));
         return undefined;
     }
-    if (!await waitForPacing(leader, operation, ports)) {
+    if (!await waitForTurn(leader, operation, operation.sendDeadlineAtMs, ports)) {
         return undefined;
     }
     const lease = await leader.pool.acquire(route.rank, sendTimeLeftMs(operation, ports.nowMs()));
@@ -114,6 +114,6 @@
         ResultCode.NoInstance,
         `the primary of service ${operation.service.name} did not accept the write; last result ${lastResultCode}`,
         operation.session.status,
-        PRIMARY_RETRY_AFTER_MS,
+        operation.retryAfterMs ?? PRIMARY_RETRY_AFTER_MS,
     );
 };
--- a/packages/request/rank-candidates/src/rankCandidates.ts
+++ b/packages/request/rank-candidates/src/rankCandidates.ts
@@ -11,7 +11,7 @@
     readonly isPrimary: boolean;
     /** Whether the instance is known to lack data that the read must see. */
     readonly isBehind: boolean;
-    /** Time until this VM may send a statement to the instance again after it refused one as busy. */
+    /** Expected wait for a connection, or time until this VM may send a statement again after the instance refused one as busy. */
     readonly waitMs: number;
 }
 
