Read the store's tables through one VM of each failure domain

Cause: every VM follows three tables of the store by itself. Change: packages/process/table-relay, a TableReader between the feeds and the store. The first VM of a failure domain in hash order reads the store with short waits and answers the others from memory, only while its tables are proved recent; the others ask every second, with the store's own versions, so that a VM changes between relay and store without missing or repeating a change. A silent, failing or stale relay costs at most 1.5 s before the VM reads the store itself; a VM asks only VMs before itself in the order, so no two wait for each other. Domains of fewer than four VMs stay as they were. At the first start of the system the VMs register, then read who relays, then read the other tables through it. An unexpected error or a frame that cannot be read closes one connection. Tests: choice of relays over all patterns of believed failures; any sequence of changes reaches the rows of the store (fast-check); a relay that loses the store, is silent, sends nonsense, answers another request; frames fuzzed.

--- /dev/null
+++ b/packages/process/table-relay/src/RelayedTableReader.ts
@@ -0,0 +1,180 @@
+import type { ProcessLogger } from "@pomeloturn/logger/createLogger";
+import type { RowsAnswer, TableReader } from "@pomeloturn/types/StoreRow";
+import { chooseRelay, orderRelays, type TableSource } from "./chooseRelay.ts";
+import { RelayClient } from "./RelayClient.ts";
+import type { RelayMember } from "./RelayMember.ts";
+import { RelayStatus } from "./relayMessages.ts";
+import type { RelaySource } from "./RelayServer.ts";
+import { TableCache } from "./TableCache.ts";
+
+export interface RelayedTableReaderOptions {
+    readonly store: TableReader;
+    readonly vm: string;
+    readonly failureDomain: string;
+    /** Longest wait of a call to the store while this VM relays a table; it bounds how old the relayed table may be. */
+    readonly relayingWaitMs: (table: string) => number;
+    /** Monotonic time in milliseconds. */
+    readonly nowMs: () => number;
+    readonly logger: ProcessLogger;
+}
+
+/** Longest wait of a call to a relay. A relay that is silent for this time and a margin is not used. */
+const RELAY_WAIT_MS = 1_000;
+/** Time for which a relay that failed is not asked. Doubles with each further failure, as the VM may be gone for good. */
+const FAILED_RELAY_MS = 4_000;
+const LONGEST_FAILED_RELAY_MS = 64_000;
+/** Time for which no relay is asked after one did not relay, so that the next one in order can notice it too. */
+const UNAVAILABLE_PAUSE_MS = 1_000;
+/** Longest wait of a call to the store before it is known which VM relays. */
+const UNDECIDED_WAIT_MS = 1_000;
+/** Time beyond the wait of a call after which an answer of the store is overdue. */
+const STORE_MARGIN_MS = 800;
+
+/** Reads tables of the store through the relay of this VM's failure domain, or at the store. Serves as the source of this VM's own relay. */
+export class RelayedTableReader implements TableReader, RelaySource {
+    private readonly caches = new Map<string, TableCache>();
+    private readonly changeWaiters = new Set<() => void>();
+    private readonly failedUntilMs = new Map<string, number>();
+    /** Failures of each relay since its last answer. */
+    private readonly failureCounts = new Map<string, number>();
+    private ordered: readonly RelayMember[] = [];
+    private relay: { readonly member: RelayMember; readonly client: RelayClient; } | undefined;
+    /** Monotonic time in milliseconds until which no relay is asked. */
+    private pausedUntilMs = -Infinity;
+    private loggedSource = "";
+
+    private constructor(private readonly options: RelayedTableReaderOptions) {}
+
+    static create(options: RelayedTableReaderOptions): RelayedTableReader {
+        return new RelayedTableReader(options);
+    }
+
+    /** Sets the registered VMs, among which a relay is chosen. */
+    setMembers(members: Iterable<RelayMember>): void {
+        this.ordered = orderRelays(members, this.options.failureDomain);
+    }
+
+    async readTable(table: string): Promise<RowsAnswer> {
+        return await this.readRelay(table, undefined, RELAY_WAIT_MS) ?? this.readTableAtStore(table);
+    }
+
+    async readChanges(table: string, after: number, waitMs: number): Promise<RowsAnswer | undefined> {
+        const relayed = await this.readRelay(table, after, Math.min(waitMs, RELAY_WAIT_MS));
+        return relayed === undefined ? this.readChangesAtStore(table, after, waitMs) : relayed ?? undefined;
+    }
+
+    find(table: string): TableCache | undefined {
+        return this.source().kind === "relaying" ? this.caches.get(table) : undefined;
+    }
+
+    isLoading(table: string): boolean {
+        return this.ordered.length === 0 || (this.source().kind === "relaying" && !this.caches.has(table));
+    }
+
+    waitForChange(_table: string, waitMs: number): Promise<void> {
+        return new Promise(resolve => {
+            const finish = (): void => {
+                clearTimeout(timer);
+                this.changeWaiters.delete(finish);
+                resolve();
+            };
+            const timer = setTimeout(finish, waitMs);
+            this.changeWaiters.add(finish);
+        });
+    }
+
+    /** Declares all tables not recent, as after a suspension of this VM. */
+    invalidate(): void {
+        this.caches.forEach(cache => cache.invalidate());
+        this.notifyWaiters();
+    }
+
+    private source(): TableSource {
+        return chooseRelay(this.ordered, this.options.vm, this.failedUntilMs, this.options.nowMs());
+    }
+
+    /** @returns undefined when no relay answered; null when the relay no longer knows the changes since the version */
+    private async readRelay(table: string, after: number | undefined, waitMs: number): Promise<RowsAnswer | null | undefined> {
+        const source = this.source();
+        this.logSource(source);
+        if (source.kind !== "relay" || this.options.nowMs() < this.pausedUntilMs) {
+            return undefined;
+        }
+        try {
+            const { status, rows, version } = await this.connectTo(source.member).read(table, after, waitMs);
+            if (status === RelayStatus.Unavailable) {
+                this.pausedUntilMs = this.options.nowMs() + UNAVAILABLE_PAUSE_MS;
+                this.recordFailure(source.member, table, "the VM does not relay the table now");
+                return undefined;
+            }
+            this.failureCounts.delete(source.member.vm);
+            return status === RelayStatus.Gone ? null : { rows, version };
+        }
+        catch (error) {
+            this.recordFailure(source.member, table, (error as Error).message);
+            return undefined;
+        }
+    }
+
+    private recordFailure({ vm }: RelayMember, table: string, reason: string): void {
+        const nowMs = this.options.nowMs();
+        if ((this.failedUntilMs.get(vm) ?? -Infinity) > nowMs) {
+            // Calls that were outstanding together fail together.
+            return;
+        }
+        const failureCount = this.failureCounts.get(vm) ?? 0;
+        this.failureCounts.set(vm, failureCount + 1);
+        this.failedUntilMs.set(vm, nowMs + Math.min(LONGEST_FAILED_RELAY_MS, FAILED_RELAY_MS * 2 ** failureCount));
+        this.options.logger.info("a table cannot be read through the relay; it is read at the store", { relay: vm, table, reason });
+    }
+
+    private connectTo(member: RelayMember): RelayClient {
+        if (this.relay?.member.relayAddress !== member.relayAddress || this.relay?.client.isClosed !== false) {
+            this.relay?.client.fail("another relay is used");
+            this.relay = { member, client: RelayClient.create(member.relayAddress!) };
+        }
+        return this.relay.client;
+    }
+
+    private async readTableAtStore(table: string): Promise<RowsAnswer> {
+        const askedAtMs = this.options.nowMs();
+        const answer = await this.options.store.readTable(table);
+        const cache = new TableCache(this.options.relayingWaitMs(table) + STORE_MARGIN_MS);
+        cache.applyTable(answer, askedAtMs);
+        this.caches.set(table, cache);
+        this.notifyWaiters();
+        return answer;
+    }
+
+    private async readChangesAtStore(table: string, after: number, waitMs: number): Promise<RowsAnswer | undefined> {
+        const isRelaying = this.source().kind === "relaying";
+        const limitMs = Math.min(
+            waitMs,
+            this.ordered.length === 0 ? UNDECIDED_WAIT_MS : isRelaying ? this.options.relayingWaitMs(table) : Infinity,
+        );
+        const cache = this.caches.get(table);
+        const knownFrom = cache?.knownVersion;
+        const answer = await this.options.store.readChanges(table, after, limitMs);
+        if (answer === undefined || knownFrom === undefined || knownFrom < after) {
+            // The cache lacks changes that a relay has answered meanwhile; it is filled again by the next read of the table.
+            this.caches.delete(table);
+        }
+        else {
+            cache!.applyChanges(answer, this.options.nowMs());
+        }
+        this.notifyWaiters();
+        return answer === undefined || (isRelaying && !this.caches.has(table)) ? undefined : answer;
+    }
+
+    private notifyWaiters(): void {
+        [...this.changeWaiters].forEach(finish => finish());
+    }
+
+    private logSource(source: TableSource): void {
+        const text = source.kind === "relay" ? source.member.vm : source.kind;
+        if (text !== this.loggedSource) {
+            this.loggedSource = text;
+            this.options.logger.info("the source of the store's tables has changed", { source: text });
+        }
+    }
+}
--- a/programs/entry/src/DirectoryFeeds.ts
+++ b/programs/entry/src/DirectoryFeeds.ts
@@ -4,16 +4,10 @@
 import type { Counters } from "@pomeloturn/logger/Counters";
 import type { ProcessLogger } from "@pomeloturn/logger/createLogger";
 import { decodeInstance } from "@pomeloturn/platform/decodeInstance";
+import { decodeMember, type MemberRow } from "@pomeloturn/platform/decodeMember";
 import { decodeRoutes } from "@pomeloturn/platform/decodeRoutes";
 import { decodeAuthority } from "@pomeloturn/platform/PlatformAuthorityStore";
-import {
-    CONFIGURATION_KEY,
-    COORDINATION_TABLE,
-    INSTANCE_TABLE,
-    OPERATOR_TABLE,
-    parseAuthorityKey,
-    parseMemberKey,
-} from "@pomeloturn/platform/tables";
+import { CONFIGURATION_KEY, COORDINATION_TABLE, INSTANCE_TABLE, OPERATOR_TABLE, parseAuthorityKey } from "@pomeloturn/platform/tables";
 import type { ServiceDirectory } from "@pomeloturn/service-directory/ServiceDirectory";
 import type { Authority } from "@pomeloturn/types/Protocols";
 import type { InstanceEntry, RouteTable } from "@pomeloturn/types/ServiceEntries";
@@ -26,6 +20,11 @@
 const INSTANCE_BATCH_DELAY_MS = 400;
 const COORDINATION_BATCH_DELAY_MS = 400;
 
+/** Time in which VMs that start at the same moment register, so that each finds most of the others. */
+const REGISTRATION_DELAY_MS = 700;
+/** Time after which the other tables are followed although the VMs' own table could not be read. */
+const COORDINATION_TIMEOUT_MS = 1_000;
+
 /** Dependencies and callbacks of `DirectoryFeeds`. */
 export interface DirectoryFeedsOptions {
     readonly reader: TableReader;
@@ -37,15 +36,15 @@
     readonly configurationWaitMs: number;
     /** Called when the feed of the configuration fails. Aborts the calls that are in progress, because their connections may be dead too. */
     readonly onConfigurationFeedFailed: () => void;
-    /** Called with the names of all registered VMs after each change. */
-    readonly onMembersChanged: (members: ReadonlySet<string>) => void;
+    /** Called with all registered VMs by name after each change. */
+    readonly onMembersChanged: (members: ReadonlyMap<string, MemberRow>) => void;
     /** Called when the authority to promote instances of a service is read or has changed. */
     readonly onAuthorityChanged: (service: string, authority: Authority) => void;
 }
 
 /** Follows the store's tables and applies their changes to the directory. */
 export class DirectoryFeeds {
-    private readonly members = new Set<string>();
+    private readonly members = new Map<string, MemberRow>();
 
     private constructor(private readonly options: DirectoryFeedsOptions) {}
 
@@ -53,7 +52,36 @@
         return new DirectoryFeeds(options);
     }
 
+    /** Starts with the VMs' own table. The other tables follow once it is known which VM relays them, or after a short time. */
+    startInTurn(): void {
+        let hasStarted = false;
+        const startOthers = (): void => {
+            if (!hasStarted) {
+                hasStarted = true;
+                this.followOthers();
+            }
+        };
+        setTimeout(() => {
+            this.followCoordination(startOthers);
+            setTimeout(startOthers, COORDINATION_TIMEOUT_MS);
+        }, REGISTRATION_DELAY_MS);
+    }
+
+    /** Starts to follow all tables. */
     start(): void {
+        this.followOthers();
+        this.followCoordination(() => undefined);
+    }
+
+    private followCoordination(onRead: () => void): void {
+        const replace = (rows: readonly StoreRow[]): void => {
+            this.replaceCoordinationRows(rows);
+            onRead();
+        };
+        this.follow(COORDINATION_TABLE, LISTING_WAIT_MS, COORDINATION_BATCH_DELAY_MS, replace, rows => this.applyCoordinationChanges(rows));
+    }
+
+    private followOthers(): void {
         const applyConfiguration = (rows: readonly StoreRow[]): void => this.applyConfiguration(rows);
         const { configurationWaitMs } = this.options;
         this.follow(OPERATOR_TABLE, configurationWaitMs, CONFIGURATION_BATCH_DELAY_MS, applyConfiguration, applyConfiguration);
@@ -64,13 +92,6 @@
             rows => this.replaceInstances(rows),
             rows => this.applyInstanceChanges(rows),
         );
-        this.follow(
-            COORDINATION_TABLE,
-            LISTING_WAIT_MS,
-            COORDINATION_BATCH_DELAY_MS,
-            rows => this.replaceCoordinationRows(rows),
-            rows => this.applyCoordinationChanges(rows),
-        );
     }
 
     private follow(
@@ -167,17 +188,18 @@
             if (service !== undefined) {
                 onAuthorityChanged(service, decodeAuthority(row));
             }
-            this.applyMemberChange(parseMemberKey(row.key), row.isDeleted);
+            this.applyMemberChange(row);
         }
         onMembersChanged(this.members);
     }
 
-    private applyMemberChange(vm: string | undefined, isDeleted: boolean): void {
-        if (vm !== undefined && isDeleted) {
-            this.members.delete(vm);
+    private applyMemberChange(row: StoreRow): void {
+        const member = decodeMember(row);
+        if (member !== undefined && row.isDeleted) {
+            this.members.delete(member.vm);
         }
-        else if (vm !== undefined) {
-            this.members.add(vm);
+        else if (member !== undefined) {
+            this.members.set(member.vm, member);
         }
     }
 }
--- a/programs/entry/src/Entry.ts
+++ b/programs/entry/src/Entry.ts
@@ -3,17 +3,20 @@
 import { InstancePool } from "@pomeloturn/instance-pool/InstancePool";
 import type { ProcessLogger } from "@pomeloturn/logger/createLogger";
 import { standardOutput } from "@pomeloturn/logger/standardOutput";
+import { encodeMember } from "@pomeloturn/platform/decodeMember";
 import { lineCallerProtocol, lineInstanceProtocol } from "@pomeloturn/platform/lineProtocol";
 import { PlatformAuthorityStore } from "@pomeloturn/platform/PlatformAuthorityStore";
 import { PlatformPromoter } from "@pomeloturn/platform/PlatformPromoter";
 import { type PlatformSettings, splitAddress } from "@pomeloturn/platform/PlatformSettings";
 import { ReadinessServer } from "@pomeloturn/platform/ReadinessServer";
 import { StoreClient } from "@pomeloturn/platform/StoreClient";
-import { COORDINATION_TABLE, memberKey } from "@pomeloturn/platform/tables";
+import { COORDINATION_TABLE, memberKey, OPERATOR_TABLE } from "@pomeloturn/platform/tables";
 import { clearSamples } from "@pomeloturn/position-samples/PositionSamples";
 import { Distance } from "@pomeloturn/rank-candidates/rankCandidates";
 import { ServiceDirectory } from "@pomeloturn/service-directory/ServiceDirectory";
 import type { RunnerPorts } from "@pomeloturn/statement-runner/RunnerPorts";
+import { RelayedTableReader } from "@pomeloturn/table-relay/RelayedTableReader";
+import { RelayServer, type RelaySource } from "@pomeloturn/table-relay/RelayServer";
 import type { InstanceEntry } from "@pomeloturn/types/ServiceEntries";
 import { start } from "nact";
 import { CallerListener } from "./CallerListener.ts";
@@ -31,6 +34,13 @@
 /** Part of `contactMs` that remains for the calls to the store after a dead connection has been detected. */
 const RECONNECT_MARGIN_MS = 1_000;
 
+/**
+ * Longest waits of calls to the store while this VM relays its tables. Changes of the configuration have to be in force
+ * within seconds, also when the relay loses the store.
+ */
+const RELAYED_CONFIGURATION_WAIT_MS = 1_500;
+const RELAYED_LISTING_WAIT_MS = 3_000;
+
 /** The proxy process of one VM: wires the listeners, the directory, the store and the replacements of primaries together. */
 export class Entry {
     private readonly abortController = new AbortController();
@@ -38,6 +48,7 @@
     private readonly directory = ServiceDirectory.create(entry => this.createPool(entry));
     private readonly metrics = EntryMetrics.create();
     private readonly store: StoreClient;
+    private readonly tables: RelayedTableReader;
     private readonly replacements: ReplacementActors;
     private readonly ports: RunnerPorts;
     private listener: CallerListener | undefined;
@@ -46,6 +57,14 @@
     private constructor(private settings: PlatformSettings, private readonly logger: ProcessLogger) {
         this.store = StoreClient.create(settings.storeAddress);
         this.ports = this.createPorts();
+        this.tables = RelayedTableReader.create({
+            store: this.store,
+            vm: settings.vm,
+            failureDomain: settings.failureDomain,
+            relayingWaitMs: table => table === OPERATOR_TABLE ? RELAYED_CONFIGURATION_WAIT_MS : RELAYED_LISTING_WAIT_MS,
+            nowMs: this.ports.nowMs,
+            logger,
+        });
         this.replacements = ReplacementActors.create({
             system: start(),
             vm: settings.vm,
@@ -71,8 +90,8 @@
     /** Starts listening and following the store's tables, and registers this VM in the store. */
     start(): void {
         const { settings, logger, directory, replacements } = this;
-        DirectoryFeeds.create({
-            reader: this.store,
+        const feeds = DirectoryFeeds.create({
+            reader: this.tables,
             directory,
             logger,
             counters: this.metrics.counters,
@@ -81,14 +100,22 @@
             onConfigurationFeedFailed: () => this.store.reconnect(),
             onMembersChanged: members => {
                 directory.setVmCount(Math.max(1, members.size));
-                replacements.setMembers(members);
+                replacements.setMembers(members.keys());
+                this.tables.setMembers(members.values());
             },
             onAuthorityChanged: (service, authority) => replacements.setAuthority(service, authority),
-        }).start();
+        });
+        if (settings.isFirstStart) {
+            feeds.startInTurn();
+        }
+        else {
+            feeds.start();
+        }
         void this.register();
         const { host, port } = splitAddress(settings.callerAddress);
         this.listener = CallerListener.create(host, port, lineCallerProtocol, this.ports);
         ReadinessServer.create(settings.readinessAddress, () => !this.isDraining && directory.isServing);
+        RelayServer.create(splitAddress(settings.relayAddress), this.createRelaySource(), this.ports.nowMs, logger);
         MetricsServer.create(splitAddress(settings.metricsAddress), this.metrics);
         this.tick();
         logger.info("the proxy has started", { vm: settings.vm });
@@ -144,6 +171,18 @@
         };
     }
 
+    /** Source of this VM's relay. Tables that were read before a suspension of the VM are not proved recent. */
+    private createRelaySource(): RelaySource {
+        return {
+            find: table => {
+                this.ports.detectSuspensions();
+                return this.isDraining ? undefined : this.tables.find(table);
+            },
+            isLoading: table => !this.isDraining && this.tables.isLoading(table),
+            waitForChange: (table, waitMs) => this.tables.waitForChange(table, waitMs),
+        };
+    }
+
     private tick(): void {
         this.ports.detectSuspensions();
         this.countDroppedLines();
@@ -162,7 +201,7 @@
     }
 
     private async register(): Promise<void> {
-        const value = Buffer.from(JSON.stringify({ failureDomain: this.settings.failureDomain })).toString("base64");
+        const value = encodeMember(this.settings);
         try {
             await this.store.writeRow(COORDINATION_TABLE, { key: memberKey(this.settings.vm), expectedVersion: undefined, value });
         }
@@ -204,6 +243,7 @@
         this.logger.warn("the VM was suspended or its system clock was changed; all position samples are discarded", {
             differenceMs: Math.round(differenceMs),
         });
+        this.tables.invalidate();
         for (const { samples } of this.directory.services.values()) {
             clearSamples(samples);
         }
--- a/programs/entry/src/ReplacementActors.ts
+++ b/programs/entry/src/ReplacementActors.ts
@@ -19,7 +19,7 @@
     }
 
     /** Sets the registered VMs, among which the replacements of primaries are distributed. */
-    setMembers(members: ReadonlySet<string>): void {
+    setMembers(members: Iterable<string>): void {
         this.members = [...members];
     }
 
