Go on after an unexpected error, and after a row of the store that cannot be read

Looked for after the operators' story of one malformed message or unexpected error that took a whole process down. It could happen: no handler for errors outside connections existed, so an error in a tick, a timer or a rejected promise ended the process with all sessions; an error in a tick also ended the series of ticks. An authority row that could not be read made the rows after it in the same answer of the store be skipped, reported as a lost store. Ticks go on after an error (packages/process/clock/startLoop). An authority that cannot be read keeps the previous one; the other rows apply.

--- a/programs/entry/src/DirectoryFeeds.test.ts
+++ b/programs/entry/src/DirectoryFeeds.test.ts
@@ -61,3 +61,33 @@
     expect(directory.routes?.version).toBe(4);
     expect(counters.read("store_lost")).toBe(0);
 });
+
+it("applies the other rows when an authority or a registration cannot be read", async () => {
+    const rows = [
+        { key: "authority/ledger", value: "%%%", version: 2, isDeleted: false },
+        { key: "authority/orders", value: encode({ holder: 7 }), version: 2, isDeleted: false },
+        { key: "vm/broken", value: "%%%", version: 2, isDeleted: false },
+        { key: "authority/log", value: encode({ holder: "vm-2", fence: 3 }), version: 3, isDeleted: false },
+        { key: "vm/vm-2", value: encode({ failureDomain: "north-a", relayAddress: "10.0.0.2:7441" }), version: 3, isDeleted: false },
+    ];
+    const authorities: string[] = [];
+    const members: string[] = [];
+    DirectoryFeeds.create({
+        reader: {
+            readTable: table => Promise.resolve({ rows: table === "pomeloturn" ? rows : [], version: 4 }),
+            readChanges: () => new Promise(() => {}),
+        },
+        directory: ServiceDirectory.create(() => {
+            throw new Error("the test lists no instance");
+        }),
+        logger: createLogger("test", "vm-1"),
+        counters: Counters.create(),
+        signal: abortController.signal,
+        configurationWaitMs: 4_000,
+        onConfigurationFeedFailed: () => {},
+        onMembersChanged: known => members.push(...[...known.values()].map(({ vm, failureDomain }) => `${vm} ${failureDomain}`)),
+        onAuthorityChanged: (service, { holder }) => authorities.push(`${service} ${holder}`),
+    }).start();
+    await vi.waitFor(() => expect(members).toEqual(["broken ", "vm-2 north-a"]));
+    expect(authorities).toEqual(["log vm-2"]);
+});
--- a/programs/entry/src/DirectoryFeeds.ts
+++ b/programs/entry/src/DirectoryFeeds.ts
@@ -182,17 +182,30 @@
     }
 
     private applyCoordinationChanges(rows: readonly StoreRow[]): void {
-        const { onMembersChanged, onAuthorityChanged } = this.options;
+        const { onMembersChanged } = this.options;
         for (const row of rows) {
             const service = parseAuthorityKey(row.key);
             if (service !== undefined) {
-                onAuthorityChanged(service, decodeAuthority(row));
+                this.applyAuthority(service, row);
             }
             this.applyMemberChange(row);
         }
         onMembersChanged(this.members);
     }
 
+    /** Keeps the known authority if the row cannot be read; the other rows still apply. */
+    private applyAuthority(service: string, row: StoreRow): void {
+        try {
+            this.options.onAuthorityChanged(service, decodeAuthority(row));
+        }
+        catch (error) {
+            this.options.logger.error("the authority to promote instances cannot be read; the previous one is kept", {
+                service,
+                reason: (error as Error).message,
+            });
+        }
+    }
+
     private applyMemberChange(row: StoreRow): void {
         const member = decodeMember(row);
         if (member !== undefined && row.isDeleted) {
--- a/programs/entry/src/Entry.ts
+++ b/programs/entry/src/Entry.ts
@@ -1,4 +1,6 @@
+import { startLoop } from "@pomeloturn/clock/startLoop";
 import { SuspensionDetector } from "@pomeloturn/clock/SuspensionDetector";
+import { AfterError, createErrorHistory, decideAfterError } from "@pomeloturn/drain/decideAfterError";
 import { InstanceConnection } from "@pomeloturn/instance-connection/InstanceConnection";
 import { InstancePool } from "@pomeloturn/instance-pool/InstancePool";
 import type { ProcessLogger } from "@pomeloturn/logger/createLogger";
@@ -51,6 +53,7 @@
     private readonly tables: RelayedTableReader;
     private readonly replacements: ReplacementActors;
     private readonly ports: RunnerPorts;
+    private readonly errorHistory = createErrorHistory();
     private listener: CallerListener | undefined;
     private isDraining = false;
 
@@ -117,7 +120,7 @@
         ReadinessServer.create(settings.readinessAddress, () => !this.isDraining && directory.isServing);
         RelayServer.create(splitAddress(settings.relayAddress), this.createRelaySource(), this.ports.nowMs, logger);
         MetricsServer.create(splitAddress(settings.metricsAddress), this.metrics);
-        this.tick();
+        startLoop(() => this.tick(), error => this.handleUnexpectedError(error), TICK_MS);
         logger.info("the proxy has started", { vm: settings.vm });
     }
 
@@ -166,7 +169,7 @@
             onStatement: record => statements.record(record, performance.now()),
             onUnexpectedError: error => {
                 this.metrics.counters.add("faults");
-                this.logger.error("a statement failed with an unexpected error inside the proxy", { reason: error.stack ?? error.message });
+                this.logger.error("an unexpected error occurred inside the proxy", { reason: error.stack ?? error.message });
             },
         };
     }
@@ -183,12 +186,21 @@
         };
     }
 
-    private tick(): void {
+    /** Handles an error that was thrown outside the handling of any connection. */
+    handleUnexpectedError(error: Error): void {
+        this.ports.onUnexpectedError(error);
+        if (decideAfterError(this.errorHistory, this.ports.nowMs()) === AfterError.Drain) {
+            this.logger.error("unexpected errors do not end; the process shuts down to start anew");
+            this.drain(() => standardOutput().flush(() => process.exit(1)));
+        }
+    }
+
+    /** @returns the time until the next tick, in milliseconds */
+    private tick(): number {
         this.ports.detectSuspensions();
         this.countDroppedLines();
         this.directory.tick();
-        const isActive = this.replacements.tick(this.directory.services.values());
-        setTimeout(() => this.tick(), isActive ? ACTIVE_TICK_MS : TICK_MS);
+        return this.replacements.tick(this.directory.services.values()) ? ACTIVE_TICK_MS : TICK_MS;
     }
 
     /** Counts and reports log lines that were dropped because the reader of standard output was too slow. */
--- a/programs/entry/src/main.ts
+++ b/programs/entry/src/main.ts
@@ -20,5 +20,7 @@
             logger.error("the settings could not be reloaded; the previous ones stay in use", { reason: (error as Error).message });
         }
     });
+    // Also receives rejections that no code awaits.
+    process.on("uncaughtException", error => entry.handleUnexpectedError(error));
     entry.start();
 };
