Never take an older table from a relay than the VM has read before

Looked for after the operators' story of a server that had left and was in use again. It could happen with the relay: a VM whose history at the store is gone reads the whole table again, from a relay that may lag behind by a second, and rows come back whose deletion it had seen. Change: a relay's table counts only from the newest version on that the VM has seen; else the store is read. Test: RelayedTableReader.test.ts, red without the change (run once that way).

--- a/packages/process/table-relay/src/RelayedTableReader.test.ts
+++ b/packages/process/table-relay/src/RelayedTableReader.test.ts
@@ -210,4 +210,19 @@
         }
         server.close();
     });
+
+    it("does not take an older table from a relay than it has read before", async () => {
+        await start(4);
+        const [relay, follower] = vms as [Vm, Vm];
+        await relay.reader.readTable(TABLE);
+        follower.reader.setMembers([]);
+        store.write("new");
+        expect(await follower.reader.readTable(TABLE)).toMatchObject({ version: 2 });
+        follower.reader.setMembers(vms.map(({ name, server }) => ({
+            vm: name,
+            failureDomain: DOMAIN,
+            relayAddress: `${HOST}:${server.port}`,
+        })));
+        expect(await follower.reader.readTable(TABLE)).toMatchObject({ version: 2 });
+    });
 });
--- a/packages/process/table-relay/src/RelayedTableReader.ts
+++ b/packages/process/table-relay/src/RelayedTableReader.ts
@@ -39,6 +39,8 @@
     private readonly failureCounts = new Map<string, number>();
     private ordered: readonly RelayMember[] = [];
     private relay: { readonly member: RelayMember; readonly client: RelayClient; } | undefined;
+    /** Newest store version that this VM has seen of each table. */
+    private readonly newestVersions = new Map<string, number>();
     /** Monotonic time in milliseconds until which no relay is asked. */
     private pausedUntilMs = -Infinity;
     private loggedSource = "";
@@ -55,12 +57,21 @@
     }
 
     async readTable(table: string): Promise<RowsAnswer> {
-        return await this.readRelay(table, undefined, RELAY_WAIT_MS) ?? this.readTableAtStore(table);
+        const relayed = await this.readRelay(table, undefined, RELAY_WAIT_MS) ?? undefined;
+        // A relay that lags behind would bring back rows whose deletion this VM has already seen.
+        const isRecent = relayed !== undefined && relayed.version >= (this.newestVersions.get(table) ?? 0);
+        return this.recordVersion(table, isRecent ? relayed : await this.readTableAtStore(table));
     }
 
     async readChanges(table: string, after: number, waitMs: number): Promise<RowsAnswer | undefined> {
         const relayed = await this.readRelay(table, after, Math.min(waitMs, RELAY_WAIT_MS));
-        return relayed === undefined ? this.readChangesAtStore(table, after, waitMs) : relayed ?? undefined;
+        const answer = relayed === undefined ? await this.readChangesAtStore(table, after, waitMs) : relayed ?? undefined;
+        return answer === undefined ? undefined : this.recordVersion(table, answer);
+    }
+
+    private recordVersion(table: string, answer: RowsAnswer): RowsAnswer {
+        this.newestVersions.set(table, Math.max(answer.version, this.newestVersions.get(table) ?? 0));
+        return answer;
     }
 
     find(table: string): TableCache | undefined {
