Deliver an answer that has begun, also past the limit of its statement

Change: session and holder give a request whose answer has begun to arrive at its caller 30 s more. The bound keeps a caller that does not read from holding a slot for ever.

--- a/packages/connection/session/src/receiveAnswer.ts
+++ b/packages/connection/session/src/receiveAnswer.ts
@@ -14,7 +14,7 @@
 import { startQueuedUnits } from "./receiveMessages.ts";
 import { type SessionAction, SessionActionKind, type SessionContext } from "./sessionMessages.ts";
 import type { CurrentRequest, SessionState } from "./SessionState.ts";
-import { DEADLINE_GRACE_MS, setDeadlineTimer } from "./setDeadlineTimer.ts";
+import { failsAtMs, setDeadlineTimer } from "./setDeadlineTimer.ts";
 
 /** Relays a part of an answer or retries the request, and starts the next unit after the last part. */
 export const receiveAnswer = (state: SessionState, part: AnswerPart, context: SessionContext, nowMs: number): SessionAction[] => {
@@ -166,7 +166,7 @@
             ? retry(state, current, context, nowMs)
             : [{ kind: SessionActionKind.SetTimer, atMs: current.retryAtMs }];
     }
-    if (nowMs < current.deadlineAtMs + DEADLINE_GRACE_MS) {
+    if (nowMs < failsAtMs(current)) {
         return [setDeadlineTimer(current)];
     }
     return [...failRequest(state, current, ResultCode.DeadlineWhileRunning, false, nowMs), ...startQueuedUnits(state, context, nowMs)];
--- a/packages/process/instance-holder/src/InstanceHolder.ts
+++ b/packages/process/instance-holder/src/InstanceHolder.ts
@@ -7,7 +7,7 @@
 import { type AdmissionEvent, AdmissionEventKind, stepAdmission } from "@pomeloturn/admit-request/stepAdmission";
 import { ResultCode } from "@pomeloturn/errors/ResultCode";
 import type { pomeloturn } from "@pomeloturn/peer-messages/generated/peer";
-import { type AnswerPart, type ForwardRequest, TransactionStatus } from "@pomeloturn/types/Request";
+import { type AnswerPart, DELIVERY_LIMIT_MS, type ForwardRequest, TransactionStatus } from "@pomeloturn/types/Request";
 import { buildInstanceStatus } from "./buildInstanceStatus.ts";
 import { checkRequest } from "./checkRequest.ts";
 import { failedAnswer } from "./failedAnswer.ts";
@@ -187,7 +187,10 @@
             return;
         }
         entry.connectionId = connectionId;
-        const onPart = (part: AnswerPart): void => entry.onPart(entry.isExpired ? toDeadlineExceeded(part) : part);
+        const onPart = (part: AnswerPart): void => {
+            entry.isAnswerBegun ||= part.messages.length > 0;
+            entry.onPart(entry.isExpired ? toDeadlineExceeded(part) : part);
+        };
         RequestRun.create(entry.request, this.environment, onPart, status => this.complete(id, connectionId, status)).start(connection);
     }
 
@@ -228,10 +231,13 @@
         this.cancelOverdue(environment.nowMs());
     }
 
-    /** Cancels requests that run past their deadline, and closes the connection of those that have not ended in time. */
+    /**
+     * Cancels requests that run past their deadline, and closes the connection of those that have not ended in time. Once a
+     * part of the answer has been sent, its caller has time to read the rest.
+     */
     private cancelOverdue(nowMs: number): void {
         for (const entry of this.pending.listRunning()) {
-            const overdueMs = nowMs - entry.deadlineAtMs;
+            const overdueMs = nowMs - entry.deadlineAtMs - (entry.isAnswerBegun === true ? DELIVERY_LIMIT_MS : 0);
             if (overdueMs >= CANCEL_GRACE_MS) {
                 entry.isExpired = true;
                 this.connections.get(entry.connectionId!)?.close();
--- a/packages/process/instance-holder/src/PendingRequests.ts
+++ b/packages/process/instance-holder/src/PendingRequests.ts
@@ -10,6 +10,8 @@
     readonly deadlineAtMs: number;
     /** Assigned connection; undefined while the request is queued. A later step of a transaction has the transaction's connection. */
     connectionId: number | undefined;
+    /** Whether a part of the answer was sent to the sender. */
+    isAnswerBegun?: boolean;
     /** Whether the backend server was asked to cancel the request after its deadline. */
     isCanceled?: boolean;
     /** Whether the connection was closed because the request ran past its deadline. */
--- a/packages/shared/types/src/Request.ts
+++ b/packages/shared/types/src/Request.ts
@@ -80,3 +80,6 @@
     /** Closes the backend connection of a transaction whose caller has disconnected. */
     endTransaction(group: string, instance: string, transactionId: string): void;
 }
+
+/** Time beyond a statement's limit for a caller to read an answer that has begun to arrive. Bounds how long a slow reader keeps a slot. */
+export const DELIVERY_LIMIT_MS = 30_000;
