--- a/packages/connection/instance-pool/src/InstancePool.ts
+++ b/packages/connection/instance-pool/src/InstancePool.ts
@@ -83,12 +83,9 @@
 
     /** Returns the expected wait of a request of this rank for a connection, in milliseconds; see `estimateWaitMs`. */
     estimateWaitMs(rank: number): number {
-        const queue = {
-            use: this.use,
-            aheadCount: this.waiters.filter(waiter => waiter.rank <= rank).length,
-            connectionCount: countUsable(this.state, rank),
-            freeCount: countFree(this.state, rank),
-        };
+        const { state, use } = this;
+        const aheadCount = this.waiters.filter(waiter => waiter.rank <= rank).length;
+        const queue = { use, aheadCount, connectionCount: countUsable(state, rank), freeCount: countFree(state, rank) };
         return estimateWaitMs(queue, rank, this.ports.nowMs());
     }
 
--- a/packages/process/service-directory/src/ServiceRuntime.ts
+++ b/packages/process/service-directory/src/ServiceRuntime.ts
@@ -1,3 +1,4 @@
+import { ChangeSignal } from "@pomeloturn/clock/ChangeSignal";
 import { createHedgeBudget, type HedgeBudget } from "@pomeloturn/plan-retry/hedgeBudget";
 import { createSamples, type PositionSamples } from "@pomeloturn/position-samples/PositionSamples";
 import { createKnownLeader, type KnownLeader, recordConfirmation, recordDenial } from "@pomeloturn/replace-primary/knownLeader";
@@ -11,7 +12,7 @@
     readonly hedgeBudget: HedgeBudget = createHedgeBudget();
     /** Pending request for a sample of the primary's position. */
     pendingSample: Promise<void> | undefined;
-    private readonly changeWaiters = new Set<() => void>();
+    private readonly changes = ChangeSignal.create();
 
     private constructor(readonly name: string) {}
 
@@ -36,18 +37,10 @@
 
     /** Resolves when the known primary may have changed, at the latest after `waitMs`. */
     waitForChange(waitMs: number): Promise<void> {
-        return new Promise(resolve => {
-            const finish = (): void => {
-                clearTimeout(timer);
-                this.changeWaiters.delete(finish);
-                resolve();
-            };
-            const timer = setTimeout(finish, waitMs);
-            this.changeWaiters.add(finish);
-        });
+        return this.changes.wait(waitMs);
     }
 
     notifyWaiters(): void {
-        [...this.changeWaiters].forEach(done => done());
+        this.changes.notify();
     }
 }
--- a/packages/process/table-relay/src/RelayedTableReader.ts
+++ b/packages/process/table-relay/src/RelayedTableReader.ts
@@ -1,3 +1,4 @@
+import { ChangeSignal } from "@pomeloturn/clock/ChangeSignal";
 import type { ProcessLogger } from "@pomeloturn/logger/createLogger";
 import type { RowsAnswer, TableReader } from "@pomeloturn/types/StoreRow";
 import { chooseRelay, orderRelays, type TableSource } from "./chooseRelay.ts";
@@ -33,7 +34,7 @@
 /** Reads tables of the store through the relay of this VM's failure domain, or at the store. Serves as the source of this VM's own relay. */
 export class RelayedTableReader implements TableReader, RelaySource {
     private readonly caches = new Map<string, TableCache>();
-    private readonly changeWaiters = new Set<() => void>();
+    private readonly changes = ChangeSignal.create();
     private readonly failedUntilMs = new Map<string, number>();
     /** Failures of each relay since its last answer. */
     private readonly failureCounts = new Map<string, number>();
@@ -83,21 +84,13 @@
     }
 
     waitForChange(waitMs: number): Promise<void> {
-        return new Promise(resolve => {
-            const finish = (): void => {
-                clearTimeout(timer);
-                this.changeWaiters.delete(finish);
-                resolve();
-            };
-            const timer = setTimeout(finish, waitMs);
-            this.changeWaiters.add(finish);
-        });
+        return this.changes.wait(waitMs);
     }
 
     /** Declares all tables not recent, as after a suspension of this VM. */
     invalidate(): void {
         this.caches.forEach(cache => cache.invalidate());
-        this.notifyWaiters();
+        this.changes.notify();
     }
 
     private source(): TableSource {
@@ -153,7 +146,7 @@
         const cache = new TableCache(this.options.relayingWaitMs(table) + STORE_MARGIN_MS);
         cache.applyTable(answer, askedAtMs);
         this.caches.set(table, cache);
-        this.notifyWaiters();
+        this.changes.notify();
         return answer;
     }
 
@@ -173,14 +166,10 @@
         else {
             cache!.applyChanges(answer, this.options.nowMs());
         }
-        this.notifyWaiters();
+        this.changes.notify();
         return answer === undefined || (isRelaying && !this.caches.has(table)) ? undefined : answer;
     }
 
-    private notifyWaiters(): void {
-        [...this.changeWaiters].forEach(finish => finish());
-    }
-
     private logSource(source: TableSource): void {
         const text = source.kind === "relay" ? source.member.vm : source.kind;
         if (text !== this.loggedSource) {
