--- a/packages/process/table-relay/src/RelayServer.ts
+++ b/packages/process/table-relay/src/RelayServer.ts
@@ -9,8 +9,8 @@
     readonly find: (table: string) => TableCache | undefined;
     /** Whether it is not decided yet if this VM relays the table, or it has not been read yet. */
     readonly isLoading: (table: string) => boolean;
-    /** Resolves when the table has changed, at the latest after `waitMs`. */
-    readonly waitForChange: (table: string, waitMs: number) => Promise<void>;
+    /** Resolves when any table has changed, at the latest after `waitMs`. */
+    readonly waitForChange: (waitMs: number) => Promise<void>;
 }
 
 /** Connections beyond this number are refused, so that callers keep their descriptors. */
--- a/packages/process/table-relay/src/RelayedTableReader.ts
+++ b/packages/process/table-relay/src/RelayedTableReader.ts
@@ -82,7 +82,7 @@
         return this.ordered.length === 0 || (this.source().kind === "relaying" && !this.caches.has(table));
     }
 
-    waitForChange(_table: string, waitMs: number): Promise<void> {
+    waitForChange(waitMs: number): Promise<void> {
         return new Promise(resolve => {
             const finish = (): void => {
                 clearTimeout(timer);
--- a/packages/process/table-relay/src/readSource.ts
+++ b/packages/process/table-relay/src/readSource.ts
@@ -16,7 +16,6 @@
         }
         const leftMs = endsAtMs - startedAtMs;
         await source.waitForChange(
-            table,
             Math.max(1, answer.kind === "stale" ? leftMs : Math.min(leftMs, cache!.recentForMs(startedAtMs))),
         );
     }
--- a/programs/entry/src/Entry.ts
+++ b/programs/entry/src/Entry.ts
@@ -182,7 +182,7 @@
                 return this.isDraining ? undefined : this.tables.find(table);
             },
             isLoading: table => !this.isDraining && this.tables.isLoading(table),
-            waitForChange: (table, waitMs) => this.tables.waitForChange(table, waitMs),
+            waitForChange: waitMs => this.tables.waitForChange(waitMs),
         };
     }
 
--- a/scripts/make-capacity.js
+++ b/scripts/make-capacity.js
@@ -86,10 +86,11 @@
 | --- | --- | --- | --- |
 | processor | 0.65 s in a quiet day of 46 s at 34 operations/s (erata-cluj), start included | statements; 0.10 s a start | no hop between VMs, no actor a statement |
 | memory | 18 MB at the peak as billed; 98 descriptors | sessions, connections | nothing is kept beyond the process |
-| store calls | 35 in 46 s, of which 21 while all start; then one in 4 s for the configuration, and one a change | VMs: each follows three tables | long waits; changes read together |
+| store calls, 8 VMs | 35 in 46 s, of which 21 while all start; then one in 4 s for the configuration, and one a change | VMs: each follows three tables | long waits; changes read together |
+| store calls, domains of four VMs or more | 663 for 69 VMs in a quiet day of 50 s (erata-cluj-grown); by the code two a VM that starts, the rest by six relays | failure domains, not VMs | \`packages/process/table-relay\`: one VM a domain reads for the others |
 | connections to an instance | at most twice the share; one kept where the share is one or more, else closed after 0.12 s | VMs and instances | \`packages/connection/instance-pool\` |
 
-At 450 VMs the calls for the configuration alone are 113 a second and a change of a listing is read 450 times; connections would be fewer than one in ten VMs. Both need traffic between VMs, or fewer VMs an instance. Not measured above 81 VMs.
+At 450 VMs connections would be fewer than one in ten VMs an instance: that needs pooling between VMs, or fewer VMs an instance (design/large-fleets.md). \`fleetbench sweep\` has not been run: these are figures of single sites, not slopes.
 
 ## What breaks first, and what would be changed
 
