State in which era of the store each table was read

Each full read of a table has a log line with era and version, before and after; the counters store_history_lost and store_restored tell the causes apart; a claim of the authority logs the era and version it builds on. No decision reads the era yet.

--- a/packages/process/follow-table/src/followTable.test.ts
+++ b/packages/process/follow-table/src/followTable.test.ts
@@ -1,6 +1,6 @@
 import { PomeloturnError } from "@pomeloturn/errors/PomeloturnError";
 import { ResultCode } from "@pomeloturn/errors/ResultCode";
-import type { RowsAnswer, StoreRow } from "@pomeloturn/types/StoreRow";
+import type { RowsAnswer, StorePoint, StoreRow } from "@pomeloturn/types/StoreRow";
 import { describe, expect, it } from "vitest";
 import { followTable } from "./followTable.ts";
 
@@ -16,7 +16,7 @@
         const answer = answers.shift();
         if (answer === undefined) {
             stopping.abort();
-            return Promise.resolve({ rows: [], version: 0 });
+            return Promise.resolve({ rows: [], era: 1, version: 0 });
         }
         seen.push(name);
         return answer === "down"
@@ -26,7 +26,7 @@
     const [tableAnswers, feedAnswers] = [[...tables], [...feeds]];
     const reader = {
         readTable: () => take(tableAnswers, "read").then(answer => answer!),
-        readChanges: (_table: string, after: number, waitMs: number) => take(feedAnswers, `feed after ${after} for ${waitMs}`),
+        readChanges: (_table: string, after: StorePoint, waitMs: number) => take(feedAnswers, `feed after ${after.version} for ${waitMs}`),
     };
     await followTable(reader, {
         table: "t",
@@ -42,17 +42,25 @@
 
 describe("followTable", () => {
     it("reads the complete table, then its changes", async () => {
-        const seen = await follow([{ rows: [row("a", 1)], version: 4 }], [{ rows: [row("b", 5)], version: 5 }, { rows: [], version: 8 }]);
+        const seen = await follow([{ rows: [row("a", 1)], era: 1, version: 4 }], [{ rows: [row("b", 5)], era: 1, version: 5 }, {
+            rows: [],
+            era: 1,
+            version: 8,
+        }]);
         expect(seen).toEqual(["read", "all a", "feed after 4 for 5000", "changed b", "feed after 5 for 5000"]);
     });
 
     it("reads the complete table again when the change history is lost", async () => {
-        const seen = await follow([{ rows: [], version: 4 }, { rows: [row("c", 9)], version: 9 }], ["gone"]);
+        const seen = await follow([{ rows: [], era: 1, version: 4 }, { rows: [row("c", 9)], era: 1, version: 9 }], ["gone"]);
         expect(seen).toEqual(["read", "all ", "feed after 4 for 5000", "read", "all c"]);
     });
 
     it("resumes at the last version after an outage, with a short call first", async () => {
-        const seen = await follow([{ rows: [], version: 4 }], ["down", { rows: [], version: 4 }, { rows: [row("d", 6)], version: 6 }]);
+        const seen = await follow([{ rows: [], era: 1, version: 4 }], ["down", { rows: [], era: 1, version: 4 }, {
+            rows: [row("d", 6)],
+            era: 1,
+            version: 6,
+        }]);
         expect(seen).toEqual([
             "read",
             "all ",
--- a/packages/process/follow-table/src/followTable.ts
+++ b/packages/process/follow-table/src/followTable.ts
@@ -1,4 +1,4 @@
-import type { StoreRow, TableReader } from "@pomeloturn/types/StoreRow";
+import type { StorePoint, StoreRow, TableReader } from "@pomeloturn/types/StoreRow";
 import { setTimeout as delay } from "node:timers/promises";
 
 /** Options of `followTable`. */
@@ -10,10 +10,14 @@
     readonly batchDelayMs: number;
     /** Ends `followTable` when it is aborted. */
     readonly signal: AbortSignal;
-    /** Called with all rows of the table, at the start and after a loss of the change history. */
-    readonly onSnapshot: (rows: readonly StoreRow[]) => void;
+    /**
+     * Called with all rows of the table, at the start and when the changes since the last point are not known.
+     *
+     * @param last point up to which the table was known; undefined at the start
+     */
+    readonly onSnapshot: (rows: readonly StoreRow[], point: StorePoint, last: StorePoint | undefined) => void;
     /** Called with the rows that have changed. */
-    readonly onChanges: (rows: readonly StoreRow[]) => void;
+    readonly onChanges: (rows: readonly StoreRow[], point: StorePoint) => void;
     /** Called with false and the error message when the store cannot be read, and with true when it can be read again. */
     readonly onReachabilityChange: (isReachable: boolean, reason: string) => void;
 }
@@ -28,23 +32,30 @@
 /** Reads a table and then its changes until the signal is aborted. Retries with backoff while the store cannot be read. */
 export const followTable = async (reader: TableReader, options: FollowOptions): Promise<void> => {
     const { table, waitMs, batchDelayMs, signal } = options;
-    let version: number | undefined;
+    let point: StorePoint | undefined;
+    let last: StorePoint | undefined;
     let failureCount = 0;
     while (!signal.aborted) {
         try {
-            const answer: Awaited<ReturnType<TableReader["readChanges"]>> = version === undefined
+            const answer: Awaited<ReturnType<TableReader["readChanges"]>> = point === undefined
                 ? await reader.readTable(table)
-                : await reader.readChanges(table, version, failureCount > 0 ? Math.min(waitMs, WAIT_AFTER_FAILURE_MS) : waitMs);
+                : await reader.readChanges(table, point, failureCount > 0 ? Math.min(waitMs, WAIT_AFTER_FAILURE_MS) : waitMs);
             if (failureCount > 0) {
                 options.onReachabilityChange(true, "");
             }
             failureCount = 0;
-            const isFull = version === undefined;
-            version = answer?.version;
-            if (answer !== undefined && (isFull || answer.rows.length > 0)) {
-                (isFull ? options.onSnapshot : options.onChanges)(answer.rows);
+            const isFull = point === undefined;
+            point = answer === undefined ? undefined : { era: answer.era, version: answer.version };
+            if (answer !== undefined && point !== undefined && (isFull || answer.rows.length > 0)) {
+                if (isFull) {
+                    options.onSnapshot(answer.rows, point, last);
+                }
+                else {
+                    options.onChanges(answer.rows, point);
+                }
                 await delay(batchDelayMs, undefined, { ref: false });
             }
+            last = point ?? last;
         }
         catch (error) {
             failureCount++;
--- a/packages/process/table-relay/src/RelayClient.ts
+++ b/packages/process/table-relay/src/RelayClient.ts
@@ -1,5 +1,6 @@
 import { PomeloturnError } from "@pomeloturn/errors/PomeloturnError";
 import { ResultCode } from "@pomeloturn/errors/ResultCode";
+import type { StorePoint } from "@pomeloturn/types/StoreRow";
 import { connect, type Socket } from "node:net";
 import { LineBuffer } from "./LineBuffer.ts";
 import { formatMessage, parseReply, type RelayReply } from "./relayMessages.ts";
@@ -43,8 +44,8 @@
         return this.hasFailed;
     }
 
-    /** Reads a table, or its changes after a version. Waits up to `waitMs` for changes. */
-    read(table: string, after: number | undefined, waitMs: number): Promise<RelayReply> {
+    /** Reads a table, or its changes after a point. Waits up to `waitMs` for changes. */
+    read(table: string, after: StorePoint | undefined, waitMs: number): Promise<RelayReply> {
         return new Promise((resolve, reject) => {
             if (this.hasFailed) {
                 reject(PomeloturnError.create(ResultCode.StoreUnavailable, "the connection to the relay is closed"));
@@ -57,7 +58,7 @@
                 settle(value);
             };
             this.pending.set(id, { resolve: finish(resolve), reject: finish(reject) });
-            this.socket.write(formatMessage({ id, table, after, waitMs }));
+            this.socket.write(formatMessage({ id, table, after: after?.version, era: after?.era, waitMs }));
         });
     }
 
--- a/packages/process/table-relay/src/RelayedTableReader.test.ts
+++ b/packages/process/table-relay/src/RelayedTableReader.test.ts
@@ -1,7 +1,7 @@
 import { PomeloturnError } from "@pomeloturn/errors/PomeloturnError";
 import { ResultCode } from "@pomeloturn/errors/ResultCode";
 import { createLogger } from "@pomeloturn/logger/createLogger";
-import type { RowsAnswer, StoreRow, TableReader } from "@pomeloturn/types/StoreRow";
+import type { RowsAnswer, StorePoint, StoreRow, TableReader } from "@pomeloturn/types/StoreRow";
 import { connect, createServer, type Server } from "node:net";
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
 import { orderRelays } from "./chooseRelay.ts";
@@ -32,17 +32,17 @@
 
     async readTable(vm: string): Promise<RowsAnswer> {
         this.count(vm);
-        return Promise.resolve({ rows: this.rows, version: this.version });
+        return Promise.resolve({ rows: this.rows, era: 1, version: this.version });
     }
 
-    async readChanges(vm: string, after: number, waitMs: number): Promise<RowsAnswer> {
+    async readChanges(vm: string, after: StorePoint, waitMs: number): Promise<RowsAnswer> {
         this.count(vm);
         const endsAtMs = performance.now() + waitMs;
-        while (performance.now() < endsAtMs && this.version <= after) {
+        while (performance.now() < endsAtMs && this.version <= after.version) {
             await new Promise(resolve => setTimeout(resolve, 5));
             this.refuseIfDown(vm);
         }
-        return { rows: this.rows.filter(({ version }) => version > after), version: this.version };
+        return { rows: this.rows.filter(({ version }) => version > after.version), era: 1, version: this.version };
     }
 
     private count(vm: string): void {
@@ -97,14 +97,14 @@
     const follow = ({ reader }: Vm): Map<string, number> => {
         const seen = new Map<string, number>();
         const run = async (): Promise<void> => {
-            let version: number | undefined;
+            let point: StorePoint | undefined;
             while (!isStopped) {
                 try {
-                    const answer: RowsAnswer | undefined = version === undefined
+                    const answer: RowsAnswer | undefined = point === undefined
                         ? await reader.readTable(TABLE)
-                        : await reader.readChanges(TABLE, version, 7_000);
+                        : await reader.readChanges(TABLE, point, 7_000);
                     answer?.rows.forEach(({ key }) => seen.has(key) || seen.set(key, performance.now()));
-                    version = answer?.version;
+                    point = answer;
                 }
                 catch {
                     // The store is down for this VM.
--- a/packages/process/table-relay/src/RelayedTableReader.ts
+++ b/packages/process/table-relay/src/RelayedTableReader.ts
@@ -1,6 +1,6 @@
 import { ChangeSignal } from "@pomeloturn/clock/ChangeSignal";
 import type { ProcessLogger } from "@pomeloturn/logger/createLogger";
-import type { RowsAnswer, TableReader } from "@pomeloturn/types/StoreRow";
+import type { RowsAnswer, StorePoint, TableReader } from "@pomeloturn/types/StoreRow";
 import { chooseRelay, orderRelays, type TableSource } from "./chooseRelay.ts";
 import { RelayClient } from "./RelayClient.ts";
 import type { RelayMember } from "./RelayMember.ts";
@@ -64,7 +64,7 @@
         return this.recordVersion(table, isRecent ? relayed : await this.readTableAtStore(table));
     }
 
-    async readChanges(table: string, after: number, waitMs: number): Promise<RowsAnswer | undefined> {
+    async readChanges(table: string, after: StorePoint, waitMs: number): Promise<RowsAnswer | undefined> {
         const relayed = await this.readRelay(table, after, Math.min(waitMs, RELAY_WAIT_MS));
         const answer = relayed === undefined ? await this.readChangesAtStore(table, after, waitMs) : relayed ?? undefined;
         return answer === undefined ? undefined : this.recordVersion(table, answer);
@@ -98,21 +98,21 @@
     }
 
     /** @returns undefined when no relay answered; null when the relay no longer knows the changes since the version */
-    private async readRelay(table: string, after: number | undefined, waitMs: number): Promise<RowsAnswer | null | undefined> {
+    private async readRelay(table: string, after: StorePoint | undefined, waitMs: number): Promise<RowsAnswer | null | undefined> {
         const source = this.source();
         this.logSource(source);
         if (source.kind !== "relay" || this.options.nowMs() < this.pausedUntilMs) {
             return undefined;
         }
         try {
-            const { status, rows, version } = await this.connectTo(source.member).read(table, after, waitMs);
+            const { status, rows, era, version } = await this.connectTo(source.member).read(table, after, waitMs);
             if (status === RelayStatus.Unavailable) {
                 this.pausedUntilMs = this.options.nowMs() + UNAVAILABLE_PAUSE_MS;
                 this.recordFailure(source.member, table, "the VM does not relay the table now");
                 return undefined;
             }
             this.failureCounts.delete(source.member.vm);
-            return status === RelayStatus.Gone ? null : { rows, version };
+            return status === RelayStatus.Gone ? null : { rows, era: era ?? after?.era ?? 0, version };
         }
         catch (error) {
             this.recordFailure(source.member, table, (error as Error).message);
@@ -150,7 +150,7 @@
         return answer;
     }
 
-    private async readChangesAtStore(table: string, after: number, waitMs: number): Promise<RowsAnswer | undefined> {
+    private async readChangesAtStore(table: string, after: StorePoint, waitMs: number): Promise<RowsAnswer | undefined> {
         const isRelaying = this.source().kind === "relaying";
         const limitMs = Math.min(
             waitMs,
@@ -159,7 +159,7 @@
         const cache = this.caches.get(table);
         const knownFrom = cache?.knownVersion;
         const answer = await this.options.store.readChanges(table, after, limitMs);
-        if (answer === undefined || knownFrom === undefined || knownFrom < after) {
+        if (answer === undefined || knownFrom === undefined || knownFrom < after.version) {
             // The cache lacks changes that a relay has answered meanwhile; it is filled again by the next read of the table.
             this.caches.delete(table);
         }
--- a/packages/process/table-relay/src/TableCache.test.ts
+++ b/packages/process/table-relay/src/TableCache.test.ts
@@ -9,28 +9,28 @@
 describe("table of a relay", () => {
     it("answers a table and its changes, oldest first", () => {
         const cache = new TableCache(STALE_AFTER_MS);
-        cache.applyTable({ rows: [row("a", 3), row("b", 5)], version: 6 }, 0);
-        cache.applyChanges({ rows: [row("c", 8), row("a", 9)], version: 9 }, 10);
-        expect(cache.readChanges(6, 20)).toEqual({ kind: "rows", answer: { rows: [row("c", 8), row("a", 9)], version: 9 } });
-        expect(cache.readChanges(9, 20)).toEqual({ kind: "unchanged", version: 9 });
+        cache.applyTable({ rows: [row("a", 3), row("b", 5)], era: 1, version: 6 }, 0);
+        cache.applyChanges({ rows: [row("c", 8), row("a", 9)], era: 1, version: 9 }, 10);
+        expect(cache.readChanges(6, 20)).toEqual({ kind: "rows", answer: { rows: [row("c", 8), row("a", 9)], era: 1, version: 9 } });
+        expect(cache.readChanges(9, 20)).toEqual({ kind: "unchanged", era: 1, version: 9 });
     });
 
     it("never answers an older version to a VM that knows a newer one", () => {
         const cache = new TableCache(STALE_AFTER_MS);
-        cache.applyTable({ rows: [row("a", 3)], version: 6 }, 0);
-        expect(cache.readChanges(40, 20)).toEqual({ kind: "unchanged", version: 40 });
+        cache.applyTable({ rows: [row("a", 3)], era: 1, version: 6 }, 0);
+        expect(cache.readChanges(40, 20)).toEqual({ kind: "unchanged", era: 1, version: 40 });
     });
 
     it("answers nothing that is not proved recent", () => {
         const cache = new TableCache(STALE_AFTER_MS);
         expect(cache.readTable(0)).toEqual({ kind: "stale" });
-        cache.applyTable({ rows: [], version: 6 }, 0);
+        cache.applyTable({ rows: [], era: 1, version: 6 }, 0);
         expect([cache.readTable(1_999).kind, cache.readTable(2_000).kind, cache.readChanges(6, 2_000).kind]).toEqual([
             "rows",
             "stale",
             "stale",
         ]);
-        cache.applyChanges({ rows: [], version: 6 }, 3_000);
+        cache.applyChanges({ rows: [], era: 1, version: 6 }, 3_000);
         expect(cache.readChanges(6, 4_999).kind).toBe("unchanged");
         cache.invalidate();
         expect(cache.readChanges(6, 3_001).kind).toBe("stale");
@@ -38,7 +38,7 @@
 
     it("asks for a read of the whole table when deletions may have been missed", () => {
         const cache = new TableCache(STALE_AFTER_MS);
-        cache.applyTable({ rows: [row("a", 3)], version: 6 }, 0);
+        cache.applyTable({ rows: [row("a", 3)], era: 1, version: 6 }, 0);
         expect(cache.readChanges(5, 1).kind).toBe("gone");
     });
 
@@ -47,7 +47,7 @@
         assert(
             property(array(change, { maxLength: 60 }), changes => {
                 const cache = new TableCache(Infinity);
-                cache.applyTable({ rows: [], version: 1 }, 0);
+                cache.applyTable({ rows: [], era: 1, version: 1 }, 0);
                 const [store, follower] = [new Map<string, number>(), new Map<string, number>()];
                 let known = 1;
                 const poll = (): void => {
@@ -67,7 +67,7 @@
                     else {
                         store.set(key, version);
                     }
-                    cache.applyChanges({ rows: [row(key, version, isDeleted)], version }, 0);
+                    cache.applyChanges({ rows: [row(key, version, isDeleted)], era: 1, version }, 0);
                     Array.from({ length: polls }, poll);
                 });
                 poll();
--- a/packages/process/table-relay/src/TableCache.ts
+++ b/packages/process/table-relay/src/TableCache.ts
@@ -1,10 +1,10 @@
-import type { RowsAnswer, StoreRow } from "@pomeloturn/types/StoreRow";
+import type { RowsAnswer, StorePoint, StoreRow } from "@pomeloturn/types/StoreRow";
 
 /** Answer of a relay to a request for the changes of a table. */
 export type CacheAnswer =
     | { readonly kind: "rows"; readonly answer: RowsAnswer; }
     /** Nothing has changed since the version asked for. */
-    | { readonly kind: "unchanged"; readonly version: number; }
+    | ({ readonly kind: "unchanged"; } & StorePoint)
     /** The changes since the version asked for are no longer known. */
     | { readonly kind: "gone"; }
     /** It is not proved that the table is recent. */
@@ -17,6 +17,7 @@
 export class TableCache {
     private readonly rows = new Map<string, StoreRow>();
     private readonly deleted = new Map<string, StoreRow>();
+    private era = 0;
     private version = 0;
     /** Version from which on all changes are known. */
     private completeFrom = Infinity;
@@ -26,10 +27,11 @@
     constructor(private readonly staleAfterMs: number) {}
 
     /** Takes over a full read of the table, made at the store. @param nowMs monotonic time at which the store was asked, in milliseconds */
-    applyTable({ rows, version }: RowsAnswer, nowMs: number): void {
+    applyTable({ rows, era, version }: RowsAnswer, nowMs: number): void {
         this.rows.clear();
         this.deleted.clear();
         rows.forEach(row => this.rows.set(row.key, row));
+        this.era = era;
         this.version = version;
         this.completeFrom = version;
         this.verifiedAtMs = nowMs;
@@ -66,7 +68,7 @@
     /** Returns all rows. */
     readTable(nowMs: number): CacheAnswer {
         return this.recentForMs(nowMs) > 0
-            ? { kind: "rows", answer: { rows: [...this.rows.values()], version: this.version } }
+            ? { kind: "rows", answer: { rows: [...this.rows.values()], era: this.era, version: this.version } }
             : { kind: "stale" };
     }
 
@@ -80,8 +82,11 @@
         }
         const rows = [...this.rows.values(), ...this.deleted.values()].filter(({ version }) => version > after);
         return rows.length === 0
-            ? { kind: "unchanged", version: Math.max(after, this.version) }
-            : { kind: "rows", answer: { rows: rows.sort((one, other) => one.version - other.version), version: this.version } };
+            ? { kind: "unchanged", era: this.era, version: Math.max(after, this.version) }
+            : {
+                kind: "rows",
+                answer: { rows: rows.sort((one, other) => one.version - other.version), era: this.era, version: this.version },
+            };
     }
 
     private dropOldDeletions(): void {
--- a/packages/process/table-relay/src/readSource.ts
+++ b/packages/process/table-relay/src/readSource.ts
@@ -35,7 +35,7 @@
         return { id, status: RelayStatus.Rows, ...answer.answer };
     }
     if (answer.kind === "unchanged") {
-        return { id, status: RelayStatus.Rows, rows: [], version: answer.version };
+        return { id, status: RelayStatus.Rows, rows: [], era: answer.era, version: answer.version };
     }
-    return { id, status: answer.kind === "gone" ? RelayStatus.Gone : RelayStatus.Unavailable, rows: [], version: 0 };
+    return { id, status: answer.kind === "gone" ? RelayStatus.Gone : RelayStatus.Unavailable, rows: [], era: undefined, version: 0 };
 };
--- a/packages/process/table-relay/src/relayMessages.test.ts
+++ b/packages/process/table-relay/src/relayMessages.test.ts
@@ -2,8 +2,8 @@
 import { expect, it } from "vitest";
 import { formatMessage, parseReply, parseRequest, RelayStatus } from "./relayMessages.ts";
 
-const request = { id: 1, table: "t", after: 5, waitMs: 10 };
-const reply = { id: 1, status: RelayStatus.Rows, rows: [{ key: "a", value: "", version: 3, isDeleted: false }], version: 4 };
+const request = { id: 1, table: "t", after: 5, era: 1, waitMs: 10 };
+const reply = { id: 1, status: RelayStatus.Rows, rows: [{ key: "a", value: "", version: 3, isDeleted: false }], era: 1, version: 4 };
 
 it("decodes what it encodes", () => {
     expect(parseRequest(formatMessage(request))).toEqual(request);
--- a/packages/shared/types/src/Protocols.ts
+++ b/packages/shared/types/src/Protocols.ts
@@ -54,6 +54,8 @@
 export interface Authority {
     readonly holder: string;
     readonly fence: number;
+    /** Era of the store in which the row was read or written. */
+    readonly era: number;
     /** Version of the row; 0 when the row does not exist yet. */
     readonly version: number;
 }
--- a/packages/shared/types/src/StoreRow.ts
+++ b/packages/shared/types/src/StoreRow.ts
@@ -8,20 +8,29 @@
     readonly isDeleted: boolean;
 }
 
-/** Result of a table read: the rows and the store version at which they were read. */
-export interface RowsAnswer {
-    readonly rows: readonly StoreRow[];
+/**
+ * A point in the store's history. A store that was restored from an older copy is in its next era and gives out the versions
+ * after the copy again, so versions of different eras cannot be compared.
+ */
+export interface StorePoint {
+    /** Number of the era; 0 for a store that does not state it. */
+    readonly era: number;
     readonly version: number;
 }
 
+/** Result of a table read: the rows and the point at which they were read. */
+export interface RowsAnswer extends StorePoint {
+    readonly rows: readonly StoreRow[];
+}
+
 /** Reads tables of the store. Both calls reject with a PomeloturnError of code `StoreUnavailable` when the store does not answer. */
 export interface TableReader {
     /** Reads all rows. `readChanges` from the returned version misses no change. */
     readTable(table: string): Promise<RowsAnswer>;
     /**
-     * Waits up to `waitMs` milliseconds for changes after a store version.
+     * Waits up to `waitMs` milliseconds for changes after a point.
      *
-     * @returns undefined when the store no longer keeps the changes since that version
+     * @returns undefined when the store does not know the changes since that point
      */
-    readChanges(table: string, after: number, waitMs: number): Promise<RowsAnswer | undefined>;
+    readChanges(table: string, after: StorePoint, waitMs: number): Promise<RowsAnswer | undefined>;
 }
--- a/packages/version/replace-primary/src/ReplacementState.ts
+++ b/packages/version/replace-primary/src/ReplacementState.ts
@@ -79,7 +79,7 @@
     reason: undefined,
     suspicion: undefined,
     leaderlessSinceMs: undefined,
-    authority: { holder: "", fence: 0, version: 0 },
+    authority: { holder: "", fence: 0, era: 0, version: 0 },
     otherVmClaimedAtMs: -Infinity,
     pausedUntilMs: 0,
     firstClaimAtMs: nowMs + FIRST_CLAIM_DELAY_MS,
--- a/packages/version/replace-primary/src/stepReplacement.test.ts
+++ b/packages/version/replace-primary/src/stepReplacement.test.ts
@@ -41,7 +41,7 @@
     it("claims a new fence before it orders the promotion of another instance", () => {
         const state = createSuspecting();
         stepReplacement(state, { kind: "tick", view: VIEW }, 1_400);
-        const authority = { holder: "vm-0", fence: 5, version: 9 };
+        const authority = { holder: "vm-0", fence: 5, era: 1, version: 9 };
         stepReplacement(state, { kind: "claimed", change: { isApplied: true, authority } }, 1_410);
         const instances = [{ id: "b", isDraining: false, state: { isPrimary: false, term: 1, received: { term: 1, position: 7 } } }];
         const ordered = stepReplacement(state, { kind: "surveyed", instances }, 1_420);
--- a/packages/version/replace-primary/src/watchLeader.ts
+++ b/packages/version/replace-primary/src/watchLeader.ts
@@ -79,7 +79,13 @@
             {
                 kind: "log",
                 text: "replacing the primary; claiming the authority to promote another instance",
-                details: { reason, leader: view.leaderId, knownFence: state.authority.fence },
+                details: {
+                    reason,
+                    leader: view.leaderId,
+                    knownFence: state.authority.fence,
+                    era: state.authority.era,
+                    version: state.authority.version,
+                },
             },
             { kind: "claim", known: state.authority },
         ];
--- a/programs/entry/src/DirectoryFeeds.test.ts
+++ b/programs/entry/src/DirectoryFeeds.test.ts
@@ -16,9 +16,9 @@
 
 /** Creates a store that answers the first feed call for the configuration with these rows. All other feed calls stay pending. */
 const createReader = (rows: readonly StoreRow[]): TableReader => {
-    const responses: (RowsAnswer | undefined)[] = [{ rows, version: 20 }];
+    const responses: (RowsAnswer | undefined)[] = [{ rows, era: 1, version: 20 }];
     return {
-        readTable: table => Promise.resolve({ rows: table === "op" ? [configurationRow(4)] : [], version: 4 }),
+        readTable: table => Promise.resolve({ rows: table === "op" ? [configurationRow(4)] : [], era: 1, version: 4 }),
         readChanges: table => table === "op" && responses.length > 0 ? Promise.resolve(responses.pop()) : new Promise(() => {}),
     };
 };
@@ -74,7 +74,7 @@
     const members: string[] = [];
     DirectoryFeeds.create({
         reader: {
-            readTable: table => Promise.resolve({ rows: table === "pomeloturn" ? rows : [], version: 4 }),
+            readTable: table => Promise.resolve({ rows: table === "pomeloturn" ? rows : [], era: 1, version: 4 }),
             readChanges: () => new Promise(() => {}),
         },
         directory: ServiceDirectory.create(() => {
--- a/programs/entry/src/DirectoryFeeds.ts
+++ b/programs/entry/src/DirectoryFeeds.ts
@@ -11,7 +11,7 @@
 import type { ServiceDirectory } from "@pomeloturn/service-directory/ServiceDirectory";
 import type { Authority } from "@pomeloturn/types/Protocols";
 import type { InstanceEntry, RouteTable } from "@pomeloturn/types/ServiceEntries";
-import type { StoreRow, TableReader } from "@pomeloturn/types/StoreRow";
+import type { StorePoint, StoreRow, TableReader } from "@pomeloturn/types/StoreRow";
 
 /** Wait of one feed call for the instances and for the VMs' own table. Dead connections are detected by the feed of the configuration. */
 const LISTING_WAIT_MS = 28_000;
@@ -74,11 +74,17 @@
     }
 
     private followCoordination(onRead: () => void): void {
-        const replace = (rows: readonly StoreRow[]): void => {
-            this.replaceCoordinationRows(rows);
+        const replace = (rows: readonly StoreRow[], { era }: StorePoint): void => {
+            this.replaceCoordinationRows(rows, era);
             onRead();
         };
-        this.follow(COORDINATION_TABLE, LISTING_WAIT_MS, COORDINATION_BATCH_DELAY_MS, replace, rows => this.applyCoordinationChanges(rows));
+        this.follow(
+            COORDINATION_TABLE,
+            LISTING_WAIT_MS,
+            COORDINATION_BATCH_DELAY_MS,
+            replace,
+            (rows, { era }) => this.applyCoordinationChanges(rows, era),
+        );
     }
 
     private followOthers(): void {
@@ -98,8 +104,8 @@
         table: string,
         waitMs: number,
         batchDelayMs: number,
-        onSnapshot: (rows: readonly StoreRow[]) => void,
-        onChanges: (rows: readonly StoreRow[]) => void,
+        onSnapshot: (rows: readonly StoreRow[], point: StorePoint) => void,
+        onChanges: (rows: readonly StoreRow[], point: StorePoint) => void,
     ): void {
         const { reader, logger, counters, signal, onConfigurationFeedFailed } = this.options;
         const onReachabilityChange = (isReachable: boolean, reason: string): void => {
@@ -112,7 +118,27 @@
                 reason,
             });
         };
-        void followTable(reader, { table, waitMs, batchDelayMs, signal, onSnapshot, onChanges, onReachabilityChange });
+        const onRead = (rows: readonly StoreRow[], point: StorePoint, last: StorePoint | undefined): void => {
+            this.reportFullRead(table, rows.length, point, last);
+            onSnapshot(rows, point);
+        };
+        void followTable(reader, { table, waitMs, batchDelayMs, signal, onSnapshot: onRead, onChanges, onReachabilityChange });
+    }
+
+    /** @param last point up to which the table was known; undefined at the start of the process */
+    private reportFullRead(table: string, rowCount: number, { era, version }: StorePoint, last: StorePoint | undefined): void {
+        const { logger, counters } = this.options;
+        logger.info("a table of the store was read in full", {
+            table,
+            rows: rowCount,
+            era,
+            version,
+            lastEra: last?.era,
+            lastVersion: last?.version,
+        });
+        if (last !== undefined) {
+            counters.add(era === last.era ? "store_history_lost" : "store_restored");
+        }
     }
 
     private applyConfiguration(rows: readonly StoreRow[]): void {
@@ -176,17 +202,17 @@
         }
     }
 
-    private replaceCoordinationRows(rows: readonly StoreRow[]): void {
+    private replaceCoordinationRows(rows: readonly StoreRow[], era: number): void {
         this.members.clear();
-        this.applyCoordinationChanges(rows);
+        this.applyCoordinationChanges(rows, era);
     }
 
-    private applyCoordinationChanges(rows: readonly StoreRow[]): void {
+    private applyCoordinationChanges(rows: readonly StoreRow[], era: number): void {
         const { onMembersChanged } = this.options;
         for (const row of rows) {
             const service = parseAuthorityKey(row.key);
             if (service !== undefined) {
-                this.applyAuthority(service, row);
+                this.applyAuthority(service, row, era);
             }
             this.applyMemberChange(row);
         }
@@ -194,9 +220,9 @@
     }
 
     /** Keeps the known authority if the row cannot be read; the other rows still apply. */
-    private applyAuthority(service: string, row: StoreRow): void {
+    private applyAuthority(service: string, row: StoreRow, era: number): void {
         try {
-            this.options.onAuthorityChanged(service, decodeAuthority(row));
+            this.options.onAuthorityChanged(service, decodeAuthority(row, era));
         }
         catch (error) {
             this.options.logger.error("the authority to promote instances cannot be read; the previous one is kept", {
--- a/tests/replacement/support/ReplacementSimulation.ts
+++ b/tests/replacement/support/ReplacementSimulation.ts
@@ -55,7 +55,7 @@
     lostOrderShare = 0;
     /** Delay after which lost orders are executed; undefined where they never are. */
     lateOrderDelayMs: number | undefined;
-    private row: Authority = { holder: "", fence: 0, version: 0 };
+    private row: Authority = { holder: "", fence: 0, era: 1, version: 0 };
     private highestFence = 0;
     private nowMs = 0;
     private readonly events: { readonly atMs: number; readonly sequence: number; readonly run: () => void; }[] = [];
@@ -184,7 +184,7 @@
         this.at(this.nowMs + ROUND_TRIP_MS / 2, () => {
             const isApplied = known.version === this.row.version;
             if (isApplied) {
-                this.row = { holder: vm.name, fence: known.fence + 1, version: this.row.version + 1 };
+                this.row = { holder: vm.name, fence: known.fence + 1, era: 1, version: this.row.version + 1 };
                 this.vms.forEach(each =>
                     this.dispatchLater(each, ROUND_TRIP_MS, () => ({ kind: "authorityChanged", authority: this.row }))
                 );
