--- a/packages/process/table-relay/src/RelayedTableReader.test.ts
+++ b/packages/process/table-relay/src/RelayedTableReader.test.ts
@@ -20,29 +20,40 @@
     readonly calls = new Map<string, number>();
     isDown = new Set<string>();
     private rows: StoreRow[] = [];
+    private era = 1;
     private version = 1;
 
     write(key: string): void {
         this.rows = [...this.rows.filter(row => row.key !== key), { key, value: "", version: ++this.version, isDeleted: false }];
     }
 
+    /** Takes back all writes, as after a restore from a copy. */
+    restore(): void {
+        this.rows = [];
+        this.version = 1;
+        this.era++;
+    }
+
     readerOf(vm: string): TableReader {
         return { readTable: () => this.readTable(vm), readChanges: (_table, after, waitMs) => this.readChanges(vm, after, waitMs) };
     }
 
     async readTable(vm: string): Promise<RowsAnswer> {
         this.count(vm);
-        return Promise.resolve({ rows: this.rows, era: 1, version: this.version });
+        return Promise.resolve({ rows: this.rows, era: this.era, version: this.version });
     }
 
-    async readChanges(vm: string, after: StorePoint, waitMs: number): Promise<RowsAnswer> {
+    async readChanges(vm: string, after: StorePoint, waitMs: number): Promise<RowsAnswer | undefined> {
         this.count(vm);
         const endsAtMs = performance.now() + waitMs;
         while (performance.now() < endsAtMs && this.version <= after.version) {
             await new Promise(resolve => setTimeout(resolve, 5));
             this.refuseIfDown(vm);
+            if (after.version > this.version) {
+                return undefined;
+            }
         }
-        return { rows: this.rows.filter(({ version }) => version > after.version), era: 1, version: this.version };
+        return { rows: this.rows.filter(({ version }) => version > after.version), era: this.era, version: this.version };
     }
 
     private count(vm: string): void {
@@ -211,6 +222,16 @@
         server.close();
     });
 
+    it("brings changes after a restore of the store to VMs that have read higher versions before it", async () => {
+        await start(5);
+        const seen = vms.map(follow);
+        Array.from({ length: 30 }, (_each, index) => store.write(`old-${index}`));
+        await vi.waitFor(() => expect(seen.every(keys => keys.has("old-29"))).toBe(true), { timeout: 2_000 });
+        store.restore();
+        store.write("new");
+        await vi.waitFor(() => expect(seen.every(keys => keys.has("new"))).toBe(true), { timeout: 3_000 });
+    });
+
     it("does not take an older table from a relay than it has read before", async () => {
         await start(4);
         const [relay, follower] = vms as [Vm, Vm];
--- a/tests/replacement/replacement.test.ts
+++ b/tests/replacement/replacement.test.ts
@@ -89,6 +89,21 @@
         maximumGapMs: 8_000,
         promotionCount: undefined,
     },
+    {
+        name: "the store has lost the claim behind the last promotion when the next primary fails",
+        fault: simulation => {
+            failPrimary(simulation, "refusing");
+            simulation.at(FAULT_AT_MS + 4_000, () => simulation.restoreStore());
+            simulation.at(FAULT_AT_MS + 5_000, () => simulation.vms[0]!.isSuspended = true);
+            simulation.at(FAULT_AT_MS + 5_100, () => {
+                simulation.findInstance("a").condition = "up";
+                simulation.findInstance(simulation.leaderId!).condition = "refusing";
+                simulation.reportSuspicions();
+            });
+        },
+        maximumGapMs: 3_000,
+        promotionCount: 2,
+    },
     {
         name: "half of the VMs cannot reach the primary",
         fault: simulation => {
--- a/tests/replacement/support/ReplacementSimulation.ts
+++ b/tests/replacement/support/ReplacementSimulation.ts
@@ -55,6 +55,8 @@
     lostOrderShare = 0;
     /** Delay after which lost orders are executed; undefined where they never are. */
     lateOrderDelayMs: number | undefined;
+    /** Rows of the authority as they were written, oldest first. */
+    private readonly rows: Authority[] = [];
     private row: Authority = { holder: "", fence: 0, era: 1, version: 0 };
     private highestFence = 0;
     private nowMs = 0;
@@ -185,6 +187,7 @@
             const isApplied = known.version === this.row.version;
             if (isApplied) {
                 this.row = { holder: vm.name, fence: known.fence + 1, era: 1, version: this.row.version + 1 };
+                this.rows.push(this.row);
                 this.vms.forEach(each =>
                     this.dispatchLater(each, ROUND_TRIP_MS, () => ({ kind: "authorityChanged", authority: this.row }))
                 );
@@ -199,6 +202,14 @@
         });
     }
 
+    /** Restores the store from a copy that lacks the last claim. */
+    restoreStore(): void {
+        this.rows.pop();
+        this.row = this.rows.at(-1) ?? { holder: "", fence: 0, era: 1, version: 0 };
+        const authority = this.row;
+        this.vms.forEach(each => this.dispatchLater(each, ROUND_TRIP_MS, () => ({ kind: "authorityChanged", authority })));
+    }
+
     private survey(vm: SimulatedVm): SurveyedInstance[] {
         return this.instances.map(({ id, condition, isDraining, receivedCommitCount, unreachableVms, stepDownTerm }) => ({
             id,
--- /dev/null
+++ b/tests/restoredStore.test.ts
@@ -0,0 +1,60 @@
+import { createLogger } from "@pomeloturn/logger/createLogger";
+import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
+import { RestorableStore } from "./support/RestorableStore.ts";
+import { StoreFollower } from "./support/StoreFollower.ts";
+
+const CONFIGURATION = { routes: [], services: [], limits: {} };
+const INSTANCE = { service: "ledger", address: "127.0.0.1:9", zone: "north-a", state: "ready", db_role: "replica", slots: 2, born: 1_000 };
+const LONG_ENOUGH_MS = 1_500;
+
+let store: RestorableStore;
+let followers: StoreFollower[];
+
+beforeEach(async () => {
+    store = await RestorableStore.start();
+    followers = [];
+    store.write("op", "config", { ...CONFIGURATION, version: 1 });
+});
+
+afterEach(() => {
+    followers.forEach(follower => follower.stop());
+    store.close();
+});
+
+const follow = (): StoreFollower => {
+    const follower = StoreFollower.start(store.address, createLogger("test", "vm-1"));
+    followers.push(follower);
+    return follower;
+};
+
+const writeOthers = (count: number): void => {
+    for (let index = 0; index < count; index++) {
+        store.write("servers", `other-${index}`, INSTANCE);
+    }
+};
+
+/** Lets the store be away while `run` changes it. */
+const duringOutage = async (follower: StoreFollower, run: () => void): Promise<void> => {
+    store.isDown = true;
+    store.resetConnections();
+    await vi.waitFor(() => expect(follower.counters.read("store_lost")).toBeGreaterThan(0));
+    run();
+    store.isDown = false;
+};
+
+describe("a store that is restored from an older copy", () => {
+    it("has a change of the configuration missed when its versions have passed the last one that was read", async () => {
+        const follower = follow();
+        await vi.waitFor(() => expect(follower.directory.routes?.version).toBe(1));
+        const copy = store.newestVersion;
+        writeOthers(20);
+        store.write("op", "config", { ...CONFIGURATION, version: 2 });
+        await vi.waitFor(() => expect(follower.directory.routes?.version).toBe(2));
+        await duringOutage(follower, () => {
+            store.restore(copy);
+            store.write("op", "config", { ...CONFIGURATION, version: 3 });
+            writeOthers(30);
+        });
+        await vi.waitFor(() => expect(follower.directory.routes?.version).toBe(3), { timeout: LONG_ENOUGH_MS });
+    });
+});
