Compare versions of the store only within one era

Cause: versions were compared across the restore. A VM that asked for the changes after version V of the old history, once the new one had passed V, got no 410 and missed what was written in the new history up to V. A relay that had read the new history (version 85) answered 'unchanged' to VMs that asked after 144 of the old one, and they kept 144; 'lastEra 2, lastVersion 144' in the logs.

A relay of a version without eras is not used.

--- a/packages/process/table-relay/src/RelayedTableReader.test.ts
+++ b/packages/process/table-relay/src/RelayedTableReader.test.ts
@@ -49,7 +49,7 @@
         while (performance.now() < endsAtMs && this.version <= after.version) {
             await new Promise(resolve => setTimeout(resolve, 5));
             this.refuseIfDown(vm);
-            if (after.version > this.version) {
+            if (after.version > this.version || after.era !== this.era) {
                 return undefined;
             }
         }
--- a/packages/process/table-relay/src/RelayedTableReader.ts
+++ b/packages/process/table-relay/src/RelayedTableReader.ts
@@ -1,5 +1,6 @@
 import { ChangeSignal } from "@pomeloturn/clock/ChangeSignal";
 import type { ProcessLogger } from "@pomeloturn/logger/createLogger";
+import { isAtOrAfterPoint } from "@pomeloturn/store-point/isAtOrAfterPoint";
 import type { RowsAnswer, StorePoint, TableReader } from "@pomeloturn/types/StoreRow";
 import { chooseRelay, orderRelays, type TableSource } from "./chooseRelay.ts";
 import { RelayClient } from "./RelayClient.ts";
@@ -28,6 +29,8 @@
 const UNAVAILABLE_PAUSE_MS = 1_000;
 /** Longest wait of a call to the store before it is known which VM relays. */
 const UNDECIDED_WAIT_MS = 1_000;
+/** Point before all points at which a table can be read. */
+const BEFORE_FIRST_READ: StorePoint = { era: 0, version: 0 };
 /** Time beyond the wait of a call after which an answer of the store is overdue. */
 const STORE_MARGIN_MS = 800;
 
@@ -40,8 +43,8 @@
     private readonly failureCounts = new Map<string, number>();
     private ordered: readonly RelayMember[] = [];
     private relay: { readonly member: RelayMember; readonly client: RelayClient; } | undefined;
-    /** Newest store version that this VM has seen of each table. */
-    private readonly newestVersions = new Map<string, number>();
+    /** Newest point at which this VM has seen each table. */
+    private readonly newestPoints = new Map<string, StorePoint>();
     /** Monotonic time in milliseconds until which no relay is asked. */
     private pausedUntilMs = -Infinity;
     private loggedSource = "";
@@ -60,18 +63,24 @@
     async readTable(table: string): Promise<RowsAnswer> {
         const relayed = await this.readRelay(table, undefined, RELAY_WAIT_MS) ?? undefined;
         // A relay that lags behind would bring back rows whose deletion this VM has already seen.
-        const isRecent = relayed !== undefined && relayed.version >= (this.newestVersions.get(table) ?? 0);
-        return this.recordVersion(table, isRecent ? relayed : await this.readTableAtStore(table));
+        const isRecent = relayed !== undefined && isAtOrAfterPoint(relayed, this.newestPoint(table));
+        return this.recordPoint(table, isRecent ? relayed : await this.readTableAtStore(table));
     }
 
     async readChanges(table: string, after: StorePoint, waitMs: number): Promise<RowsAnswer | undefined> {
         const relayed = await this.readRelay(table, after, Math.min(waitMs, RELAY_WAIT_MS));
         const answer = relayed === undefined ? await this.readChangesAtStore(table, after, waitMs) : relayed ?? undefined;
-        return answer === undefined ? undefined : this.recordVersion(table, answer);
+        return answer === undefined ? undefined : this.recordPoint(table, answer);
     }
 
-    private recordVersion(table: string, answer: RowsAnswer): RowsAnswer {
-        this.newestVersions.set(table, Math.max(answer.version, this.newestVersions.get(table) ?? 0));
+    private newestPoint(table: string): StorePoint {
+        return this.newestPoints.get(table) ?? BEFORE_FIRST_READ;
+    }
+
+    private recordPoint(table: string, answer: RowsAnswer): RowsAnswer {
+        if (isAtOrAfterPoint(answer, this.newestPoint(table))) {
+            this.newestPoints.set(table, { era: answer.era, version: answer.version });
+        }
         return answer;
     }
 
@@ -106,13 +115,13 @@
         }
         try {
             const { status, rows, era, version } = await this.connectTo(source.member).read(table, after, waitMs);
-            if (status === RelayStatus.Unavailable) {
+            if (status === RelayStatus.Unavailable || era === undefined) {
                 this.pausedUntilMs = this.options.nowMs() + UNAVAILABLE_PAUSE_MS;
                 this.recordFailure(source.member, table, "the VM does not relay the table now");
                 return undefined;
             }
             this.failureCounts.delete(source.member.vm);
-            return status === RelayStatus.Gone ? null : { rows, era: era ?? after?.era ?? 0, version };
+            return status === RelayStatus.Gone ? null : { rows, era, version };
         }
         catch (error) {
             this.recordFailure(source.member, table, (error as Error).message);
@@ -157,9 +166,9 @@
             this.ordered.length === 0 ? UNDECIDED_WAIT_MS : isRelaying ? this.options.relayingWaitMs(table) : Infinity,
         );
         const cache = this.caches.get(table);
-        const knownFrom = cache?.knownVersion;
+        const knownFrom = cache?.knownPoint;
         const answer = await this.options.store.readChanges(table, after, limitMs);
-        if (answer === undefined || knownFrom === undefined || knownFrom < after.version) {
+        if (answer === undefined || knownFrom === undefined || knownFrom.era !== after.era || knownFrom.version < after.version) {
             // The cache lacks changes that a relay has answered meanwhile; it is filled again by the next read of the table.
             this.caches.delete(table);
         }
--- a/packages/process/table-relay/src/TableCache.ts
+++ b/packages/process/table-relay/src/TableCache.ts
@@ -5,7 +5,7 @@
     | { readonly kind: "rows"; readonly answer: RowsAnswer; }
     /** Nothing has changed since the version asked for. */
     | ({ readonly kind: "unchanged"; } & StorePoint)
-    /** The changes since the version asked for are no longer known. */
+    /** The changes since the point asked for are not known. */
     | { readonly kind: "gone"; }
     /** It is not proved that the table is recent. */
     | { readonly kind: "stale"; };
@@ -37,7 +37,7 @@
         this.verifiedAtMs = nowMs;
     }
 
-    /** Takes over changes that the store has answered. @param nowMs monotonic time at which the store answered, in milliseconds */
+    /** Takes over changes that the store has answered, of the same era as the table. @param nowMs monotonic time at which the store answered, in milliseconds */
     applyChanges({ rows, version }: RowsAnswer, nowMs: number): void {
         for (const row of rows) {
             const [into, from] = row.isDeleted ? [this.deleted, this.rows] : [this.rows, this.deleted];
@@ -55,9 +55,9 @@
         this.verifiedAtMs = -Infinity;
     }
 
-    /** Version of the store up to which all changes are known; 0 before the first read. */
-    get knownVersion(): number {
-        return this.version;
+    /** Point up to which all changes are known. */
+    get knownPoint(): StorePoint {
+        return { era: this.era, version: this.version };
     }
 
     /** Milliseconds until the table is no longer proved recent, if the store does not answer before; 0 or less when it is not. */
@@ -72,12 +72,12 @@
             : { kind: "stale" };
     }
 
-    /** Returns the changes since a version, oldest first. */
-    readChanges(after: number, nowMs: number): CacheAnswer {
-        if (this.recentForMs(nowMs) <= 0) {
+    /** Returns the changes since a point, oldest first. */
+    readChanges({ era, version: after }: StorePoint, nowMs: number): CacheAnswer {
+        if (this.recentForMs(nowMs) <= 0 || era > this.era) {
             return { kind: "stale" };
         }
-        if (after < this.completeFrom) {
+        if (era < this.era || after < this.completeFrom) {
             return { kind: "gone" };
         }
         const rows = [...this.rows.values(), ...this.deleted.values()].filter(({ version }) => version > after);
--- a/packages/process/table-relay/src/readSource.ts
+++ b/packages/process/table-relay/src/readSource.ts
@@ -4,12 +4,12 @@
 
 /** Reads a table, waiting for its changes or for its first read as long as the request says. */
 export const readSource = async (request: RelayRequest, source: RelaySource, nowMs: () => number): Promise<RelayReply> => {
-    const { id, table, after, waitMs } = request;
+    const { id, table, waitMs } = request;
     const endsAtMs = nowMs() + waitMs;
     for (;;) {
         const startedAtMs = nowMs();
         const cache = source.find(table);
-        const answer = readCache(cache, after, startedAtMs);
+        const answer = readCache(cache, request, startedAtMs);
         const isPending = answer.kind === "unchanged" || (answer.kind === "stale" && source.isLoading(table));
         if (!isPending || startedAtMs >= endsAtMs) {
             return toReply(id, answer);
@@ -21,11 +21,11 @@
     }
 };
 
-const readCache = (cache: TableCache | undefined, after: number | undefined, nowMs: number): CacheAnswer => {
+const readCache = (cache: TableCache | undefined, { after, era }: RelayRequest, nowMs: number): CacheAnswer => {
     if (cache === undefined) {
         return STALE;
     }
-    return after === undefined ? cache.readTable(nowMs) : cache.readChanges(after, nowMs);
+    return after === undefined ? cache.readTable(nowMs) : cache.readChanges({ era: era ?? cache.knownPoint.era, version: after }, nowMs);
 };
 
 const STALE: CacheAnswer = { kind: "stale" };
