Give each era of the store fences and authority rows of its own

Cause: the store that was restored from a copy had lost a claim, and the next VM claimed the row of the copy with the fence that the lost claim had used. The platform refuses lower fences only, so it took both. Besides, a row version is given out again, so that a claim built on the lost history can match another VM's row.

A fence is now in the range of its era, an authority row counts in one era only, a claim that is answered in another era does not count, an authority of an earlier era is void, and VMs wait after a restore as after another VM's claim, which may be the one that was lost. The number of the next fence is decided in replace-primary instead of platform/.

--- a/packages/process/replacement-runner/src/ReplacementActor.ts
+++ b/packages/process/replacement-runner/src/ReplacementActor.ts
@@ -85,7 +85,7 @@
         const { service, log } = this.options;
         return {
             probe: ({ instanceId }) => void this.probe(instanceId),
-            claim: ({ known }) => void this.claim(known),
+            claim: ({ known, fence }) => void this.claim(known, fence),
             survey: () => void this.survey(),
             stepDown: ({ instanceId, term }) => void this.stepDown(instanceId, term),
             order: ({ instanceId, fence }) => void this.order(instanceId, fence),
@@ -102,10 +102,10 @@
         }
     }
 
-    private async claim(known: Authority): Promise<void> {
+    private async claim(known: Authority, fence: number): Promise<void> {
         const { authorities, service, vm, log } = this.options;
         try {
-            const change = await authorities.claim(service.name, vm, known);
+            const change = await authorities.claim(service.name, vm, fence, known);
             dispatch(this.reference, { kind: "claimed", change });
         }
         catch (error) {
--- a/packages/shared/types/src/Protocols.ts
+++ b/packages/shared/types/src/Protocols.ts
@@ -69,9 +69,9 @@
 /** Access to the authority rows in the platform's store. */
 export interface AuthorityStore {
     /**
-     * Claims the authority with the next higher fence, provided that the row is still as in `known`.
+     * Claims the authority for `holder` with a fence, provided that the row is still as in `known` and the store in the same era.
      *
      * @throws PomeloturnError with code `StoreUnavailable` when the store does not answer
      */
-    claim(service: string, holder: string, known: Authority): Promise<AuthorityChange>;
+    claim(service: string, holder: string, fence: number, known: Authority): Promise<AuthorityChange>;
 }
--- a/packages/version/replace-primary/src/ReplacementState.ts
+++ b/packages/version/replace-primary/src/ReplacementState.ts
@@ -1,4 +1,5 @@
 import type { Authority } from "@pomeloturn/types/Protocols";
+import { createUnheldAuthority } from "./createUnheldAuthority.ts";
 import { FIRST_CLAIM_DELAY_MS } from "./replacementTiming.ts";
 
 /** Constants for `ReplacementState.phase`. */
@@ -79,7 +80,7 @@
     reason: undefined,
     suspicion: undefined,
     leaderlessSinceMs: undefined,
-    authority: { holder: "", fence: 0, era: 0, version: 0 },
+    authority: createUnheldAuthority(0),
     otherVmClaimedAtMs: -Infinity,
     pausedUntilMs: 0,
     firstClaimAtMs: nowMs + FIRST_CLAIM_DELAY_MS,
--- a/packages/version/replace-primary/src/replacementMessages.ts
+++ b/packages/version/replace-primary/src/replacementMessages.ts
@@ -36,7 +36,7 @@
     /** A request to the instance failed in a way that suggests it is down. */
     | { readonly kind: "suspected"; readonly instanceId: string; }
     | { readonly kind: "probed"; readonly instanceId: string; readonly outcome: ProbeOutcome; }
-    /** The authority in the store was changed, by this or another VM. */
+    /** The authority in the store was changed, by this or another VM, or is not held in a new era of the store. */
     | { readonly kind: "authorityChanged"; readonly authority: Authority; }
     /** `change` is undefined when the store did not answer, so that the claim may have been applied. */
     | { readonly kind: "claimed"; readonly change: AuthorityChange | undefined; }
@@ -47,7 +47,7 @@
 /** Action that the caller of `stepReplacement` has to carry out. Each kind except `confirm` and `log` is answered by an event. */
 export type ReplacementAction =
     | { readonly kind: "probe"; readonly instanceId: string; }
-    | { readonly kind: "claim"; readonly known: Authority; }
+    | { readonly kind: "claim"; readonly known: Authority; readonly fence: number; }
     | { readonly kind: "survey"; }
     | { readonly kind: "stepDown"; readonly instanceId: string; readonly term: number; }
     | { readonly kind: "order"; readonly instanceId: string; readonly fence: number; }
--- a/packages/version/replace-primary/src/stepReplacement.ts
+++ b/packages/version/replace-primary/src/stepReplacement.ts
@@ -1,6 +1,7 @@
 import { PromotionOutcome } from "@pomeloturn/types/Protocols";
 import { chooseSuccessor, countMissingCommits, findPrimary, hasCaughtUp } from "./chooseSuccessor.ts";
 import { enterPhase, requestSurvey } from "./phases.ts";
+import { receiveAuthority } from "./receiveAuthority.ts";
 import { ProbeOutcome, type ReplacementAction, type ReplacementEvent, type SurveyedInstance } from "./replacementMessages.ts";
 import { ReplacementPhase, ReplacementReason, type ReplacementState } from "./ReplacementState.ts";
 import {
@@ -51,7 +52,9 @@
     if (state.phase !== ReplacementPhase.Claiming) {
         return [];
     }
-    const { change } = event;
+    const change = event.change !== undefined && event.change.authority.era < state.authority.era
+        ? { isApplied: false, authority: state.authority }
+        : event.change;
     state.authority = change?.authority ?? state.authority;
     if (state.reason === undefined) {
         enterPhase(state, ReplacementPhase.Watching, nowMs);
@@ -234,18 +237,10 @@
         return [];
     },
     probed: receiveProbe,
-    authorityChanged: (state, { authority }, nowMs) => {
-        if (authority.fence > state.authority.fence) {
-            state.authority = authority;
-            if (authority.holder !== state.vm) {
-                state.otherVmClaimedAtMs = nowMs;
-            }
-        }
-        else if (authority.version > state.authority.version) {
-            state.authority = authority;
-        }
-        return [];
-    },
+    authorityChanged: (state, { authority }, nowMs) =>
+        receiveAuthority(state, authority, nowMs)
+            ? abandon(state, nowMs, "replacement of the primary abandoned: the store was restored and has lost the claim of the authority")
+            : [],
     claimed: receiveClaimAnswer,
     surveyed: receiveSurvey,
     steppedDown: (state, _event, nowMs) => {
--- a/packages/version/replace-primary/src/watchLeader.ts
+++ b/packages/version/replace-primary/src/watchLeader.ts
@@ -1,3 +1,4 @@
+import { nextFence } from "./nextFence.ts";
 import { enterPhase, requestSurvey } from "./phases.ts";
 import type { LeaderView, ReplacementAction } from "./replacementMessages.ts";
 import { ReplacementPhase, ReplacementReason, type ReplacementState } from "./ReplacementState.ts";
@@ -87,7 +88,7 @@
                     version: state.authority.version,
                 },
             },
-            { kind: "claim", known: state.authority },
+            { kind: "claim", known: state.authority, fence: nextFence(state.authority) },
         ];
     }
     return isFirstClaimDue(state, view, nowMs) ? claimUnheldAuthority(state, nowMs) : [];
@@ -103,5 +104,5 @@
 const claimUnheldAuthority = (state: ReplacementState, nowMs: number): ReplacementAction[] => {
     state.reason = undefined;
     enterPhase(state, ReplacementPhase.Claiming, nowMs);
-    return [{ kind: "claim", known: state.authority }];
+    return [{ kind: "claim", known: state.authority, fence: nextFence(state.authority) }];
 };
--- a/programs/entry/src/DirectoryFeeds.ts
+++ b/programs/entry/src/DirectoryFeeds.ts
@@ -38,6 +38,8 @@
     readonly onConfigurationFeedFailed: () => void;
     /** Called with all registered VMs by name after each change. */
     readonly onMembersChanged: (members: ReadonlyMap<string, MemberRow>) => void;
+    /** Called with the era of the store before its authorities of that era. */
+    readonly onEraRead: (era: number) => void;
     /** Called when the authority to promote instances of a service is read or has changed. */
     readonly onAuthorityChanged: (service: string, authority: Authority) => void;
 }
@@ -204,15 +206,16 @@
 
     private replaceCoordinationRows(rows: readonly StoreRow[], era: number): void {
         this.members.clear();
+        this.options.onEraRead(era);
         this.applyCoordinationChanges(rows, era);
     }
 
     private applyCoordinationChanges(rows: readonly StoreRow[], era: number): void {
         const { onMembersChanged } = this.options;
         for (const row of rows) {
-            const service = parseAuthorityKey(row.key);
-            if (service !== undefined) {
-                this.applyAuthority(service, row, era);
+            const authority = parseAuthorityKey(row.key);
+            if (authority?.era === era) {
+                this.applyAuthority(authority.service, row, era);
             }
             this.applyMemberChange(row);
         }
--- a/programs/entry/src/Entry.ts
+++ b/programs/entry/src/Entry.ts
@@ -106,6 +106,7 @@
                 replacements.setMembers(members.keys());
                 this.tables.setMembers(members.values());
             },
+            onEraRead: era => replacements.setEra(era),
             onAuthorityChanged: (service, authority) => replacements.setAuthority(service, authority),
         });
         if (settings.isFirstStart) {
--- a/programs/entry/src/ReplacementActors.ts
+++ b/programs/entry/src/ReplacementActors.ts
@@ -1,4 +1,5 @@
 import { hashText } from "@pomeloturn/membership/hash";
+import { createUnheldAuthority } from "@pomeloturn/replace-primary/createUnheldAuthority";
 import { ReplacementActor, type ReplacementOptions } from "@pomeloturn/replacement-runner/ReplacementActor";
 import type { ServiceRuntime } from "@pomeloturn/service-directory/ServiceRuntime";
 import type { Authority } from "@pomeloturn/types/Protocols";
@@ -11,6 +12,7 @@
     private readonly actors = new Map<string, ReplacementActor>();
     private readonly authorities = new Map<string, Authority>();
     private members: readonly string[] = [];
+    private era = 0;
 
     private constructor(private readonly options: SharedReplacementOptions) {}
 
@@ -28,6 +30,16 @@
         this.actors.get(service)?.changeAuthority(authority);
     }
 
+    /** Sets the era of the store. The authorities of earlier eras are void. */
+    setEra(era: number): void {
+        if (era <= this.era) {
+            return;
+        }
+        this.era = era;
+        this.authorities.clear();
+        this.actors.forEach(actor => actor.changeAuthority(createUnheldAuthority(era)));
+    }
+
     suspect(service: string, instanceId: string): void {
         this.actors.get(service)?.suspect(instanceId);
     }
@@ -50,10 +62,7 @@
         }
         const actor = ReplacementActor.create({ ...this.options, service, vmIndex: () => this.computeVmIndex(service.name) });
         this.actors.set(service.name, actor);
-        const authority = this.authorities.get(service.name);
-        if (authority !== undefined) {
-            actor.changeAuthority(authority);
-        }
+        actor.changeAuthority(this.authorities.get(service.name) ?? createUnheldAuthority(this.era));
         return actor;
     }
 
--- a/tests/support/StoreFollower.ts
+++ b/tests/support/StoreFollower.ts
@@ -37,6 +37,7 @@
             onMembersChanged: members => {
                 follower.members = [...members.keys()];
             },
+            onEraRead: () => {},
             onAuthorityChanged: () => {},
         }).start();
         return follower;
