Tell claims to be the primary apart by era and version

Cause: the claims of instances to be the primary were compared by the version of their entries. After a restore of the store a claim can have the version of one that was disproved before and was then ignored, and a claim of the lost history outdid newer ones by its higher version: no primary was known, or a wrong one, until a survey of the instances. Found by asking of each version that a VM keeps what is true of it after a restore; not seen played.

An entry now states the point at which it was written. Both rows of knownLeader.test.ts fail when the eras are left out of the two comparisons.

--- a/packages/process/service-directory/src/ServiceDirectory.ts
+++ b/packages/process/service-directory/src/ServiceDirectory.ts
@@ -61,7 +61,7 @@
             known?.pool.close("the instance was replaced by a new one");
             service.instances.set(entry.id, InstanceRuntime.create(entry, this.createPool(entry)));
         }
-        recordClaim(service.knownLeader, entry.id, entry.isPrimary, entry.revision);
+        recordClaim(service.knownLeader, entry.id, entry.isPrimary, entry.writtenAt);
         this.updatePoolLimits();
         service.notifyWaiters();
     }
--- a/packages/shared/types/src/ServiceEntries.ts
+++ b/packages/shared/types/src/ServiceEntries.ts
@@ -1,5 +1,7 @@
 /** Services, instances and routes, as the platform's store lists them. */
 
+import type { StorePoint } from "./StoreRow.ts";
+
 /** Constants for `RouteEntry.freshness`. */
 export const Freshness = {
     /** Reads see every acknowledged commit. */
@@ -55,6 +57,6 @@
     readonly isPrimary: boolean;
     /** Unix time at which the instance started, in milliseconds; a different value means a restart that lost its in-memory state. */
     readonly startedAtMs: number | undefined;
-    /** Increases with each change of the entry. */
-    readonly revision: number;
+    /** Point at which the entry was last written to the store. */
+    readonly writtenAt: StorePoint;
 }
--- a/packages/version/replace-primary/src/knownLeader.ts
+++ b/packages/version/replace-primary/src/knownLeader.ts
@@ -1,20 +1,26 @@
+import { isAtOrAfterPoint } from "@pomeloturn/store-point/isAtOrAfterPoint";
+import type { StorePoint } from "@pomeloturn/types/StoreRow";
+
 /** The instance of a service that this VM considers the primary, and the claims it is derived from. */
 export interface KnownLeader {
     leaderId: string | undefined;
     /** Highest term in which an instance was confirmed as the primary. */
     term: number;
-    /** Revision of the directory entry in which an instance claims to be the primary, by instance id. */
-    readonly claims: Map<string, number>;
-    /** Revision of the claim that the instance's answers disproved, by instance id. */
-    readonly deniedClaims: Map<string, number>;
+    /** When the entry in which an instance claims to be the primary was written, by instance id. */
+    readonly claims: Map<string, StorePoint>;
+    /** When the claim that the instance's answers disproved was written, by instance id. */
+    readonly deniedClaims: Map<string, StorePoint>;
 }
 
 export const createKnownLeader = (): KnownLeader => ({ leaderId: undefined, term: 0, claims: new Map(), deniedClaims: new Map() });
 
+const isSamePoint = (a: StorePoint | undefined, b: StorePoint): boolean => a?.era === b.era && a.version === b.version;
+
 const newestClaim = ({ claims, deniedClaims }: KnownLeader): string | undefined => {
     let newest: string | undefined;
-    for (const [id, revision] of claims) {
-        if (deniedClaims.get(id) !== revision && (newest === undefined || revision > claims.get(newest)!)) {
+    for (const [id, writtenAt] of claims) {
+        const isNewest = newest === undefined || !isAtOrAfterPoint(claims.get(newest)!, writtenAt);
+        if (isNewest && !isSamePoint(deniedClaims.get(id), writtenAt)) {
             newest = id;
         }
     }
@@ -22,10 +28,10 @@
 };
 
 /** Records an instance's directory entry. A new claim replaces the previously known leader. */
-export const recordClaim = (knownLeader: KnownLeader, id: string, isPrimary: boolean, revision: number): void => {
-    const isNew = isPrimary && knownLeader.claims.get(id) !== revision;
+export const recordClaim = (knownLeader: KnownLeader, id: string, isPrimary: boolean, writtenAt: StorePoint): void => {
+    const isNew = isPrimary && !isSamePoint(knownLeader.claims.get(id), writtenAt);
     if (isPrimary) {
-        knownLeader.claims.set(id, revision);
+        knownLeader.claims.set(id, writtenAt);
     }
     else {
         knownLeader.claims.delete(id);
--- a/programs/bench/src/statementCost.ts
+++ b/programs/bench/src/statementCost.ts
@@ -81,7 +81,7 @@
             isDraining: false,
             isPrimary: index === 0,
             startedAtMs: undefined,
-            revision: index + 1,
+            writtenAt: { era: 1, version: index + 1 },
         })
     );
     return directory;
--- a/programs/entry/src/DirectoryFeeds.ts
+++ b/programs/entry/src/DirectoryFeeds.ts
@@ -97,8 +97,8 @@
             INSTANCE_TABLE,
             LISTING_WAIT_MS,
             INSTANCE_BATCH_DELAY_MS,
-            rows => this.replaceInstances(rows),
-            rows => this.applyInstanceChanges(rows),
+            (rows, point) => this.replaceInstances(rows, point),
+            (rows, point) => this.applyInstanceChanges(rows, point),
         );
     }
 
@@ -169,25 +169,25 @@
         }
     }
 
-    private decodeEntry(row: StoreRow): InstanceEntry | undefined {
-        const entry = row.isDeleted ? undefined : decodeInstance(row);
+    private decodeEntry(row: StoreRow, { era }: StorePoint): InstanceEntry | undefined {
+        const entry = row.isDeleted ? undefined : decodeInstance(row, era);
         if (entry === undefined && !row.isDeleted) {
             this.options.logger.warn("the entry of an instance is not valid; the instance is not used", {
                 id: row.key,
-                revision: row.version,
+                version: row.version,
             });
         }
         return entry;
     }
 
-    private replaceInstances(rows: readonly StoreRow[]): void {
-        this.options.directory.replaceEntries(rows.map(row => this.decodeEntry(row)).filter(entry => entry !== undefined));
+    private replaceInstances(rows: readonly StoreRow[], point: StorePoint): void {
+        this.options.directory.replaceEntries(rows.map(row => this.decodeEntry(row, point)).filter(entry => entry !== undefined));
     }
 
-    private applyInstanceChanges(rows: readonly StoreRow[]): void {
+    private applyInstanceChanges(rows: readonly StoreRow[], point: StorePoint): void {
         const { directory, logger } = this.options;
         for (const row of rows) {
-            const entry = this.decodeEntry(row);
+            const entry = this.decodeEntry(row, point);
             if (entry === undefined) {
                 directory.removeInstance(row.key);
                 logger.info("an instance was removed because it is no longer listed or its entry is not valid", { id: row.key });
--- a/tests/promises/support/PromiseSimulation.ts
+++ b/tests/promises/support/PromiseSimulation.ts
@@ -83,7 +83,7 @@
     private readonly lastOperations: Promise<void>[] = [];
     private nextKey = 1;
     private nextId = 1;
-    private revision = 1;
+    private storeVersion = 1;
     private suspensionCount = 0;
 
     constructor(seed: number, private readonly mutate: ChannelMutation = channel => channel) {
@@ -189,7 +189,7 @@
                     isDraining: false,
                     isPrimary: id === this.group.leaderId,
                     startedAtMs: 1,
-                    revision: this.revision++,
+                    writtenAt: { era: 1, version: this.storeVersion++ },
                 })
             );
         }
