Merge the listing of a restored store with what is known of the instances

Cause: the listing in a restored store was taken as news. An instance that had announced its shutdown was used again as ready, one that had left came back, one that had registered in the lost time was forgotten until it reported again, and the copy's row of a crashed primary counted as a new claim. All until the instances have written again, or until their rows expire.

The interval of reports comes from the settings.

--- a/packages/process/service-directory/src/ServiceDirectory.ts
+++ b/packages/process/service-directory/src/ServiceDirectory.ts
@@ -1,4 +1,7 @@
 import type { InstancePool } from "@pomeloturn/instance-pool/InstancePool";
+import { createListingHistory, recordListed, recordRemoved } from "@pomeloturn/merge-listing/ListingHistory";
+import { mergeListing } from "@pomeloturn/merge-listing/mergeListing";
+import { takeSettled } from "@pomeloturn/merge-listing/takeSettled";
 import { recordClaim, recordRemoval } from "@pomeloturn/replace-primary/knownLeader";
 import type { InstanceEntry, RouteEntry, RouteTable } from "@pomeloturn/types/ServiceEntries";
 import { InstanceRuntime } from "./InstanceRuntime.ts";
@@ -18,6 +21,7 @@
     readonly services = new Map<string, ServiceRuntime>();
     private routeTable: RouteTable | undefined;
     private vmCount = 1;
+    private readonly history = createListingHistory();
 
     private constructor(private readonly createPool: PoolFactory) {}
 
@@ -61,6 +65,7 @@
             known?.pool.close("the instance was replaced by a new one");
             service.instances.set(entry.id, InstanceRuntime.create(entry, this.createPool(entry)));
         }
+        recordListed(this.history, entry.id);
         recordClaim(service.knownLeader, entry.id, entry.isPrimary, entry.writtenAt);
         this.updatePoolLimits();
         service.notifyWaiters();
@@ -72,6 +77,7 @@
             const instance = service.instances.get(id);
             if (instance !== undefined) {
                 service.instances.delete(id);
+                recordRemoved(this.history, instance.entry);
                 instance.pool.retire("the instance is no longer listed");
                 recordRemoval(service.knownLeader, id);
                 service.notifyWaiters();
@@ -79,6 +85,39 @@
         }
     }
 
+    /**
+     * Takes over the complete listing of a store that was restored from an older copy. Entries that are older than the known
+     * ones, or missing, do not count until `settleEntries` finds that their instances have not reported again.
+     *
+     * @param reportIntervalMs time between two reports of an instance, in milliseconds
+     * @param nowMs monotonic time in milliseconds
+     */
+    mergeEntries(listing: readonly InstanceEntry[], reportIntervalMs: number, nowMs: number): void {
+        const instances = [...this.services.values()].flatMap(service => [...service.instances.values()]);
+        const known = new Map(instances.map(({ entry }) => [entry.id, entry]));
+        const used = mergeListing(this.history, known, listing, reportIntervalMs, nowMs);
+        used.filter(entry => entry !== known.get(entry.id)).forEach(entry => this.applyEntry(entry));
+    }
+
+    /** Applies what a restored store shows of instances that have not reported again in time. @returns their ids */
+    settleEntries(nowMs: number): readonly string[] {
+        const settled = takeSettled(this.history, nowMs);
+        for (const [id, entry] of settled) {
+            if (entry === undefined) {
+                this.removeInstance(id);
+            }
+            else {
+                this.applyEntry(entry);
+            }
+        }
+        return [...settled.keys()];
+    }
+
+    /** Whether a restored store is not believed yet about some instances. */
+    get isUnsettled(): boolean {
+        return this.history.unsettled.size > 0;
+    }
+
     /** Replaces all entries with a complete listing. */
     replaceEntries(entries: readonly InstanceEntry[]): void {
         const listed = new Set(entries.map(({ id }) => id));
--- a/packages/process/statement-runner/src/support/createTestPorts.ts
+++ b/packages/process/statement-runner/src/support/createTestPorts.ts
@@ -24,7 +24,14 @@
     const services = new Map([["ledger", { name: "ledger", connectionLimit: 1 }]]);
     directory.applyRoutes({ version: 1, routes: new Map([[TEST_DATABASE, route]]), services, transactionIdleMs: 3_000 });
     const instance = { id: "i-1", service: "ledger", host: "127.0.0.1", port: 1, failureDomain: "domain", slots: 2 };
-    directory.applyEntry({ ...instance, isDraining: false, isPrimary: true, startedAtMs: undefined, writtenAt: { era: 1, version: 1 } });
+    directory.applyEntry({
+        ...instance,
+        isDraining: false,
+        isPrimary: true,
+        startedAtMs: undefined,
+        reportNumber: undefined,
+        writtenAt: { era: 1, version: 1 },
+    });
     return {
         directory,
         nowMs: () => performance.now(),
--- a/packages/shared/types/src/ServiceEntries.ts
+++ b/packages/shared/types/src/ServiceEntries.ts
@@ -57,6 +57,8 @@
     readonly isPrimary: boolean;
     /** Unix time at which the instance started, in milliseconds; a different value means a restart that lost its in-memory state. */
     readonly startedAtMs: number | undefined;
+    /** Number of the instance's report since its start; it increases with each report. Undefined when the instance does not state it. */
+    readonly reportNumber: number | undefined;
     /** Point at which the entry was last written to the store. */
     readonly writtenAt: StorePoint;
 }
--- a/programs/bench/src/statementCost.ts
+++ b/programs/bench/src/statementCost.ts
@@ -81,6 +81,7 @@
             isDraining: false,
             isPrimary: index === 0,
             startedAtMs: undefined,
+            reportNumber: undefined,
             writtenAt: { era: 1, version: index + 1 },
         })
     );
--- a/programs/entry/src/DirectoryFeeds.ts
+++ b/programs/entry/src/DirectoryFeeds.ts
@@ -34,6 +34,10 @@
     readonly signal: AbortSignal;
     /** Wait of one feed call for the configuration. It bounds the time until a dead connection is detected. */
     readonly configurationWaitMs: number;
+    /** Time between two reports of an instance. */
+    readonly reportIntervalMs: number;
+    /** Monotonic time in milliseconds. */
+    readonly nowMs: () => number;
     /** Called when the feed of the configuration fails. Aborts the calls that are in progress, because their connections may be dead too. */
     readonly onConfigurationFeedFailed: () => void;
     /** Called with all registered VMs by name after each change. */
@@ -75,6 +79,15 @@
         this.followCoordination(() => undefined);
     }
 
+    /** Believes a restored store about instances that have not reported again in time. */
+    tick(nowMs: number): void {
+        const { directory, logger } = this.options;
+        const settledIds = directory.settleEntries(nowMs);
+        if (settledIds.length > 0) {
+            logger.info("the entries of instances that have not reported to the restored store are applied", { ids: settledIds });
+        }
+    }
+
     private followCoordination(onRead: () => void): void {
         const replace = (rows: readonly StoreRow[], { era }: StorePoint): void => {
             this.replaceCoordinationRows(rows, era);
@@ -97,7 +110,7 @@
             INSTANCE_TABLE,
             LISTING_WAIT_MS,
             INSTANCE_BATCH_DELAY_MS,
-            (rows, point) => this.replaceInstances(rows, point),
+            (rows, point, last) => this.replaceInstances(rows, point, last),
             (rows, point) => this.applyInstanceChanges(rows, point),
         );
     }
@@ -106,7 +119,7 @@
         table: string,
         waitMs: number,
         batchDelayMs: number,
-        onSnapshot: (rows: readonly StoreRow[], point: StorePoint) => void,
+        onSnapshot: (rows: readonly StoreRow[], point: StorePoint, last: StorePoint | undefined) => void,
         onChanges: (rows: readonly StoreRow[], point: StorePoint) => void,
     ): void {
         const { reader, logger, counters, signal, onConfigurationFeedFailed } = this.options;
@@ -122,7 +135,7 @@
         };
         const onRead = (rows: readonly StoreRow[], point: StorePoint, last: StorePoint | undefined): void => {
             this.reportFullRead(table, rows.length, point, last);
-            onSnapshot(rows, point);
+            onSnapshot(rows, point, last);
         };
         void followTable(reader, { table, waitMs, batchDelayMs, signal, onSnapshot: onRead, onChanges, onReachabilityChange });
     }
@@ -180,8 +193,16 @@
         return entry;
     }
 
-    private replaceInstances(rows: readonly StoreRow[], point: StorePoint): void {
-        this.options.directory.replaceEntries(rows.map(row => this.decodeEntry(row, point)).filter(entry => entry !== undefined));
+    private replaceInstances(rows: readonly StoreRow[], point: StorePoint, last: StorePoint | undefined): void {
+        const { directory, reportIntervalMs, nowMs } = this.options;
+        const listing = rows.map(row => this.decodeEntry(row, point)).filter(entry => entry !== undefined);
+        const isRestored = last !== undefined && point.era > last.era;
+        if (isRestored || directory.isUnsettled) {
+            directory.mergeEntries(listing, reportIntervalMs, nowMs());
+        }
+        else {
+            directory.replaceEntries(listing);
+        }
     }
 
     private applyInstanceChanges(rows: readonly StoreRow[], point: StorePoint): void {
--- a/programs/entry/src/Entry.ts
+++ b/programs/entry/src/Entry.ts
@@ -54,6 +54,7 @@
     private readonly replacements: ReplacementActors;
     private readonly ports: RunnerPorts;
     private readonly errorHistory = createErrorHistory();
+    private feeds: DirectoryFeeds | undefined;
     private listener: CallerListener | undefined;
     private isDraining = false;
 
@@ -93,13 +94,15 @@
     /** Starts listening and following the store's tables, and registers this VM in the store. */
     start(): void {
         const { settings, logger, directory, replacements } = this;
-        const feeds = DirectoryFeeds.create({
+        this.feeds = DirectoryFeeds.create({
             reader: this.tables,
             directory,
             logger,
             counters: this.metrics.counters,
             signal: this.abortController.signal,
             configurationWaitMs: settings.contactMs - RECONNECT_MARGIN_MS,
+            reportIntervalMs: settings.reportIntervalMs,
+            nowMs: this.ports.nowMs,
             onConfigurationFeedFailed: () => this.store.reconnect(),
             onMembersChanged: members => {
                 directory.setVmCount(Math.max(1, members.size));
@@ -110,10 +113,10 @@
             onAuthorityChanged: (service, authority) => replacements.setAuthority(service, authority),
         });
         if (settings.isFirstStart) {
-            feeds.startInTurn();
+            this.feeds.startInTurn();
         }
         else {
-            feeds.start();
+            this.feeds.start();
         }
         void this.register();
         const { host, port } = splitAddress(settings.callerAddress);
@@ -200,6 +203,7 @@
     private tick(): number {
         this.ports.detectSuspensions();
         this.countDroppedLines();
+        this.feeds?.tick(this.ports.nowMs());
         this.directory.tick();
         return this.replacements.tick(this.directory.services.values()) ? ACTIVE_TICK_MS : TICK_MS;
     }
--- a/tests/promises/support/PromiseSimulation.ts
+++ b/tests/promises/support/PromiseSimulation.ts
@@ -189,6 +189,7 @@
                     isDraining: false,
                     isPrimary: id === this.group.leaderId,
                     startedAtMs: 1,
+                    reportNumber: undefined,
                     writtenAt: { era: 1, version: this.storeVersion++ },
                 })
             );
--- a/tests/restoredStore.test.ts
+++ b/tests/restoredStore.test.ts
@@ -5,7 +5,9 @@
 
 const CONFIGURATION = { routes: [], services: [], limits: {} };
 const INSTANCE = { service: "ledger", address: "127.0.0.1:9", zone: "north-a", state: "ready", db_role: "replica", slots: 2, born: 1_000 };
-const LONG_ENOUGH_MS = 1_500;
+const LONG_ENOUGH_MS = 3_000;
+/** Time after which entries count that no instance has written again. */
+const SETTLING_MS = 5_000;
 
 let store: RestorableStore;
 let followers: StoreFollower[];
@@ -57,4 +59,25 @@
         });
         await vi.waitFor(() => expect(follower.directory.routes?.version).toBe(3), { timeout: LONG_ENOUGH_MS });
     });
+
+    it.each([
+        ["shows a draining instance as ready", () => store.write("servers", "a", { ...INSTANCE, seq: 9, state: "draining" }), [
+            "a draining",
+        ], ["a"]],
+        ["shows an instance that has left", () => store.delete("servers", "a"), [], ["a"]],
+        ["lacks an instance that is in use", () => store.write("servers", "b", { ...INSTANCE, seq: 1 }), ["a", "b"], ["a"]],
+    ])("is believed at once when it %s", async (_what, change, known, settled) => {
+        store.write("servers", "a", { ...INSTANCE, seq: 4 });
+        const follower = follow();
+        await vi.waitFor(() => expect(follower.instances).toEqual(["a"]));
+        const copy = store.newestVersion;
+        change();
+        await vi.waitFor(() => expect(follower.instances).toEqual(known), { timeout: LONG_ENOUGH_MS });
+        await duringOutage(follower, () => store.restore(copy));
+        await vi.waitFor(() => expect(follower.counters.read("store_restored")).toBe(3), { timeout: LONG_ENOUGH_MS });
+        const restoredAtMs = performance.now();
+        expect(follower.instances).toEqual(known);
+        follower.tick(restoredAtMs + SETTLING_MS);
+        expect(follower.instances).toEqual(settled);
+    });
 });
--- a/tests/support/StoreFollower.ts
+++ b/tests/support/StoreFollower.ts
@@ -6,6 +6,7 @@
 import { ServiceDirectory } from "@pomeloturn/service-directory/ServiceDirectory";
 
 const CONFIGURATION_WAIT_MS = 4_000;
+const REPORT_INTERVAL_MS = 1_000;
 
 /** A pool that opens no connections. */
 const createUnusedPool = (): InstancePool => {
@@ -20,32 +21,45 @@
     /** Names of the registered VMs. */
     members: readonly string[] = [];
     private readonly abortController = new AbortController();
+    private readonly feeds: DirectoryFeeds;
 
-    private constructor(private readonly store: StoreClient) {}
-
-    /** @param address "host:port" of the store */
-    static start(address: string, logger: ProcessLogger): StoreFollower {
-        const follower = new StoreFollower(StoreClient.create(address));
-        DirectoryFeeds.create({
-            reader: follower.store,
-            directory: follower.directory,
+    private constructor(private readonly store: StoreClient, logger: ProcessLogger) {
+        this.feeds = DirectoryFeeds.create({
+            reader: store,
+            directory: this.directory,
             logger,
-            counters: follower.counters,
-            signal: follower.abortController.signal,
+            counters: this.counters,
+            signal: this.abortController.signal,
             configurationWaitMs: CONFIGURATION_WAIT_MS,
-            onConfigurationFeedFailed: () => follower.store.reconnect(),
+            reportIntervalMs: REPORT_INTERVAL_MS,
+            nowMs: () => performance.now(),
+            onConfigurationFeedFailed: () => store.reconnect(),
             onMembersChanged: members => {
-                follower.members = [...members.keys()];
+                this.members = [...members.keys()];
             },
             onEraRead: () => {},
             onAuthorityChanged: () => {},
-        }).start();
+        });
+    }
+
+    /** @param address "host:port" of the store */
+    static start(address: string, logger: ProcessLogger): StoreFollower {
+        const follower = new StoreFollower(StoreClient.create(address), logger);
+        follower.feeds.start();
         return follower;
     }
 
-    /** Ids of the instances that can be used, in order. */
-    get listedIds(): readonly string[] {
-        return [...this.directory.services.values()].flatMap(({ instances }) => [...instances.keys()]).sort();
+    /** Instances that are known, as "id" or "id draining", in order. */
+    get instances(): readonly string[] {
+        return [...this.directory.services.values()]
+            .flatMap(({ instances }) => [...instances.values()])
+            .map(({ entry }) => entry.isDraining ? `${entry.id} draining` : entry.id)
+            .sort();
+    }
+
+    /** @param nowMs monotonic time in milliseconds */
+    tick(nowMs: number): void {
+        this.feeds.tick(nowMs);
     }
 
     stop(): void {
