Write registrations again that a restored store has lost, and repeat lost deletions

Cause: a VM wrote its registration once, at its start, and deleted it once, at its shutdown. After a restore of the store a VM that had started in the lost time was missing for good: the others divided the instances' connections by too few, and it read all tables at the store for itself, as no relay counts it. A VM that had left stood there for good, first in the order of relays and of those who replace a primary.

A VM now compares its own row with what it wants at each read of the table, and writes or deletes it again. VMs remember whose deletion they have seen; the first in order deletes such a row that a restored store shows again, only at the version that it read. The write and the deletion of one VM no longer overlap. The order of VMs is computed in one place.

--- a/programs/entry/src/DirectoryFeeds.test.ts
+++ b/programs/entry/src/DirectoryFeeds.test.ts
@@ -90,7 +90,8 @@
         reportIntervalMs: 1_000,
         nowMs: () => 0,
         onConfigurationFeedFailed: () => {},
-        onMembersChanged: known => members.push(...[...known.values()].map(({ vm, failureDomain }) => `${vm} ${failureDomain}`)),
+        onMembersChanged: listing =>
+            members.push(...[...listing.members.values()].map(({ vm, failureDomain }) => `${vm} ${failureDomain}`)),
         onEraRead: () => {},
         onAuthorityChanged: (service, { holder }) => authorities.push(`${service} ${holder}`),
     }).start();
--- a/programs/entry/src/DirectoryFeeds.ts
+++ b/programs/entry/src/DirectoryFeeds.ts
@@ -12,6 +12,13 @@
 import type { Authority } from "@pomeloturn/types/Protocols";
 import type { InstanceEntry, RouteTable } from "@pomeloturn/types/ServiceEntries";
 import type { StorePoint, StoreRow, TableReader } from "@pomeloturn/types/StoreRow";
+import {
+    createMemberListing,
+    type MemberListing,
+    recordDeleted,
+    recordRegistered,
+    replaceMembers,
+} from "@pomeloturn/vm-registration/MemberListing";
 
 /** Wait of one feed call for the instances and for the VMs' own table. Dead connections are detected by the feed of the configuration. */
 const LISTING_WAIT_MS = 28_000;
@@ -25,6 +32,9 @@
 /** Time after which the other tables are followed although the VMs' own table could not be read. */
 const COORDINATION_TIMEOUT_MS = 1_000;
 
+/** Whether the store was restored from an older copy since the last read. */
+const isRestoredSince = (last: StorePoint | undefined, { era }: StorePoint): boolean => last !== undefined && era > last.era;
+
 /** Dependencies and callbacks of `DirectoryFeeds`. */
 export interface DirectoryFeedsOptions {
     readonly reader: TableReader;
@@ -40,8 +50,8 @@
     readonly nowMs: () => number;
     /** Called when the feed of the configuration fails. Aborts the calls that are in progress, because their connections may be dead too. */
     readonly onConfigurationFeedFailed: () => void;
-    /** Called with all registered VMs by name after each change. */
-    readonly onMembersChanged: (members: ReadonlyMap<string, MemberRow>) => void;
+    /** Called with the registered VMs after each change of the coordination table, up to a point. */
+    readonly onMembersChanged: (listing: MemberListing<MemberRow>, point: StorePoint) => void;
     /** Called with the era of the store before its authorities of that era. */
     readonly onEraRead: (era: number) => void;
     /** Called when the authority to promote instances of a service is read or has changed. */
@@ -50,7 +60,7 @@
 
 /** Follows the store's tables and applies their changes to the directory. */
 export class DirectoryFeeds {
-    private readonly members = new Map<string, MemberRow>();
+    private readonly memberListing = createMemberListing<MemberRow>();
 
     private constructor(private readonly options: DirectoryFeedsOptions) {}
 
@@ -89,8 +99,8 @@
     }
 
     private followCoordination(onRead: () => void): void {
-        const replace = (rows: readonly StoreRow[], { era }: StorePoint): void => {
-            this.replaceCoordinationRows(rows, era);
+        const replace = (rows: readonly StoreRow[], point: StorePoint, last: StorePoint | undefined): void => {
+            this.replaceCoordinationRows(rows, point, last);
             onRead();
         };
         this.follow(
@@ -98,7 +108,7 @@
             LISTING_WAIT_MS,
             COORDINATION_BATCH_DELAY_MS,
             replace,
-            (rows, { era }) => this.applyCoordinationChanges(rows, era),
+            (rows, point) => this.applyCoordinationChanges(rows, point),
         );
     }
 
@@ -196,8 +206,7 @@
     private replaceInstances(rows: readonly StoreRow[], point: StorePoint, last: StorePoint | undefined): void {
         const { directory, reportIntervalMs, nowMs } = this.options;
         const listing = rows.map(row => this.decodeEntry(row, point)).filter(entry => entry !== undefined);
-        const isRestored = last !== undefined && point.era > last.era;
-        if (isRestored || directory.isUnsettled) {
+        if (isRestoredSince(last, point) || directory.isUnsettled) {
             directory.mergeEntries(listing, reportIntervalMs, nowMs());
         }
         else {
@@ -225,22 +234,27 @@
         }
     }
 
-    private replaceCoordinationRows(rows: readonly StoreRow[], era: number): void {
-        this.members.clear();
-        this.options.onEraRead(era);
-        this.applyCoordinationChanges(rows, era);
+    private replaceCoordinationRows(rows: readonly StoreRow[], point: StorePoint, last: StorePoint | undefined): void {
+        this.options.onEraRead(point.era);
+        this.applyAuthorities(rows, point.era);
+        const members = rows.map(decodeMember).filter(member => member !== undefined);
+        replaceMembers(this.memberListing, members, isRestoredSince(last, point));
+        this.options.onMembersChanged(this.memberListing, point);
+    }
+
+    private applyCoordinationChanges(rows: readonly StoreRow[], point: StorePoint): void {
+        this.applyAuthorities(rows, point.era);
+        rows.forEach(row => this.applyMemberChange(row));
+        this.options.onMembersChanged(this.memberListing, point);
     }
 
-    private applyCoordinationChanges(rows: readonly StoreRow[], era: number): void {
-        const { onMembersChanged } = this.options;
+    private applyAuthorities(rows: readonly StoreRow[], era: number): void {
         for (const row of rows) {
             const authority = parseAuthorityKey(row.key);
             if (authority?.era === era) {
                 this.applyAuthority(authority.service, row, era);
             }
-            this.applyMemberChange(row);
         }
-        onMembersChanged(this.members);
     }
 
     /** Keeps the known authority if the row cannot be read; the other rows still apply. */
@@ -259,10 +273,10 @@
     private applyMemberChange(row: StoreRow): void {
         const member = decodeMember(row);
         if (member !== undefined && row.isDeleted) {
-            this.members.delete(member.vm);
+            recordDeleted(this.memberListing, member.vm);
         }
         else if (member !== undefined) {
-            this.members.set(member.vm, member);
+            recordRegistered(this.memberListing, member);
         }
     }
 }
--- a/programs/entry/src/Entry.ts
+++ b/programs/entry/src/Entry.ts
@@ -5,14 +5,13 @@
 import { InstancePool } from "@pomeloturn/instance-pool/InstancePool";
 import type { ProcessLogger } from "@pomeloturn/logger/createLogger";
 import { standardOutput } from "@pomeloturn/logger/standardOutput";
-import { encodeMember } from "@pomeloturn/platform/decodeMember";
 import { lineCallerProtocol, lineInstanceProtocol } from "@pomeloturn/platform/lineProtocol";
 import { PlatformAuthorityStore } from "@pomeloturn/platform/PlatformAuthorityStore";
 import { PlatformPromoter } from "@pomeloturn/platform/PlatformPromoter";
 import { type PlatformSettings, splitAddress } from "@pomeloturn/platform/PlatformSettings";
 import { ReadinessServer } from "@pomeloturn/platform/ReadinessServer";
 import { StoreClient } from "@pomeloturn/platform/StoreClient";
-import { COORDINATION_TABLE, memberKey, OPERATOR_TABLE } from "@pomeloturn/platform/tables";
+import { OPERATOR_TABLE } from "@pomeloturn/platform/tables";
 import { clearSamples } from "@pomeloturn/position-samples/PositionSamples";
 import { Distance } from "@pomeloturn/rank-candidates/rankCandidates";
 import { ServiceDirectory } from "@pomeloturn/service-directory/ServiceDirectory";
@@ -26,13 +25,13 @@
 import { EntryDrain } from "./EntryDrain.ts";
 import { EntryMetrics } from "./EntryMetrics.ts";
 import { MetricsServer } from "./MetricsServer.ts";
+import { Registration } from "./Registration.ts";
 import { ReplacementActors } from "./ReplacementActors.ts";
 import { StatementLog } from "./StatementLog.ts";
 
 const TICK_MS = 200;
 /** Interval of ticks while a primary is suspected, missing or being replaced. */
 const ACTIVE_TICK_MS = 40;
-const REGISTRATION_RETRY_DELAY_MS = 1_000;
 /** Part of `contactMs` that remains for the calls to the store after a dead connection has been detected. */
 const RECONNECT_MARGIN_MS = 1_000;
 
@@ -51,6 +50,7 @@
     private readonly metrics = EntryMetrics.create();
     private readonly store: StoreClient;
     private readonly tables: RelayedTableReader;
+    private readonly registration: Registration;
     private readonly replacements: ReplacementActors;
     private readonly ports: RunnerPorts;
     private readonly errorHistory = createErrorHistory();
@@ -60,6 +60,7 @@
 
     private constructor(private settings: PlatformSettings, private readonly logger: ProcessLogger) {
         this.store = StoreClient.create(settings.storeAddress);
+        this.registration = Registration.create(settings, this.store, logger);
         this.ports = this.createPorts();
         this.tables = RelayedTableReader.create({
             store: this.store,
@@ -104,10 +105,12 @@
             reportIntervalMs: settings.reportIntervalMs,
             nowMs: this.ports.nowMs,
             onConfigurationFeedFailed: () => this.store.reconnect(),
-            onMembersChanged: members => {
+            onMembersChanged: (listing, point) => {
+                const { members } = listing;
                 directory.setVmCount(Math.max(1, members.size));
                 replacements.setMembers(members.keys());
                 this.tables.setMembers(members.values());
+                this.registration.applyListing(listing, point);
             },
             onEraRead: era => replacements.setEra(era),
             onAuthorityChanged: (service, authority) => replacements.setAuthority(service, authority),
@@ -118,7 +121,7 @@
         else {
             this.feeds.start();
         }
-        void this.register();
+        this.registration.start();
         const { host, port } = splitAddress(settings.callerAddress);
         this.listener = CallerListener.create(host, port, lineCallerProtocol, this.ports);
         ReadinessServer.create(settings.readinessAddress, () => !this.isDraining && directory.isServing);
@@ -153,9 +156,7 @@
         const sessions = this.listener?.sessions ?? new Set();
         const stopAccepting = (): void => this.listener?.stopAccepting();
         EntryDrain.create({ sessions, stopAccepting, nowMs: this.ports.nowMs, onDone: finish }, this.settings.shutdownGraceMs);
-        void this.store.deleteRow(COORDINATION_TABLE, memberKey(this.settings.vm)).catch((error: Error) => {
-            this.logger.warn("the registration of this VM could not be deleted from the store", { reason: error.message });
-        });
+        this.registration.shutDown();
     }
 
     private createPorts(): RunnerPorts {
@@ -217,20 +218,6 @@
         }
     }
 
-    private async register(): Promise<void> {
-        const value = encodeMember(this.settings);
-        try {
-            await this.store.writeRow(COORDINATION_TABLE, { key: memberKey(this.settings.vm), expectedVersion: undefined, value });
-        }
-        catch (error) {
-            this.logger.warn(
-                `this VM could not be registered in the store; the next attempt follows in ${REGISTRATION_RETRY_DELAY_MS} ms`,
-                { reason: (error as Error).message },
-            );
-            setTimeout(() => void this.register(), REGISTRATION_RETRY_DELAY_MS);
-        }
-    }
-
     private connect(entry: InstanceEntry, onClosed: (reason: string, isRemote: boolean) => void): InstanceConnection {
         const { host, port, service, id: instanceId } = entry;
         const target = { host, port, service, instanceId, caller: this.settings.vm };
--- a/programs/entry/src/ReplacementActors.ts
+++ b/programs/entry/src/ReplacementActors.ts
@@ -1,4 +1,4 @@
-import { hashText } from "@pomeloturn/membership/hash";
+import { computeOrder } from "@pomeloturn/membership/computeOrder";
 import { createUnheldAuthority } from "@pomeloturn/replace-primary/createUnheldAuthority";
 import { ReplacementActor, type ReplacementOptions } from "@pomeloturn/replacement-runner/ReplacementActor";
 import type { ServiceRuntime } from "@pomeloturn/service-directory/ServiceRuntime";
@@ -60,16 +60,10 @@
         if (known !== undefined) {
             return known;
         }
-        const actor = ReplacementActor.create({ ...this.options, service, vmIndex: () => this.computeVmIndex(service.name) });
+        const { vm } = this.options;
+        const actor = ReplacementActor.create({ ...this.options, service, vmIndex: () => computeOrder(this.members, vm, service.name) });
         this.actors.set(service.name, actor);
         actor.changeAuthority(this.authorities.get(service.name) ?? createUnheldAuthority(this.era));
         return actor;
     }
-
-    /** Index of this VM in the order in which VMs act on a service. Rendezvous hashing distributes the services over the VMs. */
-    private computeVmIndex(service: string): number {
-        const { vm } = this.options;
-        const ownHash = hashText(`${service} ${vm}`);
-        return this.members.filter(member => member !== vm && hashText(`${service} ${member}`) < ownHash).length;
-    }
 }
--- a/tests/support/StoreFollower.ts
+++ b/tests/support/StoreFollower.ts
@@ -34,7 +34,7 @@
             reportIntervalMs: REPORT_INTERVAL_MS,
             nowMs: () => performance.now(),
             onConfigurationFeedFailed: () => store.reconnect(),
-            onMembersChanged: members => {
+            onMembersChanged: ({ members }) => {
                 this.members = [...members.keys()];
             },
             onEraRead: () => {},
