Believe a restored store about silent instances only after reading it again

Cause: a VM that was cut off from the store right after it had read the restored listing would have taken the old entries for true when the time for new reports was over, although it could not know of the reports.

When the time is over, the listing is read again at the store itself (a relay may be cut off too) and counts for the instances that are due. A further restore begins the time anew. The rows of restoredStore.test.ts now hold the store back at that moment; they fail with the earlier timer ('a' instead of 'a draining').

--- a/packages/process/service-directory/src/ServiceDirectory.ts
+++ b/packages/process/service-directory/src/ServiceDirectory.ts
@@ -1,7 +1,7 @@
 import type { InstancePool } from "@pomeloturn/instance-pool/InstancePool";
 import { createListingHistory, recordListed, recordRemoved } from "@pomeloturn/merge-listing/ListingHistory";
-import { mergeListing } from "@pomeloturn/merge-listing/mergeListing";
-import { takeSettled } from "@pomeloturn/merge-listing/takeSettled";
+import { mergeListing, type MergeOptions } from "@pomeloturn/merge-listing/mergeListing";
+import { isSettlingDue, settleListing } from "@pomeloturn/merge-listing/settleListing";
 import { recordClaim, recordRemoval } from "@pomeloturn/replace-primary/knownLeader";
 import type { InstanceEntry, RouteEntry, RouteTable } from "@pomeloturn/types/ServiceEntries";
 import { InstanceRuntime } from "./InstanceRuntime.ts";
@@ -89,19 +89,24 @@
      * Takes over the complete listing of a store that was restored from an older copy. Entries that are older than the known
      * ones, or missing, do not count until `settleEntries` finds that their instances have not reported again.
      *
-     * @param reportIntervalMs time between two reports of an instance, in milliseconds
      * @param nowMs monotonic time in milliseconds
      */
-    mergeEntries(listing: readonly InstanceEntry[], reportIntervalMs: number, nowMs: number): void {
+    mergeEntries(listing: readonly InstanceEntry[], options: MergeOptions, nowMs: number): void {
         const instances = [...this.services.values()].flatMap(service => [...service.instances.values()]);
         const known = new Map(instances.map(({ entry }) => [entry.id, entry]));
-        const used = mergeListing(this.history, known, listing, reportIntervalMs, nowMs);
+        const used = mergeListing(this.history, known, listing, options, nowMs);
         used.filter(entry => entry !== known.get(entry.id)).forEach(entry => this.applyEntry(entry));
     }
 
-    /** Applies what a restored store shows of instances that have not reported again in time. @returns their ids */
-    settleEntries(nowMs: number): readonly string[] {
-        const settled = takeSettled(this.history, nowMs);
+    /**
+     * Applies what a restored store shows of instances that have not reported again in time.
+     *
+     * @param listing complete listing of the restored store
+     * @param nowMs monotonic time in milliseconds at which the read of the listing began
+     * @returns the ids of the instances
+     */
+    settleEntries(listing: readonly InstanceEntry[], nowMs: number): readonly string[] {
+        const settled = settleListing(this.history, listing, nowMs);
         for (const [id, entry] of settled) {
             if (entry === undefined) {
                 this.removeInstance(id);
@@ -113,6 +118,11 @@
         return [...settled.keys()];
     }
 
+    /** Whether the listing has to be read again for `settleEntries`. */
+    isSettlingDue(nowMs: number): boolean {
+        return isSettlingDue(this.history, nowMs);
+    }
+
     /** Whether a restored store is not believed yet about some instances. */
     get isUnsettled(): boolean {
         return this.history.unsettled.size > 0;
--- a/packages/version/merge-listing/src/ListingHistory.ts
+++ b/packages/version/merge-listing/src/ListingHistory.ts
@@ -1,19 +1,11 @@
 import type { InstanceEntry } from "@pomeloturn/types/ServiceEntries";
 
-/** What the store shows of an instance, while this VM uses something newer. */
-export interface UnsettledEntry {
-    /** Undefined if the store does not list the instance. */
-    readonly listed: InstanceEntry | undefined;
-    /** Monotonic time in milliseconds from which the store is believed. */
-    readonly dueAtMs: number;
-}
-
 /** What a VM remembers of the listing of instances, to recognize entries that a restored store has taken from an older copy. */
 export interface ListingHistory {
     /** Last entries of instances that were removed, by id, the latest last. */
     readonly removed: Map<string, InstanceEntry>;
-    /** Instances for which a restored store is not believed yet, by id. */
-    readonly unsettled: Map<string, UnsettledEntry>;
+    /** Monotonic time in milliseconds from which a restored store is believed about an instance, by id. */
+    readonly unsettled: Map<string, number>;
 }
 
 /** Removed instances that are remembered. */
--- a/packages/version/merge-listing/src/mergeListing.test.ts
+++ b/packages/version/merge-listing/src/mergeListing.test.ts
@@ -2,7 +2,7 @@
 import { expect, it } from "vitest";
 import { createListingHistory, type ListingHistory, recordListed, recordRemoved } from "./ListingHistory.ts";
 import { mergeListing } from "./mergeListing.ts";
-import { takeSettled } from "./takeSettled.ts";
+import { isSettlingDue, settleListing } from "./settleListing.ts";
 
 const REPORT_INTERVAL_MS = 1_000;
 const MISSING_GRACE_MS = 2_500;
@@ -26,23 +26,31 @@
 const DRAINING = create(1_000, 9, true);
 const RESTARTED = create(2_000, 1);
 
+const toListing = (listed: InstanceEntry | undefined): InstanceEntry[] => listed === undefined ? [] : [listed];
+
 interface Merge {
     readonly history: ListingHistory;
     readonly used: readonly InstanceEntry[];
 }
 
-const merge = (
-    known: InstanceEntry | undefined,
-    removed: InstanceEntry | undefined,
-    listed: InstanceEntry | undefined,
-    nowMs = 0,
-    history = createListingHistory(),
-): Merge => {
+/** Merges the first listing after a restore. */
+const merge = (known: InstanceEntry | undefined, removed: InstanceEntry | undefined, listed: InstanceEntry | undefined): Merge => {
+    const history = createListingHistory();
     if (removed !== undefined) {
         recordRemoved(history, removed);
     }
-    const knownById = new Map(known === undefined ? [] : [["a", known]]);
-    return { history, used: mergeListing(history, knownById, listed === undefined ? [] : [listed], REPORT_INTERVAL_MS, nowMs) };
+    return { history, used: mergeAgain(history, known, listed, true, 0) };
+};
+
+const mergeAgain = (
+    history: ListingHistory,
+    known: InstanceEntry | undefined,
+    listed: InstanceEntry | undefined,
+    isFirst: boolean,
+    nowMs: number,
+): InstanceEntry[] => {
+    const knownById = new Map(toListing(known).map(entry => [entry.id, entry]));
+    return mergeListing(history, knownById, toListing(listed), { isFirst, reportIntervalMs: REPORT_INTERVAL_MS }, nowMs);
 };
 
 const OLD_LISTINGS = [
@@ -60,9 +68,11 @@
 
 it.each(OLD_LISTINGS)("does not doubt for good a listing that shows %s", (_what, known, removed, listed, graceMs) => {
     const { history } = merge(known, removed, listed);
-    expect(takeSettled(history, graceMs - 1).size).toBe(0);
-    expect([...takeSettled(history, graceMs)]).toEqual([["a", listed]]);
-    expect(takeSettled(history, graceMs).size).toBe(0);
+    expect(isSettlingDue(history, graceMs - 1)).toBe(false);
+    expect(settleListing(history, toListing(listed), graceMs - 1).size).toBe(0);
+    expect(isSettlingDue(history, graceMs)).toBe(true);
+    expect([...settleListing(history, toListing(listed), graceMs)]).toEqual([["a", listed]]);
+    expect(isSettlingDue(history, graceMs)).toBe(false);
 });
 
 it.each([
@@ -84,10 +94,13 @@
     expect(history.unsettled.size).toBe(0);
 });
 
-it("does not begin the time anew when the listing is read again", () => {
+it.each([
+    ["begin the time anew when the listing is read again", false, true],
+    ["shorten the time after a further restore", true, false],
+])("does not %s", (_what, isFirst, isDue) => {
     const { history } = merge(DRAINING, undefined, READY);
-    merge(DRAINING, undefined, READY, OUTDATED_GRACE_MS - 1, history);
-    expect(takeSettled(history, OUTDATED_GRACE_MS).size).toBe(1);
+    mergeAgain(history, DRAINING, READY, isFirst, OUTDATED_GRACE_MS - 1);
+    expect(isSettlingDue(history, OUTDATED_GRACE_MS)).toBe(isDue);
 });
 
 it.each([
@@ -96,5 +109,5 @@
 ])("does not bring back an old entry that has been %s meanwhile", (_what, change) => {
     const { history } = merge(DRAINING, undefined, READY);
     change(history);
-    expect(takeSettled(history, OUTDATED_GRACE_MS).size).toBe(0);
+    expect(settleListing(history, [READY], OUTDATED_GRACE_MS).size).toBe(0);
 });
--- a/packages/version/merge-listing/src/mergeListing.ts
+++ b/packages/version/merge-listing/src/mergeListing.ts
@@ -24,13 +24,20 @@
     return isNews ? listed : known;
 };
 
+/** How the listing of a restored store is merged. */
+export interface MergeOptions {
+    /** Whether this is the first listing since the store was restored. */
+    readonly isFirst: boolean;
+    /** Time between two reports of an instance, in milliseconds. */
+    readonly reportIntervalMs: number;
+}
+
 /**
  * Merges the listing of a store that was restored from an older copy with what this VM knows. Until the instances have
  * reported again, the listing can show a draining instance as ready and one that has left as present, and can lack one that
  * is in use. Records in `history` until when the store is not believed about these.
  *
  * @param known entries of the instances in use, by id
- * @param reportIntervalMs time between two reports of an instance, in milliseconds
  * @param nowMs monotonic time in milliseconds
  * @returns the entries to use
  */
@@ -38,20 +45,20 @@
     history: ListingHistory,
     known: ReadonlyMap<string, InstanceEntry>,
     listing: readonly InstanceEntry[],
-    reportIntervalMs: number,
+    { isFirst, reportIntervalMs }: MergeOptions,
     nowMs: number,
 ): InstanceEntry[] => {
     const { removed, unsettled } = history;
     const listedById = new Map(listing.map(entry => [entry.id, entry]));
     const used: InstanceEntry[] = [];
-    const earlier = new Map(unsettled);
+    const earlier = new Map(isFirst ? [] : unsettled);
     unsettled.clear();
     for (const id of new Set([...known.keys(), ...listedById.keys()])) {
         const listed = listedById.get(id);
         const entry = chooseEntry(known.get(id), listed, removed.get(id));
         if (listed === undefined || entry === undefined || !hasSameContent(listed, entry)) {
             const graceMs = listed === undefined ? MISSING_GRACE_MS : MISSED_REPORT_LIMIT * reportIntervalMs + REPORT_DELAY_MS;
-            unsettled.set(id, { listed, dueAtMs: earlier.get(id)?.dueAtMs ?? nowMs + graceMs });
+            unsettled.set(id, earlier.get(id) ?? nowMs + graceMs);
         }
         if (entry !== undefined) {
             used.push(entry);
--- a/programs/entry/src/DirectoryFeeds.test.ts
+++ b/programs/entry/src/DirectoryFeeds.test.ts
@@ -31,6 +31,7 @@
     const counters = Counters.create();
     DirectoryFeeds.create({
         reader: createReader(changes),
+        store: createReader([]),
         directory,
         logger: createLogger("test", "vm-1"),
         counters,
@@ -80,6 +81,7 @@
             readTable: table => Promise.resolve({ rows: table === "pomeloturn" ? rows : [], era: 1, version: 4 }),
             readChanges: () => new Promise(() => {}),
         },
+        store: createReader([]),
         directory: ServiceDirectory.create(() => {
             throw new Error("the test lists no instance");
         }),
--- a/programs/entry/src/DirectoryFeeds.ts
+++ b/programs/entry/src/DirectoryFeeds.ts
@@ -27,6 +27,9 @@
 const INSTANCE_BATCH_DELAY_MS = 400;
 const COORDINATION_BATCH_DELAY_MS = 400;
 
+/** Delay before the listing of a restored store is read again when it could not be read, or when more instances are due. */
+const SETTLING_RETRY_DELAY_MS = 1_000;
+
 /** Time in which VMs that start at the same moment register, so that each finds most of the others. */
 const REGISTRATION_DELAY_MS = 700;
 /** Time after which the other tables are followed although the VMs' own table could not be read. */
@@ -38,6 +41,8 @@
 /** Dependencies and callbacks of `DirectoryFeeds`. */
 export interface DirectoryFeedsOptions {
     readonly reader: TableReader;
+    /** Reads the store itself. A relay may have been cut off from it since its last read. */
+    readonly store: Pick<TableReader, "readTable">;
     readonly directory: ServiceDirectory;
     readonly logger: ProcessLogger;
     readonly counters: Counters;
@@ -60,6 +65,9 @@
 
 /** Follows the store's tables and applies their changes to the directory. */
 export class DirectoryFeeds {
+    /** Era of the last full read of the instances. */
+    private listingEra = 0;
+    private nextSettlingAtMs = -Infinity;
     private readonly memberListing = createMemberListing<MemberRow>();
 
     private constructor(private readonly options: DirectoryFeedsOptions) {}
@@ -89,12 +97,27 @@
         this.followCoordination(() => undefined);
     }
 
-    /** Believes a restored store about instances that have not reported again in time. */
+    /** Reads the listing of a restored store again when the time is over in which instances have reported to it. */
     tick(nowMs: number): void {
-        const { directory, logger } = this.options;
-        const settledIds = directory.settleEntries(nowMs);
-        if (settledIds.length > 0) {
-            logger.info("the entries of instances that have not reported to the restored store are applied", { ids: settledIds });
+        if (nowMs >= this.nextSettlingAtMs && this.options.directory.isSettlingDue(nowMs)) {
+            this.nextSettlingAtMs = nowMs + SETTLING_RETRY_DELAY_MS;
+            void this.settleInstances(nowMs);
+        }
+    }
+
+    private async settleInstances(nowMs: number): Promise<void> {
+        const { store, directory, logger } = this.options;
+        try {
+            const { rows, ...point } = await store.readTable(INSTANCE_TABLE);
+            if (point.era === this.listingEra) {
+                const ids = directory.settleEntries(this.decodeListing(rows, point), nowMs);
+                logger.info("the restored store is believed about instances that have not reported to it again", { ids });
+            }
+        }
+        catch (error) {
+            logger.info("the listing of the restored store cannot be read; what is known of the instances stays in use", {
+                reason: (error as Error).message,
+            });
         }
     }
 
@@ -205,15 +228,21 @@
 
     private replaceInstances(rows: readonly StoreRow[], point: StorePoint, last: StorePoint | undefined): void {
         const { directory, reportIntervalMs, nowMs } = this.options;
-        const listing = rows.map(row => this.decodeEntry(row, point)).filter(entry => entry !== undefined);
-        if (isRestoredSince(last, point) || directory.isUnsettled) {
-            directory.mergeEntries(listing, reportIntervalMs, nowMs());
+        const listing = this.decodeListing(rows, point);
+        const isFirst = isRestoredSince(last, point);
+        this.listingEra = point.era;
+        if (isFirst || directory.isUnsettled) {
+            directory.mergeEntries(listing, { isFirst, reportIntervalMs }, nowMs());
         }
         else {
             directory.replaceEntries(listing);
         }
     }
 
+    private decodeListing(rows: readonly StoreRow[], point: StorePoint): InstanceEntry[] {
+        return rows.map(row => this.decodeEntry(row, point)).filter(entry => entry !== undefined);
+    }
+
     private applyInstanceChanges(rows: readonly StoreRow[], point: StorePoint): void {
         const { directory, logger } = this.options;
         for (const row of rows) {
--- a/programs/entry/src/Entry.ts
+++ b/programs/entry/src/Entry.ts
@@ -97,6 +97,7 @@
         const { settings, logger, directory, replacements } = this;
         this.feeds = DirectoryFeeds.create({
             reader: this.tables,
+            store: this.store,
             directory,
             logger,
             counters: this.metrics.counters,
--- a/tests/restoredStore.test.ts
+++ b/tests/restoredStore.test.ts
@@ -1,4 +1,5 @@
 import { createLogger } from "@pomeloturn/logger/createLogger";
+import { setTimeout as delay } from "node:timers/promises";
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
 import { RestorableStore } from "./support/RestorableStore.ts";
 import { StoreFollower } from "./support/StoreFollower.ts";
@@ -8,6 +9,7 @@
 const LONG_ENOUGH_MS = 3_000;
 /** Time after which entries count that no instance has written again. */
 const SETTLING_MS = 5_000;
+const DOWN_MS = 100;
 
 let store: RestorableStore;
 let followers: StoreFollower[];
@@ -77,7 +79,12 @@
         await vi.waitFor(() => expect(follower.counters.read("store_restored")).toBe(3), { timeout: LONG_ENOUGH_MS });
         const restoredAtMs = performance.now();
         expect(follower.instances).toEqual(known);
+        store.isDown = true;
         follower.tick(restoredAtMs + SETTLING_MS);
-        expect(follower.instances).toEqual(settled);
+        await delay(DOWN_MS);
+        expect(follower.instances).toEqual(known);
+        store.isDown = false;
+        follower.tick(restoredAtMs + 2 * SETTLING_MS);
+        await vi.waitFor(() => expect(follower.instances).toEqual(settled));
     });
 });
--- a/tests/support/StoreFollower.ts
+++ b/tests/support/StoreFollower.ts
@@ -26,6 +26,7 @@
     private constructor(private readonly store: StoreClient, logger: ProcessLogger) {
         this.feeds = DirectoryFeeds.create({
             reader: store,
+            store,
             directory: this.directory,
             logger,
             counters: this.counters,
