--- a/tests/restoredStore.test.ts
+++ b/tests/restoredStore.test.ts
@@ -1,4 +1,5 @@
 import { createLogger } from "@pomeloturn/logger/createLogger";
+import { StoreClient } from "@pomeloturn/platform/StoreClient";
 import { setTimeout as delay } from "node:timers/promises";
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
 import { RestorableStore } from "./support/RestorableStore.ts";
@@ -62,6 +63,20 @@
         await vi.waitFor(() => expect(follower.directory.routes?.version).toBe(3), { timeout: LONG_ENOUGH_MS });
     });
 
+    it("has a feed of the former era wait on after another call has shown the new one", async () => {
+        const client = StoreClient.create(store.address);
+        const copy = store.newestVersion;
+        writeOthers(1);
+        const { era, version } = await client.readTable("servers");
+        store.restore(copy);
+        client.reconnect();
+        store.write("op", "config", { ...CONFIGURATION, version: 2 });
+        const feed = client.readChanges("servers", { era, version }, 2 * LONG_ENOUGH_MS);
+        await client.readTable("op");
+        expect(await Promise.race([feed, delay(LONG_ENOUGH_MS, "still waiting")])).toBeUndefined();
+        expect(await client.readChanges("servers", { era, version }, 2 * LONG_ENOUGH_MS)).toBeUndefined();
+    });
+
     it.each([
         ["shows a draining instance as ready", () => store.write("servers", "a", { ...INSTANCE, seq: 9, state: "draining" }), [
             "a draining",
