Write the row of a group again that a restored table service has lost

Cause: a VM ignores a row whose version is not above the known one, and bases its changes on the known version. After a restore of the table service from an older copy, the known version does not exist there: each change was refused and the refusal ignored, so that no primary could be replaced and no planned promotion carried out until the process restarted.

A row read that is older than the known one now has the known row written again, version by version, until the store has it. A late answer to a read looks the same, but the write on an old version is then refused and changes nothing.

Tests: four rows of the fault table and the fault 'restoreStore' of the random schedules.

--- a/packages/version/promote-primary/src/GroupState.ts
+++ b/packages/version/promote-primary/src/GroupState.ts
@@ -67,6 +67,8 @@
     /** When the latest granted renewal was sent, by the key that `grantKey` returns. */
     readonly grants: Map<string, number>;
     change: RowChange | undefined;
+    /** Last operation that wrote the known row again after the table service had lost it. */
+    repairOperationId: string;
     election: Election | undefined;
     primary: PrimaryProbeState;
     /** Target of a planned promotion that waits for the first probe of the target. */
@@ -134,6 +136,7 @@
     electionDeferredUntilMs: -Infinity,
     grants: new Map(),
     change: undefined,
+    repairOperationId: "",
     election: undefined,
     primary: createPrimaryProbeState(),
     plannedInstance: undefined,
--- a/packages/version/promote-primary/src/rowChange.ts
+++ b/packages/version/promote-primary/src/rowChange.ts
@@ -64,10 +64,14 @@
     return leaseExpiryForVersion(state, change.nextRow.witnesses, change.expectedVersion + 1, step) >= state.publishedUntilMs;
 };
 
-/** Processes the table service's answer to a change; undefined means no answer. */
+/** Processes the table service's answer to a change or a repair; undefined means no answer. */
 export const receiveWriteResult = (state: GroupState, step: Step, operationId: string, result: TableResult | undefined): void => {
     const { change } = state;
     if (change?.operationId !== operationId) {
+        const current = state.repairOperationId === operationId ? result?.rows[0] : undefined;
+        if (current !== undefined) {
+            receiveStoredRow(state, step, current);
+        }
         return;
     }
     change.isOutstanding = false;
@@ -88,11 +92,30 @@
     }
     state.change = undefined;
     if (current !== undefined) {
+        receiveStoredRow(state, step, current);
+    }
+};
+
+/**
+ * Processes the row that stands in the table service. A row older than the known one shows that the service was restored from
+ * an older copy: the known row is then written again until it has its version there, since VMs lead and grant under that version.
+ */
+export const receiveStoredRow = (state: GroupState, step: Step, current: TableRow): void => {
+    const { stored } = state;
+    if (stored === undefined || current.version >= stored.version) {
         receiveTableRow(state, step, current);
+        return;
     }
+    state.repairOperationId = nextOperationId(state, step);
+    step.actions.push({
+        kind: GroupActionKind.WriteRow,
+        operationId: state.repairOperationId,
+        expectedVersion: current.version,
+        value: formatGroupRow(stored.row),
+    });
 };
 
-/** Processes a row of the table service, which may come from a read, a failed write or another VM. Version 0 means that the row does not exist. */
+/** Processes a row of the table service, as it stands there or as another VM knows it. Version 0 means that the row does not exist. */
 export const receiveTableRow = (state: GroupState, step: Step, { version, value }: TableRow): void => {
     if (version === 0) {
         state.rowMissingSinceMs ??= step.nowMs;
--- a/packages/version/promote-primary/src/stepGroup.ts
+++ b/packages/version/promote-primary/src/stepGroup.ts
@@ -10,7 +10,7 @@
 import { MESSAGE_CATCH_UP_MS, PAUSE_DETECTION_MS, READ_INTERVAL_MS, READ_RETRY_MS } from "./promotionTiming.ts";
 import { receiveMessage } from "./receiveMessage.ts";
 import { receiveProbe } from "./receiveProbe.ts";
-import { receiveTableRow, receiveWriteResult, runChange } from "./rowChange.ts";
+import { receiveStoredRow, receiveWriteResult, runChange } from "./rowChange.ts";
 
 type EventOf<Kind extends GroupEvent["kind"]> = Extract<GroupEvent, { readonly kind: Kind; }>;
 type Handler<Event> = (state: GroupState, step: Step, event: Event) => void;
@@ -53,7 +53,7 @@
 const receiveRow: Handler<EventOf<typeof GroupEventKind.RowRead>> = (state, step, { row }) => {
     if (row !== undefined && row.key === groupRowKey(state.group)) {
         state.tableAnsweredAtMs = step.nowMs;
-        receiveTableRow(state, step, row);
+        receiveStoredRow(state, step, row);
     }
 };
 
--- a/tests/leases/support/FakeStore.ts
+++ b/tests/leases/support/FakeStore.ts
@@ -10,12 +10,14 @@
     writeCount = 0;
     private readonly rows = new Map<string, TableRow>();
     private readonly resultsByOperationId = new Map<string, TableResult>();
+    /** Applied writes with the rows that they replaced, oldest first. */
+    private readonly applied: { readonly atMs: number; readonly operationId: string; readonly before: TableRow; }[] = [];
 
     read(key: string): TableRow {
         return this.rows.get(key) ?? { key, version: 0, value: "" };
     }
 
-    transact(operationId: string, { key, expectedVersion, value }: TableWrite): TableResult {
+    transact(operationId: string, { key, expectedVersion, value }: TableWrite, nowMs: number): TableResult {
         this.writeCount++;
         const previousResult = this.resultsByOperationId.get(operationId);
         if (previousResult !== undefined) {
@@ -23,10 +25,20 @@
         }
         const isApplied = this.read(key).version === expectedVersion;
         if (isApplied) {
+            this.applied.push({ atMs: nowMs, operationId, before: this.read(key) });
             this.rows.set(key, { key, version: expectedVersion + 1, value });
         }
         const result = { isApplied, rows: [this.read(key)] };
         this.resultsByOperationId.set(operationId, result);
         return result;
     }
+
+    /** Takes back all writes since `atMs`, as a restore from a copy of that time does. */
+    restore(atMs: number): void {
+        while ((this.applied.at(-1)?.atMs ?? -Infinity) > atMs) {
+            const { operationId, before } = this.applied.pop()!;
+            this.rows.set(before.key, before);
+            this.resultsByOperationId.delete(operationId);
+        }
+    }
 }
--- a/tests/leases/support/LeaseSimulation.ts
+++ b/tests/leases/support/LeaseSimulation.ts
@@ -174,7 +174,7 @@
                 this.check.checkRowChange(this.leaders(), expectedVersion, parseGroupRow(value)!, this.clock.nowMs);
                 const write = { key: ROW_KEY, expectedVersion, value };
                 const toEvent = (result: TableResult | undefined): GroupEvent => ({ kind: GroupEventKind.RowWritten, operationId, result });
-                this.callStore(vm, () => this.store.transact(operationId, write), toEvent);
+                this.callStore(vm, () => this.store.transact(operationId, write, this.clock.nowMs), toEvent);
             },
             probe: (vm, { instance }) => this.probe(vm, instance, GroupEventKind.Probed),
             freeze: (vm, { instance }) => this.probe(vm, instance, GroupEventKind.Frozen),
--- a/tests/leases/support/faultTable.ts
+++ b/tests/leases/support/faultTable.ts
@@ -238,6 +238,34 @@
     },
 ];
 
+const RESTORED_AGE_MS = 12_000;
+const promoteAnother: FaultRow["prepare"] = ({ promote }) => promote("db-2");
+const restoreStore = ({ simulation }: FaultContext): void => simulation.store.restore(simulation.clock.nowMs - RESTORED_AGE_MS);
+
+/** Each run promotes another instance first, which the restored store does not know. */
+const restores: readonly FaultRow[] = [
+    { ...withoutFailover("the store is restored from a copy before the last promotion", restoreStore), term: 2, prepare: promoteAnother },
+    failover("the store is restored from a copy before the last promotion, and the holder and the primary crash", context => {
+        restoreStore(context);
+        crashHolderAndPrimary(context);
+    }, { term: 3, prepare: promoteAnother }),
+    failover("the store is restored, and the holder and the primary crash later", context => {
+        restoreStore(context);
+        context.after(3_000, () => crashHolderAndPrimary(context));
+    }, { term: 3, prepare: promoteAnother }),
+    {
+        name: "the store is restored, and an operator promotes a replica",
+        inject: context => {
+            restoreStore(context);
+            context.after(3_000, () => context.promote("db-3"));
+        },
+        limitMs: PLANNED_CHANGE_LIMIT_MS,
+        term: 3,
+        primary: "db-3",
+        prepare: promoteAnother,
+    },
+];
+
 const planned: readonly FaultRow[] = [
     { name: "an operator promotes a replica", inject: ({ promote }) => promote("db-2"), limitMs: PLANNED_CHANGE_LIMIT_MS, term: 2 },
     {
@@ -282,4 +310,4 @@
 ];
 
 /** Every fault that the leases must tolerate, each with the limit of the gap without acknowledged writes. */
-export const faultTable: readonly FaultRow[] = [...isolations, ...crashes, ...pauses, ...storeFaults, ...planned];
+export const faultTable: readonly FaultRow[] = [...isolations, ...crashes, ...pauses, ...storeFaults, ...restores, ...planned];
--- a/tests/leases/support/faults.ts
+++ b/tests/leases/support/faults.ts
@@ -87,6 +87,7 @@
             simulation.store.isDown = false;
         });
     },
+    restoreStore: ({ store, clock }, _vm, _instance, durationMs) => store.restore(clock.nowMs - durationMs),
     storeSlow: (simulation, _vm, _instance, durationMs) => {
         simulation.store.maximumDelayMs = durationMs;
         scheduleUndo(simulation, durationMs * 2, () => {
