Count no VM for good that has left while the store was restored

Cause: a VM that a restored store does not list was taken for one whose registration had been lost, without an end. If it had left, and the restore or an outage hid its deletion, the others counted it for good: smaller shares of the instances' connections, a place in the order of those who replace a primary (1.2 s later), and a relay that cannot be reached. A second full read had the opposite fault: VMs that had not yet written their registrations again were dropped, and a VM that had left, whose lost deletion had not been repeated, was used again.

As with instances, what a restored store lacks is believed from a time on by which the VMs have registered again (the time in which a dead connection is detected, and 2 s), after the table has been read again at the store; until then further reads change nothing about these VMs.

What reads the VMs' own table is moved out of DirectoryFeeds.

--- a/programs/entry/src/DirectoryFeeds.ts
+++ b/programs/entry/src/DirectoryFeeds.ts
@@ -2,23 +2,14 @@
 import { ResultCode } from "@pomeloturn/errors/ResultCode";
 import { followTable } from "@pomeloturn/follow-table/followTable";
 import type { Counters } from "@pomeloturn/logger/Counters";
-import type { ProcessLogger } from "@pomeloturn/logger/createLogger";
 import { decodeInstance } from "@pomeloturn/platform/decodeInstance";
-import { decodeMember, type MemberRow } from "@pomeloturn/platform/decodeMember";
 import { decodeRoutes } from "@pomeloturn/platform/decodeRoutes";
-import { decodeAuthority } from "@pomeloturn/platform/PlatformAuthorityStore";
-import { CONFIGURATION_KEY, COORDINATION_TABLE, INSTANCE_TABLE, OPERATOR_TABLE, parseAuthorityKey } from "@pomeloturn/platform/tables";
+import { CONFIGURATION_KEY, COORDINATION_TABLE, INSTANCE_TABLE, OPERATOR_TABLE } from "@pomeloturn/platform/tables";
 import type { ServiceDirectory } from "@pomeloturn/service-directory/ServiceDirectory";
-import type { Authority } from "@pomeloturn/types/Protocols";
+import { isRestoredSince } from "@pomeloturn/store-point/isRestoredSince";
 import type { InstanceEntry, RouteTable } from "@pomeloturn/types/ServiceEntries";
 import type { StorePoint, StoreRow, TableReader } from "@pomeloturn/types/StoreRow";
-import {
-    createMemberListing,
-    type MemberListing,
-    recordDeleted,
-    recordRegistered,
-    replaceMembers,
-} from "@pomeloturn/vm-registration/MemberListing";
+import { CoordinationTable, type CoordinationTableOptions } from "./CoordinationTable.ts";
 
 /** Wait of one feed call for the instances and for the VMs' own table. Dead connections are detected by the feed of the configuration. */
 const LISTING_WAIT_MS = 28_000;
@@ -35,32 +26,16 @@
 /** Time after which the other tables are followed although the VMs' own table could not be read. */
 const COORDINATION_TIMEOUT_MS = 1_000;
 
-/** Whether the store was restored from an older copy since the last read. */
-const isRestoredSince = (last: StorePoint | undefined, { era }: StorePoint): boolean => last !== undefined && era > last.era;
-
 /** Dependencies and callbacks of `DirectoryFeeds`. */
-export interface DirectoryFeedsOptions {
+export interface DirectoryFeedsOptions extends CoordinationTableOptions {
     readonly reader: TableReader;
-    /** Reads the store itself. A relay may have been cut off from it since its last read. */
-    readonly store: Pick<TableReader, "readTable">;
     readonly directory: ServiceDirectory;
-    readonly logger: ProcessLogger;
     readonly counters: Counters;
     readonly signal: AbortSignal;
-    /** Wait of one feed call for the configuration. It bounds the time until a dead connection is detected. */
-    readonly configurationWaitMs: number;
     /** Time between two reports of an instance. */
     readonly reportIntervalMs: number;
-    /** Monotonic time in milliseconds. */
-    readonly nowMs: () => number;
     /** Called when the feed of the configuration fails. Aborts the calls that are in progress, because their connections may be dead too. */
     readonly onConfigurationFeedFailed: () => void;
-    /** Called with the registered VMs after each change of the coordination table, up to a point. */
-    readonly onMembersChanged: (listing: MemberListing<MemberRow>, point: StorePoint) => void;
-    /** Called with the era of the store before its authorities of that era. */
-    readonly onEraRead: (era: number) => void;
-    /** Called when the authority to promote instances of a service is read or has changed. */
-    readonly onAuthorityChanged: (service: string, authority: Authority) => void;
 }
 
 /** Follows the store's tables and applies their changes to the directory. */
@@ -68,9 +43,11 @@
     /** Era of the last full read of the instances. */
     private listingEra = 0;
     private nextSettlingAtMs = -Infinity;
-    private readonly memberListing = createMemberListing<MemberRow>();
+    private readonly coordination: CoordinationTable;
 
-    private constructor(private readonly options: DirectoryFeedsOptions) {}
+    private constructor(private readonly options: DirectoryFeedsOptions) {
+        this.coordination = CoordinationTable.create(options);
+    }
 
     static create(options: DirectoryFeedsOptions): DirectoryFeeds {
         return new DirectoryFeeds(options);
@@ -97,8 +74,9 @@
         this.followCoordination(() => undefined);
     }
 
-    /** Reads the listing of a restored store again when the time is over in which instances have reported to it. */
+    /** Reads tables of a restored store again when the time is over in which instances have reported, and VMs registered, to it. */
     tick(nowMs: number): void {
+        this.coordination.tick(nowMs);
         if (nowMs >= this.nextSettlingAtMs && this.options.directory.isSettlingDue(nowMs)) {
             this.nextSettlingAtMs = nowMs + SETTLING_RETRY_DELAY_MS;
             void this.settleInstances(nowMs);
@@ -123,7 +101,7 @@
 
     private followCoordination(onRead: () => void): void {
         const replace = (rows: readonly StoreRow[], point: StorePoint, last: StorePoint | undefined): void => {
-            this.replaceCoordinationRows(rows, point, last);
+            this.coordination.replaceRows(rows, point, last);
             onRead();
         };
         this.follow(
@@ -131,7 +109,7 @@
             LISTING_WAIT_MS,
             COORDINATION_BATCH_DELAY_MS,
             replace,
-            (rows, point) => this.applyCoordinationChanges(rows, point),
+            (rows, point) => this.coordination.applyChanges(rows, point),
         );
     }
 
@@ -262,50 +240,4 @@
             }
         }
     }
-
-    private replaceCoordinationRows(rows: readonly StoreRow[], point: StorePoint, last: StorePoint | undefined): void {
-        this.options.onEraRead(point.era);
-        this.applyAuthorities(rows, point.era);
-        const members = rows.map(decodeMember).filter(member => member !== undefined);
-        replaceMembers(this.memberListing, members, isRestoredSince(last, point));
-        this.options.onMembersChanged(this.memberListing, point);
-    }
-
-    private applyCoordinationChanges(rows: readonly StoreRow[], point: StorePoint): void {
-        this.applyAuthorities(rows, point.era);
-        rows.forEach(row => this.applyMemberChange(row));
-        this.options.onMembersChanged(this.memberListing, point);
-    }
-
-    private applyAuthorities(rows: readonly StoreRow[], era: number): void {
-        for (const row of rows) {
-            const authority = parseAuthorityKey(row.key);
-            if (authority?.era === era) {
-                this.applyAuthority(authority.service, row, era);
-            }
-        }
-    }
-
-    /** Keeps the known authority if the row cannot be read; the other rows still apply. */
-    private applyAuthority(service: string, row: StoreRow, era: number): void {
-        try {
-            this.options.onAuthorityChanged(service, decodeAuthority(row, era));
-        }
-        catch (error) {
-            this.options.logger.error("the authority to promote instances cannot be read; the previous one is kept", {
-                service,
-                reason: (error as Error).message,
-            });
-        }
-    }
-
-    private applyMemberChange(row: StoreRow): void {
-        const member = decodeMember(row);
-        if (member !== undefined && row.isDeleted) {
-            recordDeleted(this.memberListing, member.vm);
-        }
-        else if (member !== undefined) {
-            recordRegistered(this.memberListing, member);
-        }
-    }
 }
--- a/programs/entry/src/Registration.test.ts
+++ b/programs/entry/src/Registration.test.ts
@@ -27,7 +27,7 @@
 
 const list = (...rows: readonly MemberRow[]): MemberListing<MemberRow> => {
     const listing = createMemberListing<MemberRow>();
-    replaceMembers(listing, rows, false);
+    replaceMembers(listing, rows, { isRestored: false, settledAtMs: 0 });
     return listing;
 };
 
@@ -37,7 +37,7 @@
     const { registration, changes } = start();
     await settle();
     const listing = list(ALONE, OTHER);
-    replaceMembers(listing, [OTHER], true);
+    replaceMembers(listing, [OTHER], { isRestored: true, settledAtMs: 0 });
     registration.applyListing(listing, AFTER_RESTORE);
     await settle();
     expect(changes).toEqual(["write vm/vm-1", "write vm/vm-1"]);
@@ -48,7 +48,7 @@
     await settle();
     const listing = list(ALONE, OTHER);
     recordDeleted(listing, OTHER.vm);
-    replaceMembers(listing, [ALONE, OTHER], true);
+    replaceMembers(listing, [ALONE, OTHER], { isRestored: true, settledAtMs: 0 });
     registration.applyListing(listing, AFTER_RESTORE);
     registration.applyListing(listing, AFTER_RESTORE);
     await vi.waitFor(() => expect(changes).toEqual(["write vm/vm-1", `delete vm/vm-2 ${OTHER.version}`]));
--- a/tests/leases/restoredElection.test.ts
+++ b/tests/leases/restoredElection.test.ts
@@ -12,7 +12,9 @@
 ];
 
 test("two VMs lead after the store has lost an election of the last 100 ms", () => {
-    const violations = Array.from({ length: SEED_COUNT }, (_, seed) =>
-        runWithFaults(new LeaseSimulation({ seed, lossRate: 0 }), SCHEDULE, HEAL_AT_MS, END_MS).check.violations);
+    const violations = Array.from(
+        { length: SEED_COUNT },
+        (_, seed) => runWithFaults(new LeaseSimulation({ seed, lossRate: 0 }), SCHEDULE, HEAL_AT_MS, END_MS).check.violations,
+    );
     expect(violations.flat()).toEqual([]);
 });
--- a/tests/support/RestorableStore.ts
+++ b/tests/support/RestorableStore.ts
@@ -57,8 +57,16 @@
         this.history.push({ table, key, value: undefined, ver: ++this.version });
     }
 
-    has(table: string, key: string): boolean {
-        return this.find(table, key)?.value !== undefined;
+    /** Keys of a table's rows, in order. */
+    keys(table: string): string[] {
+        const keys = new Set(this.history.filter(row => row.table === table).map(({ key }) => key));
+        return [...keys].filter(key => this.find(table, key)?.value !== undefined).sort();
+    }
+
+    /** @returns undefined if there is no such row */
+    read<Value>(table: string, key: string): Value | undefined {
+        const value = this.find(table, key)?.value;
+        return value === undefined ? undefined : JSON.parse(Buffer.from(value, "base64").toString("utf8")) as Value;
     }
 
     /** Takes back all transactions after a version. The versions after it are given out again, in the next era. */
@@ -103,8 +111,7 @@
     }
 
     private readTable(table: string): readonly [number, object] {
-        const keys = [...new Set(this.history.filter(row => row.table === table).map(({ key }) => key))].sort();
-        return [200, { rows: keys.map(key => this.find(table, key)!).filter(({ value }) => value !== undefined), has_more: false }];
+        return [200, { rows: this.keys(table).map(key => this.find(table, key)!), has_more: false }];
     }
 
     private async readChanges(query: URLSearchParams, response: ServerResponse): Promise<readonly [number, object]> {
--- a/tests/support/StoreFollower.ts
+++ b/tests/support/StoreFollower.ts
@@ -1,19 +1,14 @@
 import { DirectoryFeeds } from "@pomeloturn/entry/DirectoryFeeds";
-import type { InstancePool } from "@pomeloturn/instance-pool/InstancePool";
 import { Counters } from "@pomeloturn/logger/Counters";
 import type { ProcessLogger } from "@pomeloturn/logger/createLogger";
 import { StoreClient } from "@pomeloturn/platform/StoreClient";
 import { ServiceDirectory } from "@pomeloturn/service-directory/ServiceDirectory";
+import { createUnusedPool } from "./createUnusedPool.ts";
+import { listInstances } from "./listInstances.ts";
 
 const CONFIGURATION_WAIT_MS = 4_000;
 const REPORT_INTERVAL_MS = 1_000;
 
-/** A pool that opens no connections. */
-const createUnusedPool = (): InstancePool => {
-    const pool = { setLimit: () => {}, warmUp: () => {}, close: () => {}, retire: () => {}, tick: () => {} };
-    return pool as unknown as InstancePool;
-};
-
 /** The part of a VM that follows the tables of a store. */
 export class StoreFollower {
     readonly directory = ServiceDirectory.create(createUnusedPool);
@@ -52,10 +47,7 @@
 
     /** Instances that are known, as "id" or "id draining", in order. */
     get instances(): readonly string[] {
-        return [...this.directory.services.values()]
-            .flatMap(({ instances }) => [...instances.values()])
-            .map(({ entry }) => entry.isDraining ? `${entry.id} draining` : entry.id)
-            .sort();
+        return listInstances(this.directory);
     }
 
     /** @param nowMs monotonic time in milliseconds */
