Give a transaction that began during a shutdown its own half of the grace period

Cause: from half of the grace period on, each session with an open transaction was closed at its next pause, also when the transaction had begun in the shutdown. The platform takes a VM out of rotation 2 s after SIGTERM, and idle sessions are closed until 2.8 s, so that few transactions begin so late; but when half of a domain's VMs leave at once, the platform goes on using them, and each transaction that began after 3 s was cut.

Restores of the store have no part in it.

A transaction now has half of the grace period from SIGTERM or from its own start, at most until the exit.

--- a/packages/process/drain/src/stepEntryDrain.test.ts
+++ b/packages/process/drain/src/stepEntryDrain.test.ts
@@ -23,6 +23,10 @@
     return { exitMs: Infinity, decisions };
 };
 
+/** Time at which a transaction that began at `begunAtMs` is ended, at the latest by the exit. */
+const findTransactionEnd = (decisions: readonly EntryDrainDecision[], begunAtMs: number): number =>
+    decisions.findIndex(({ endTransactionsBegunByMs = -Infinity, exit }) => begunAtMs <= endTransactionsBegunByMs || exit) * STEP_MS;
+
 describe("stepEntryDrain", () => {
     it("accepts callers until the load balancer has taken the VM out of rotation, then exits when no work is left", () => {
         const { exitMs, decisions } = runUntilExit(() => NOTHING);
@@ -47,7 +51,14 @@
 
     it("lets open transactions run for half of the grace period, and exits before its end", () => {
         const { exitMs, decisions } = runUntilExit(() => ({ ...NOTHING, openTransactions: 1 }));
-        expect(decisions.findIndex(({ endTransactions }) => endTransactions) * STEP_MS).toBe(GRACE_MS / 2);
+        expect(findTransactionEnd(decisions, 0)).toBe(GRACE_MS / 2);
+        expect(findTransactionEnd(decisions, -GRACE_MS)).toBe(GRACE_MS / 2);
         expect(exitMs).toBeLessThan(GRACE_MS);
     });
+
+    it("does not cut a transaction that began during the shutdown before it has had half of the grace period", () => {
+        const { exitMs, decisions } = runUntilExit(() => ({ ...NOTHING, openTransactions: 1 }));
+        expect(findTransactionEnd(decisions, 2_000)).toBe(2_000 + GRACE_MS / 2);
+        expect(findTransactionEnd(decisions, 2_900)).toBe(exitMs);
+    });
 });
--- a/packages/process/drain/src/stepEntryDrain.ts
+++ b/packages/process/drain/src/stepEntryDrain.ts
@@ -1,6 +1,6 @@
 /** Time after which the load balancer has taken this VM out of rotation. */
 const OUT_OF_ROTATION_MS = 2_300;
-/** Share of the grace period for which open transactions may continue. */
+/** Share of the grace period for which a transaction may continue, from the start of the shutdown or from its own start. */
 const TRANSACTION_SHARE = 0.5;
 /** Time before the end of the grace period at which the process exits. */
 const EXIT_MARGIN_MS = 600;
@@ -35,8 +35,8 @@
 export interface EntryDrainDecision {
     /** Number of idle sessions to close now. */
     readonly idleCloseCount: number;
-    /** Whether to roll back the transactions that are still open. */
-    readonly endTransactions: boolean;
+    /** Open transactions that began at this time or before it are to be rolled back. Monotonic milliseconds; undefined if none is. */
+    readonly endTransactionsBegunByMs: number | undefined;
     /** Whether to stop accepting callers. */
     readonly stopAccepting: boolean;
     readonly exit: boolean;
@@ -53,6 +53,7 @@
 /** Decides one step of a shutdown. Callers are accepted until the load balancer has taken this VM out of rotation. */
 export const stepEntryDrain = (state: EntryDrainState, work: EntryWork, nowMs: number): EntryDrainDecision => {
     const elapsedMs = nowMs - state.startedAtMs;
+    const transactionLimitMs = state.graceMs * TRANSACTION_SHARE;
     const isOutOfRotation = elapsedMs >= OUT_OF_ROTATION_MS;
     const isGraceOver = elapsedMs >= state.graceMs - EXIT_MARGIN_MS;
     const isEmpty = work.idleSessions + work.openTransactions + work.runningStatements === 0;
@@ -63,7 +64,7 @@
     }
     return {
         idleCloseCount: isOutOfRotation ? countIdleToClose(state, work.idleSessions, elapsedMs) : 0,
-        endTransactions: elapsedMs >= state.graceMs * TRANSACTION_SHARE && work.openTransactions > 0,
+        endTransactionsBegunByMs: elapsedMs >= transactionLimitMs && work.openTransactions > 0 ? nowMs - transactionLimitMs : undefined,
         stopAccepting,
         // The caller that was accepted last may have sent a statement that has not been read yet.
         exit: isGraceOver || (isLastCallerWaitOver && isEmpty),
--- a/packages/process/statement-runner/src/SessionRunner.ts
+++ b/packages/process/statement-runner/src/SessionRunner.ts
@@ -22,6 +22,7 @@
 export class SessionRunner {
     private readonly state: SessionState;
     private transaction: Transaction | undefined;
+    private begunAtMs = 0;
     private operation: Operation | undefined;
     private idleTimer: NodeJS.Timeout | undefined;
     private isClosed = false;
@@ -39,6 +40,11 @@
         return this.state.status === TransactionStatus.Idle;
     }
 
+    /** When the open transaction began, in monotonic milliseconds; undefined when none is open. */
+    get transactionBeganAtMs(): number | undefined {
+        return this.isIdle ? undefined : this.begunAtMs;
+    }
+
     async run(statement: Statement): Promise<CallerReply> {
         clearTimeout(this.idleTimer);
         const reply = answerLocally(this.state, statement) ?? await this.dispatch(statement);
@@ -72,6 +78,7 @@
         }
         if (statement.kind === StatementKind.Begin || statement.kind === StatementKind.BeginRead) {
             this.transaction = Transaction.create(route, statement.kind === StatementKind.BeginRead, this.ports);
+            this.begunAtMs = this.ports.nowMs();
             this.state.status = TransactionStatus.Open;
             return createSuccessReply(TransactionStatus.Open);
         }
--- a/programs/entry/src/CallerSession.ts
+++ b/programs/entry/src/CallerSession.ts
@@ -61,6 +61,11 @@
         return this.runner === undefined || this.runner.isIdle ? SessionActivity.Idle : SessionActivity.InTransaction;
     }
 
+    /** When the open transaction began, in monotonic milliseconds; undefined when none is open. */
+    get transactionBeganAtMs(): number | undefined {
+        return this.runner?.transactionBeganAtMs;
+    }
+
     /** Closes the connection after sending what has been written to it. */
     end(): void {
         if (!this.isEnded) {
--- a/programs/entry/src/EntryDrain.ts
+++ b/programs/entry/src/EntryDrain.ts
@@ -34,9 +34,8 @@
         const work = { idleSessions: idle.length, openTransactions: inTransaction.length, runningStatements };
         const decision = stepEntryDrain(this.state, work, this.options.nowMs());
         idle.slice(0, decision.idleCloseCount).forEach(session => session.end());
-        if (decision.endTransactions) {
-            inTransaction.forEach(session => session.end());
-        }
+        const begunByMs = decision.endTransactionsBegunByMs ?? -Infinity;
+        inTransaction.filter(({ transactionBeganAtMs = Infinity }) => transactionBeganAtMs <= begunByMs).forEach(session => session.end());
         if (decision.stopAccepting) {
             this.options.stopAccepting();
         }
