Repeat a lost deletion in each era of the store

Cause: the VMs noted the version of the row whose deletion they had repeated. A second restore brought back the same row with the same version, and they took its deletion for repeated. Once more a version was compared across eras; the other comparisons of versions in the code of the entry were read again for this: each is within one listing, one cache or one conditional write.

The note has the era as well. The new test fails without the change (nothing is deleted after the second restore).

--- a/packages/version/replace-primary/src/knownLeader.ts
+++ b/packages/version/replace-primary/src/knownLeader.ts
@@ -1,4 +1,5 @@
 import { isAtOrAfterPoint } from "@pomeloturn/store-point/isAtOrAfterPoint";
+import { isSamePoint } from "@pomeloturn/store-point/isSamePoint";
 import type { StorePoint } from "@pomeloturn/types/StoreRow";
 
 /** The instance of a service that this VM considers the primary, and the claims it is derived from. */
@@ -14,13 +15,13 @@
 
 export const createKnownLeader = (): KnownLeader => ({ leaderId: undefined, term: 0, claims: new Map(), deniedClaims: new Map() });
 
-const isSamePoint = (a: StorePoint | undefined, b: StorePoint): boolean => a?.era === b.era && a.version === b.version;
+const isKnownPoint = (known: StorePoint | undefined, point: StorePoint): boolean => known !== undefined && isSamePoint(known, point);
 
 const newestClaim = ({ claims, deniedClaims }: KnownLeader): string | undefined => {
     let newest: string | undefined;
     for (const [id, writtenAt] of claims) {
         const isNewest = newest === undefined || !isAtOrAfterPoint(claims.get(newest)!, writtenAt);
-        if (isNewest && !isSamePoint(deniedClaims.get(id), writtenAt)) {
+        if (isNewest && !isKnownPoint(deniedClaims.get(id), writtenAt)) {
             newest = id;
         }
     }
@@ -29,7 +30,7 @@
 
 /** Records an instance's directory entry. A new claim replaces the previously known leader. */
 export const recordClaim = (knownLeader: KnownLeader, id: string, isPrimary: boolean, writtenAt: StorePoint): void => {
-    const isNew = isPrimary && !isSamePoint(knownLeader.claims.get(id), writtenAt);
+    const isNew = isPrimary && !isKnownPoint(knownLeader.claims.get(id), writtenAt);
     if (isPrimary) {
         knownLeader.claims.set(id, writtenAt);
     }
--- a/programs/entry/src/Registration.test.ts
+++ b/programs/entry/src/Registration.test.ts
@@ -53,3 +53,16 @@
     registration.applyListing(listing, AFTER_RESTORE);
     await vi.waitFor(() => expect(changes).toEqual(["write vm/vm-1", `delete vm/vm-2 ${OTHER.version}`]));
 });
+
+it("does not leave a VM registered that has left when a second restore brings back the same row", async () => {
+    const { registration, changes } = start();
+    await settle();
+    const listing = list(ALONE, OTHER);
+    recordDeleted(listing, OTHER.vm);
+    for (const era of [AFTER_RESTORE.era, AFTER_RESTORE.era + 1]) {
+        replaceMembers(listing, [ALONE, OTHER], { isRestored: true, settledAtMs: 0 });
+        registration.applyListing(listing, { ...AFTER_RESTORE, era });
+        await vi.waitFor(() => expect(changes.at(-1)).toBe(`delete vm/vm-2 ${OTHER.version}`));
+        changes.push("deleted");
+    }
+});
--- a/programs/entry/src/Registration.ts
+++ b/programs/entry/src/Registration.ts
@@ -3,6 +3,7 @@
 import { encodeMember, type MemberRow } from "@pomeloturn/platform/decodeMember";
 import type { StoreClient } from "@pomeloturn/platform/StoreClient";
 import { COORDINATION_TABLE, memberKey } from "@pomeloturn/platform/tables";
+import { isSamePoint } from "@pomeloturn/store-point/isSamePoint";
 import type { StorePoint } from "@pomeloturn/types/StoreRow";
 import type { MemberListing, Registration as RegistrationRow } from "@pomeloturn/vm-registration/MemberListing";
 import { createRegistration } from "@pomeloturn/vm-registration/RegistrationState";
@@ -18,8 +19,8 @@
 /** Keeps the registration of this VM in the store, and deletes registrations of VMs that have left when a restored store brings them back. */
 export class Registration {
     private readonly state = createRegistration();
-    /** Versions of the rows whose deletion this VM is about to repeat, by VM. */
-    private readonly repeatedDeletions = new Map<string, number>();
+    /** Rows whose deletion this VM repeats or has repeated, by VM: the version of the row, in the era in which it was read. */
+    private readonly repeatedDeletions = new Map<string, StorePoint>();
 
     private constructor(private readonly vm: RegisteredVm, private readonly store: StoreClient, private readonly logger: ProcessLogger) {}
 
@@ -44,8 +45,10 @@
             && own.relayAddress === relayAddress;
         this.step({ kind: "read", isRegistered, point });
         for (const lost of listing.lostDeletions.values()) {
-            if (this.repeatedDeletions.get(lost.vm) !== lost.version) {
-                this.repeatedDeletions.set(lost.vm, lost.version);
+            const row = { era: point.era, version: lost.version };
+            const repeated = this.repeatedDeletions.get(lost.vm);
+            if (repeated === undefined || !isSamePoint(repeated, row)) {
+                this.repeatedDeletions.set(lost.vm, row);
                 const delayMs = computeOrder(listing.members.keys(), vm, lost.vm) * DELETION_STAGGER_MS;
                 setTimeout(() => void this.repeatDeletion(listing, lost), delayMs).unref();
             }
