--- a/packages/version/vm-registration/src/MemberListing.test.ts
+++ b/packages/version/vm-registration/src/MemberListing.test.ts
@@ -1,14 +1,7 @@
 import { expect, it } from "vitest";
-import {
-    createMemberListing,
-    isMemberSettlingDue,
-    type MemberListing,
-    recordDeleted,
-    recordRegistered,
-    type Registration,
-    replaceMembers,
-    settleMembers,
-} from "./MemberListing.ts";
+import { createMemberListing, type MemberListing, recordDeleted, recordRegistered, type Registration } from "./MemberListing.ts";
+import { replaceMembers } from "./replaceMembers.ts";
+import { isMemberSettlingDue, settleMembers } from "./settleMembers.ts";
 
 const A: Registration = { vm: "a", version: 3 };
 const B: Registration = { vm: "b", version: 4 };
--- a/programs/entry/src/CoordinationTable.ts
+++ b/programs/entry/src/CoordinationTable.ts
@@ -5,15 +5,9 @@
 import { isRestoredSince } from "@pomeloturn/store-point/isRestoredSince";
 import type { Authority } from "@pomeloturn/types/Protocols";
 import type { StorePoint, StoreRow, TableReader } from "@pomeloturn/types/StoreRow";
-import {
-    createMemberListing,
-    isMemberSettlingDue,
-    type MemberListing,
-    recordDeleted,
-    recordRegistered,
-    replaceMembers,
-    settleMembers,
-} from "@pomeloturn/vm-registration/MemberListing";
+import { createMemberListing, type MemberListing, recordDeleted, recordRegistered } from "@pomeloturn/vm-registration/MemberListing";
+import { replaceMembers } from "@pomeloturn/vm-registration/replaceMembers";
+import { isMemberSettlingDue, settleMembers } from "@pomeloturn/vm-registration/settleMembers";
 
 /** Delay before the table of a restored store is read again when it could not be read, or when more VMs are due. */
 const SETTLING_RETRY_DELAY_MS = 1_000;
--- a/programs/entry/src/Registration.test.ts
+++ b/programs/entry/src/Registration.test.ts
@@ -1,7 +1,8 @@
 import { createLogger } from "@pomeloturn/logger/createLogger";
 import type { MemberRow } from "@pomeloturn/platform/decodeMember";
 import type { StoreClient, WriteResult } from "@pomeloturn/platform/StoreClient";
-import { createMemberListing, type MemberListing, recordDeleted, replaceMembers } from "@pomeloturn/vm-registration/MemberListing";
+import { createMemberListing, type MemberListing, recordDeleted } from "@pomeloturn/vm-registration/MemberListing";
+import { replaceMembers } from "@pomeloturn/vm-registration/replaceMembers";
 import { expect, it, vi } from "vitest";
 import { Registration } from "./Registration.ts";
 
