Elect no holder on what the table service said before a restore

Cause: the same as in the platform's path, an identifier that is unique only within an epoch. A candidate's promises, and its change of the row, named a row version that the restored service gives out a second time.

Change: the table service states its era with each row and refuses a write that was meant for another one. For 2 s after a restore only a VM with a valid lease changes a row; candidates drop their promises.

--- a/packages/process/lease-runner/src/ActionRunner.ts
+++ b/packages/process/lease-runner/src/ActionRunner.ts
@@ -119,8 +119,8 @@
         );
     }
 
-    private async writeRow(group: string, { operationId, expectedVersion, value }: ActionOf<"writeRow">): Promise<void> {
-        const write = { key: groupRowKey(group), expectedVersion, value };
+    private async writeRow(group: string, { operationId, expectedVersion, expectedEra, value }: ActionOf<"writeRow">): Promise<void> {
+        const write = { key: groupRowKey(group), expectedVersion, expectedEra, value };
         const result = await this.callAndReportFailure("write row", group, this.options.table.transact(operationId, [write]));
         this.report(group, { kind: GroupEventKind.RowWritten, operationId, result });
     }
--- a/packages/shared/types/src/Platform.ts
+++ b/packages/shared/types/src/Platform.ts
@@ -6,12 +6,16 @@
     /** Increases with each change of the row; 0 when the row does not exist. */
     readonly version: number;
     readonly value: string;
+    /** Era of the table service when it answered; undefined if it states none. It rises when the service is restored from an older copy. */
+    readonly era?: number | undefined;
 }
 
 /** Change of one row in a transaction, applied only if the row still has `expectedVersion`. */
 export interface TableWrite {
     readonly key: string;
     readonly expectedVersion: number;
+    /** Era in which the write may be applied; undefined for any. */
+    readonly expectedEra?: number | undefined;
     readonly value: string;
 }
 
--- a/packages/version/promote-primary/src/GroupAction.ts
+++ b/packages/version/promote-primary/src/GroupAction.ts
@@ -25,6 +25,8 @@
         readonly kind: typeof GroupActionKind.WriteRow;
         readonly operationId: string;
         readonly expectedVersion: number;
+        /** Era of the table service in which the row may be written; undefined for any. */
+        readonly expectedEra: number | undefined;
         readonly value: string;
     }
     | { readonly kind: typeof GroupActionKind.Probe; readonly instance: string; }
--- a/packages/version/promote-primary/src/GroupState.ts
+++ b/packages/version/promote-primary/src/GroupState.ts
@@ -8,6 +8,7 @@
 export interface RowChange {
     operationId: string;
     expectedVersion: number;
+    expectedEra: number | undefined;
     readonly nextRow: GroupRow;
     /** Whether holder and primary stay the same, so that the holder keeps leading during the change. */
     readonly isLeaderKept: boolean;
@@ -77,6 +78,10 @@
     isTransferRequested: boolean;
     /** Whether this VM has stopped publishing its lease and names another holder once the lease has expired. */
     isTransferringLeadership: boolean;
+    /** Latest era of the table service that this VM has seen; undefined while it has seen none. */
+    tableEra: number | undefined;
+    /** Time until which the row is not changed without a valid lease, since a restored table service may have lost a newer row. */
+    restoreSettledAtMs: number;
     /** When the table service last answered a read. */
     tableAnsweredAtMs: number;
     /** VM incarnations to which this VM, as the holder, has sent the present row. */
@@ -142,6 +147,8 @@
     plannedInstance: undefined,
     isTransferRequested: false,
     isTransferringLeadership: false,
+    tableEra: undefined,
+    restoreSettledAtMs: -Infinity,
     tableAnsweredAtMs: -Infinity,
     notifiedIncarnations: new Set(),
     rowAdoptedAtMs: nowMs,
--- a/packages/version/promote-primary/src/createFirstRow.ts
+++ b/packages/version/promote-primary/src/createFirstRow.ts
@@ -5,12 +5,13 @@
 import type { GroupState, Step } from "./GroupState.ts";
 import { CREATE_STAGGER_MS, FEW_VMS_CREATE_DELAY_MS, ORDER_INTERVAL_MS, REDUNDANT_VM_COUNT } from "./promotionTiming.ts";
 import { startChange } from "./rowChange.ts";
+import { isChangeDeferred } from "./tableEra.ts";
 
 /** Creates the row of a group without one, once every instance has been probed. The primary is the first instance by name that is not in recovery. */
 export const createFirstRow = (state: GroupState, step: Step, missingSinceMs: number): void => {
     const vmIndex = orderVmsByHash(step.vms, state.group).findIndex(({ vm }) => vm === step.self.vm);
     const waitMs = (step.vms.length < REDUNDANT_VM_COUNT ? FEW_VMS_CREATE_DELAY_MS : 0) + vmIndex * CREATE_STAGGER_MS;
-    if (vmIndex < 0 || step.nowMs - missingSinceMs < waitMs || state.change !== undefined) {
+    if (vmIndex < 0 || step.nowMs - missingSinceMs < waitMs || state.change !== undefined || isChangeDeferred(state, step)) {
         return;
     }
     const instances = Object.keys(state.instances).sort();
--- a/packages/version/promote-primary/src/leadGroup.ts
+++ b/packages/version/promote-primary/src/leadGroup.ts
@@ -17,6 +17,7 @@
 } from "./promotionTiming.ts";
 import { broadcastRow, startChange } from "./rowChange.ts";
 import { runElection, startElection } from "./runElection.ts";
+import { isChangeDeferred } from "./tableEra.ts";
 import { isPrimaryLost, isPrimarySuspected, isPromotable, probePrimary } from "./watchPrimary.ts";
 
 /** Runs the holder's decisions at a tick: lease renewal, primary probes, replacement of the primary, witnesses, published lease. */
@@ -25,10 +26,12 @@
     broadcastRow(state, step);
     probePrimary(state, step, !state.primary.isConfirmed);
     confirmPrimary(state, step, stored);
-    if (state.election === undefined && state.change === undefined) {
-        startDueChange(state, step, stored);
+    if (!isChangeDeferred(state, step)) {
+        if (state.election === undefined && state.change === undefined) {
+            startDueChange(state, step, stored);
+        }
+        runElection(state, step);
     }
-    runElection(state, step);
     publishLease(state, step, stored);
     repairReplicas(state, step, stored);
 };
--- a/packages/version/promote-primary/src/promotionTiming.ts
+++ b/packages/version/promote-primary/src/promotionTiming.ts
@@ -44,6 +44,11 @@
 export const READ_RETRY_MS = 500;
 /** Interval between reads of a known row, to recover from a lost row notice. */
 export const READ_INTERVAL_MS = 30_000;
+/**
+ * Time after a restore of the table service before a VM without a valid lease changes the row. In it, VMs that know a newer row
+ * than the restored one write it again or send it.
+ */
+export const RESTORE_SETTLE_MS = 2_000;
 /** Interval at which the replicas are ordered to follow the primary. */
 export const REPAIR_INTERVAL_MS = 5_000;
 /** Number of VMs that make a set of witnesses of which one may be lost. */
--- a/packages/version/promote-primary/src/rowChange.ts
+++ b/packages/version/promote-primary/src/rowChange.ts
@@ -7,6 +7,7 @@
 import { createPrimaryProbeState, type GroupState, isHolder, type RowChange, type Step } from "./GroupState.ts";
 import { leaseExpiryForVersion } from "./leaseExpiryForVersion.ts";
 import { CHANGE_READY_TIMEOUT_MS, READ_BACK_INTERVAL_MS, WRITE_RETRY_MS } from "./promotionTiming.ts";
+import { receiveTableEra } from "./tableEra.ts";
 
 const nextOperationId = (state: GroupState, { self }: Step): string =>
     `${groupRowKey(state.group)}/${self.vm}/${self.incarnation}/${++state.operationCount}`;
@@ -17,6 +18,7 @@
     state.change = {
         operationId,
         expectedVersion: state.stored?.version ?? 0,
+        expectedEra: state.tableEra,
         nextRow: { ...nextRow, operationId },
         isLeaderKept,
         startedAtMs: step.nowMs,
@@ -46,8 +48,8 @@
     change.isSent = true;
     change.isOutstanding = true;
     change.nextTryAtMs = step.nowMs + READ_BACK_INTERVAL_MS;
-    const { operationId, expectedVersion, nextRow } = change;
-    step.actions.push({ kind: GroupActionKind.WriteRow, operationId, expectedVersion, value: formatGroupRow(nextRow) });
+    const { operationId, expectedVersion, expectedEra, nextRow } = change;
+    step.actions.push({ kind: GroupActionKind.WriteRow, operationId, expectedVersion, expectedEra, value: formatGroupRow(nextRow) });
 };
 
 /** Reads the row to find out whether a change without an answer has taken effect. */
@@ -88,6 +90,7 @@
     if (!step.guards.isVersionCompared && current !== undefined) {
         change.operationId = nextOperationId(state, step);
         change.expectedVersion = current.version;
+        change.expectedEra = current.era;
         return;
     }
     state.change = undefined;
@@ -101,6 +104,7 @@
  * an older copy: the known row is then written again until it has its version there, since VMs lead and grant under that version.
  */
 export const receiveStoredRow = (state: GroupState, step: Step, current: TableRow): void => {
+    receiveTableEra(state, step, current.era);
     const { stored } = state;
     if (stored === undefined || current.version >= stored.version) {
         receiveTableRow(state, step, current);
@@ -111,6 +115,7 @@
         kind: GroupActionKind.WriteRow,
         operationId: state.repairOperationId,
         expectedVersion: current.version,
+        expectedEra: current.era,
         value: formatGroupRow(stored.row),
     });
 };
