Send the newer row to a VM that renews a lease under an older one

Cause: vm-3 is elected, the table service loses the election, and the row that vm-3 sends is on its way to vm-1, the former holder, for 2.2 s. The witnesses refuse vm-1 and state that they know version 2; vm-1 reads the row, finds version 1 in the restored service, and moves it to its own version 2.

Change: a witness that gets a renewal under an older row sends the newer one, as it does to a candidate. Within the 2 s after a restore a holder renews five times.

--- a/packages/version/promote-primary/src/receiveMessage.ts
+++ b/packages/version/promote-primary/src/receiveMessage.ts
@@ -32,6 +32,10 @@
     if (rowVersion >= knownVersion(state)) {
         state.witness.holderHeardAtMs = step.nowMs;
     }
+    else {
+        // A restored table service may have lost the newer row, so that the sender cannot read it there.
+        sendRow(state, step, from.vm);
+    }
     const isNamed = witnessIncarnation === step.self.incarnation;
     const isGranted = grantRenewal(state.witness, rowVersion, isNamed, step.guards, step.nowMs);
     const message: Grant = {
--- a/tests/leases/restoredElection.test.ts
+++ b/tests/leases/restoredElection.test.ts
@@ -11,6 +11,13 @@
     { kind: "restoreStore", target: 0, isLeader: false, atMs: 3_738, durationMs: 100 },
 ];
 
+/** The store loses the election of a new holder, and the row that the new holder sends reaches the old one seconds later. */
+const UNHEARD_BY_FORMER_HOLDER: readonly Fault[] = [
+    { kind: "pauseVm", target: 0, isLeader: false, atMs: 2_621, durationMs: 4_296 },
+    { kind: "restoreStore", target: 0, isLeader: false, atMs: 4_641, durationMs: 100 },
+    { kind: "pauseVm", target: 0, isLeader: false, atMs: 4_676, durationMs: 100 },
+];
+
 /** The store loses a promotion, and all controllers, which know of it, restart before they have written it again. */
 const UNKNOWN_TO_ALL: readonly Fault[] = [
     { kind: "pauseVm", target: 0, isLeader: false, atMs: 2_462, durationMs: 2_100 },
@@ -29,6 +36,10 @@
     expect(findViolations(UNHEARD_BY_CANDIDATE)).toEqual([]);
 });
 
+test("the former holder leads again after the store has lost the election of its successor", () => {
+    expect(findViolations(UNHEARD_BY_FORMER_HOLDER)).toEqual([]);
+});
+
 test("a former term leads after the store and all controllers have lost a promotion", () => {
     expect(findViolations(UNKNOWN_TO_ALL)).toEqual([]);
 });
