Write the configuration again that a restored table service has lost

Cause: VMs compared the head only with their own version number, and did not notice that the service had fallen behind it.

Change: a VM that polls the head keeps the two rows of the active version and writes them again when the service has an older one, unless an edit was applied since (the stored head is then not in the known history); it logs both. An apply writes only in the era in which it has read, and is refused when its base version has become another one.

--- a/packages/version/config-version/src/stepApply.ts
+++ b/packages/version/config-version/src/stepApply.ts
@@ -26,6 +26,8 @@
     rows: readonly TableRow[];
     head: ConfigHead;
     history: readonly HistoryEntry[];
+    /** Name of the base version's object as it was first read. */
+    baseObjectName: string | undefined;
     plan: WritePlan | undefined;
     lastAction: ApplyAction;
 }
@@ -40,6 +42,7 @@
     rows: [],
     head: { version: 0, objectName: "", files: [] },
     history: [],
+    baseObjectName: undefined,
     plan: undefined,
     lastAction: READ_ROWS,
 });
@@ -89,7 +92,15 @@
     if (ownEntry !== undefined) {
         return succeed(ownEntry.version, false, state.head.version);
     }
-    const objectNames = [state.head.objectName, findBaseObjectName(state)].filter(name => name !== "");
+    const baseObjectName = findBaseObjectName(state);
+    state.baseObjectName ??= baseObjectName;
+    if (baseObjectName !== state.baseObjectName) {
+        throw PomeloturnError.create(
+            ResultCode.BaseVersionUnknown,
+            `base version ${state.edit.baseVersion} is now another one: the table service was restored from an older copy`,
+        );
+    }
+    const objectNames = [state.head.objectName, baseObjectName].filter(name => name !== "");
     return objectNames.length === 0
         ? receiveFiles(state, [], [])
         : { kind: ApplyActionKind.GetObjects, names: [...new Set(objectNames)] };
@@ -146,8 +157,8 @@
     kind: ApplyActionKind.Transact,
     operationId: `${applyId}/${lostRaceCount}`,
     writes: [
-        { key: HEAD_KEY, expectedVersion: rows[0]!.version, value: JSON.stringify(plan!.head) },
-        { key: HISTORY_KEY, expectedVersion: rows[1]!.version, value: JSON.stringify(plan!.history) },
+        { key: HEAD_KEY, expectedVersion: rows[0]!.version, expectedEra: rows[0]!.era, value: JSON.stringify(plan!.head) },
+        { key: HISTORY_KEY, expectedVersion: rows[1]!.version, expectedEra: rows[1]!.era, value: JSON.stringify(plan!.history) },
     ],
 });
 
--- a/programs/bench/src/controlCost.ts
+++ b/programs/bench/src/controlCost.ts
@@ -162,6 +162,7 @@
                 }),
             nowMs: () => performance.now(),
             onConfigurationInvalid: () => undefined,
+            onConfigurationLost: () => undefined,
             onSuperseded: () => undefined,
         });
     }
--- a/programs/controller/src/Controller.ts
+++ b/programs/controller/src/Controller.ts
@@ -139,6 +139,14 @@
             transport: this.streams,
             createLeases: node => this.createLeases(node, incarnation, platform),
             nowMs: monotonicNowMs,
+            onConfigurationLost: (version, storedVersion, isRewritten) =>
+                this.logger.warn({
+                    event: isRewritten
+                        ? "the table service had lost the active configuration version and has it again"
+                        : "the table service has a lower configuration version than the active one, which stays in use",
+                    version,
+                    storedVersion,
+                }),
             onConfigurationInvalid: (objectName, error) =>
                 this.logger.error({
                     event: "a configuration version is not valid; the active version stays in use",
--- a/programs/controller/src/ControllerNode.ts
+++ b/programs/controller/src/ControllerNode.ts
@@ -33,6 +33,8 @@
     createLeases(node: ControllerNode): LeaseService;
     nowMs(): number;
     onConfigurationInvalid(objectName: string, error: Error): void;
+    /** Called when the table service has lost the active configuration version. `isRewritten`: whether it has it again. */
+    onConfigurationLost(version: number, storedVersion: number, isRewritten: boolean): void;
     /** Called when a newer controller process has started under this VM's name. */
     onSuperseded(): void;
 }
@@ -72,6 +74,7 @@
             objects,
             onActivated: () => this.applyConfiguration(),
             onInvalid: (objectName, error) => options.onConfigurationInvalid(objectName, error),
+            onLost: (...loss) => options.onConfigurationLost(...loss),
         });
         this.members = MembershipActor.create({
             system,
