Count bytes and leases of a paid link that a restored table service has lost

Cause: a renewal was planned from the stored row alone.

Change: in a later era a VM merges the row with the one that it knew last (the larger number of bytes of the same month, each lease under its highest sequence), until a change of its own is applied in that era. A renewal is applied only in the era in which it was planned.

Measured: two rows of renewLease.test.ts.

--- a/packages/process/link-budget/src/LinkBudgets.ts
+++ b/packages/process/link-budget/src/LinkBudgets.ts
@@ -118,10 +118,11 @@
         if (account.lease.pendingRenewal === undefined) {
             const [row] = await table.read([key]);
             const value = row === undefined || row.value === "" ? EMPTY_LINK_ROW : JSON.parse(row.value) as LinkRow;
-            planRenewal(account, value, row?.version ?? 0, month(), nowMs());
+            planRenewal(account, { row: value, version: row?.version ?? 0, era: row?.era ?? 0 }, month(), nowMs());
         }
-        const { operationId, expectedVersion, row } = account.lease.pendingRenewal!;
-        const result = await table.transact(operationId, [{ key, expectedVersion, value: JSON.stringify(row) }]);
+        const { operationId, expectedVersion, expectedEra, row } = account.lease.pendingRenewal!;
+        const write = { key, expectedVersion, expectedEra: expectedEra === 0 ? undefined : expectedEra, value: JSON.stringify(row) };
+        const result = await table.transact(operationId, [write]);
         recordRenewalOutcome(account, result.isApplied, nowMs());
     }
 
--- a/packages/request/charge-link/src/LinkLease.ts
+++ b/packages/request/charge-link/src/LinkLease.ts
@@ -20,10 +20,20 @@
     readonly leases: Readonly<Record<string, LeaseEntry>>;
 }
 
+/** A link's row as it stands in the table service. */
+export interface StoredLinkRow {
+    readonly row: LinkRow;
+    /** 0 when the row does not exist. */
+    readonly version: number;
+    /** Era of the table service; 0 if it states none. */
+    readonly era: number;
+}
+
 /** A change of the link's row whose outcome is not known yet. */
 export interface PendingRenewal {
     readonly operationId: string;
     readonly expectedVersion: number;
+    readonly expectedEra: number;
     readonly row: LinkRow;
     /** Monotonic time at which the change was first sent, in milliseconds; the lease's time to live starts then. */
     readonly sentAtMs: number;
@@ -44,6 +54,8 @@
     /** Bytes of the month that are leased but not sent yet. */
     monthRemainingBytes: number;
     pendingRenewal: PendingRenewal | undefined;
+    /** Newest row that this VM knows, and the era in which it was read or written. */
+    known: { readonly row: LinkRow; readonly era: number; } | undefined;
     /** Monotonic time of this VM at which each lease was first seen with its present sequence, by process id. */
     readonly observed: Map<string, { sequence: number; firstSeenAtMs: number; }>;
     nextOperationNumber: number;
@@ -60,6 +72,7 @@
     month: 0,
     monthRemainingBytes: 0,
     pendingRenewal: undefined,
+    known: undefined,
     observed: new Map(),
     nextOperationNumber: 1,
 });
--- a/packages/request/charge-link/src/renewLease.test.ts
+++ b/packages/request/charge-link/src/renewLease.test.ts
@@ -2,7 +2,7 @@
 import fc from "fast-check";
 import { describe, expect, it } from "vitest";
 import { chargeLink, createLinkAccount, type LinkAccount } from "./LinkAccount.ts";
-import { EMPTY_LINK_ROW, type LinkRow } from "./LinkLease.ts";
+import { EMPTY_LINK_ROW, type LinkRow, type PendingRenewal } from "./LinkLease.ts";
 import { splitApprovedTraffic } from "./LinkLimits.ts";
 import { isRenewalDue, planRenewal, recordRenewalOutcome } from "./renewLease.ts";
 import { BUCKET_CAPACITY_S } from "./TokenBucket.ts";
@@ -16,15 +16,16 @@
 class FakeTable {
     row: LinkRow = EMPTY_LINK_ROW;
     version = 0;
+    era = 1;
     writeCount = 0;
     private readonly outcomes = new Map<string, boolean>();
 
-    change(operationId: string, expectedVersion: number, row: LinkRow): boolean {
+    change({ operationId, expectedVersion, expectedEra, row }: PendingRenewal): boolean {
         const known = this.outcomes.get(operationId);
         if (known !== undefined) {
             return known;
         }
-        const isApplied = expectedVersion === this.version;
+        const isApplied = expectedVersion === this.version && expectedEra === this.era;
         if (isApplied) {
             this.row = row;
             this.version++;
@@ -71,8 +72,8 @@
     if (proxy.isPartitioned || (account.lease.pendingRenewal === undefined && !isRenewalDue(account, nowMs))) {
         return;
     }
-    const { operationId, expectedVersion, row } = account.lease.pendingRenewal ?? planRenewal(account, table.row, table.version, 1, nowMs);
-    const isApplied = lost !== "requestLost" && table.change(operationId, expectedVersion, row);
+    const renewal = account.lease.pendingRenewal ?? planRenewal(account, table, 1, nowMs);
+    const isApplied = lost !== "requestLost" && table.change(renewal);
     if (lost === undefined) {
         recordRenewalOutcome(account, isApplied, nowMs);
     }
@@ -127,6 +128,43 @@
         expect(largestTotalBytes).toBeGreaterThan(MONTH_BYTES / 4);
     });
 
+    it("leases the bytes of a month twice after the table service has lost them", () => {
+        const table = new FakeTable();
+        const [first, second] = [createProxy(0), createProxy(0)];
+        const renewFor = (fromMs: number, toMs: number): void => {
+            for (let nowMs = fromMs; nowMs < toMs; nowMs += STEP_MS) {
+                [first, second].forEach(proxy => {
+                    chargeLink(proxy.account, 0, RATE / 10, 1, nowMs);
+                    exchange(proxy, table, nowMs);
+                });
+            }
+        };
+        renewFor(0, 10_000);
+        const copy = { row: table.row, version: table.version };
+        renewFor(10_000, 60_000);
+        const { monthLeasedBytes } = table.row;
+        expect(monthLeasedBytes).toBeGreaterThan(copy.row.monthLeasedBytes);
+        Object.assign(table, copy, { era: 2 });
+        renewFor(60_000, 80_000);
+        expect(table.row.monthLeasedBytes).toBeGreaterThanOrEqual(monthLeasedBytes);
+    });
+
+    it("leases a rate a second time that another VM has leased since the copy of the table service", () => {
+        const table = new FakeTable();
+        const [first, second] = [createProxy(0), createProxy(0)];
+        const copy = { row: table.row, version: table.version };
+        first.account.demandBytesPerSecond = RATE;
+        exchange(first, table, 0);
+        second.account.demandBytesPerSecond = RATE;
+        exchange(second, table, 0);
+        Object.assign(table, copy, { era: 2 });
+        second.account.demandBytesPerSecond = RATE;
+        exchange(second, table, second.account.lease.renewAtMs);
+        const rates = Object.values(table.row.leases).map(({ bytesPerSecond }) => bytesPerSecond);
+        expect(rates).toHaveLength(2);
+        expect(rates.reduce((sum, rate) => sum + rate)).toBeLessThanOrEqual(limits.leasableBytesPerSecond);
+    });
+
     it("uses the lower of both rates until the outcome of a change is known", () => {
         const table = new FakeTable();
         const proxy = createProxy(0);
--- a/packages/request/charge-link/src/renewLease.ts
+++ b/packages/request/charge-link/src/renewLease.ts
@@ -1,5 +1,6 @@
 import { advanceAccount, type LinkAccount } from "./LinkAccount.ts";
-import type { LeaseEntry, LinkRow, PendingRenewal } from "./LinkLease.ts";
+import type { LeaseEntry, LinkLease, LinkRow, PendingRenewal, StoredLinkRow } from "./LinkLease.ts";
+import { mergeRestoredRow } from "./mergeRestoredRow.ts";
 
 const MINIMUM_TTL_MS = 15_000;
 /** Leases last longer when there are more of them, so that a link's row is written at most about 4 times a second. */
@@ -47,15 +48,26 @@
     );
 };
 
+/** Returns the row on which a change is based. A restored table service is believed once a change of this VM was applied in it. */
+const findBaseRow = (lease: LinkLease, { row, era }: StoredLinkRow): LinkRow => {
+    const { known } = lease;
+    if (known !== undefined && era > known.era) {
+        return mergeRestoredRow(known.row, row);
+    }
+    lease.known = { row, era };
+    return row;
+};
+
 /**
  * Plans a change of the link's row that acquires, renews or returns this VM's lease. A lower rate takes effect
  * at once, a higher one only when the change is known to have been applied.
  *
  * @param month months since the year 0, by this VM's calendar
  */
-export const planRenewal = (account: LinkAccount, row: LinkRow, version: number, month: number, nowMs: number): PendingRenewal => {
+export const planRenewal = (account: LinkAccount, stored: StoredLinkRow, month: number, nowMs: number): PendingRenewal => {
     advanceAccount(account, nowMs);
     const { lease, limits } = account;
+    const row = findBaseRow(lease, stored);
     const others = findOtherLeases(account, row, nowMs);
     const wantedBytesPerSecond = hasDemand(account) ? account.demandBytesPerSecond * DEMAND_HEADROOM : 0;
     const bytesPerSecond = chooseRate(Object.values(others), wantedBytesPerSecond, limits.leasableBytesPerSecond);
@@ -68,7 +80,8 @@
     const entry = { bytesPerSecond, wantedBytesPerSecond, sequence: lease.sequence + 1, ttlMs };
     const pendingRenewal: PendingRenewal = {
         operationId: `${lease.id}/${lease.nextOperationNumber++}`,
-        expectedVersion: version,
+        expectedVersion: stored.version,
+        expectedEra: stored.era,
         row: {
             month: currentMonth,
             monthLeasedBytes: leasedBytes + addedBytes,
@@ -92,6 +105,7 @@
         return;
     }
     advanceAccount(account, nowMs);
+    lease.known = { row: pendingRenewal.row, era: pendingRenewal.expectedEra };
     const entry = pendingRenewal.row.leases[lease.id];
     if (entry === undefined) {
         lease.bytesPerSecond = 0;
