Let a holder that has released its lease learn of a successor that a restore has lost

Cause: vm-1 is cut off and releases its lease; vm-3 is elected; the table service loses the election. vm-1 no longer renews, so no witness sends it the newer row; 2 s after the restore it takes the row that it had released.

Change: until a restore has settled, a holder that has released its lease repeats the release to its witnesses, and a witness that knows a newer row answers with it.

--- a/packages/version/promote-primary/src/leadGroup.ts
+++ b/packages/version/promote-primary/src/leadGroup.ts
@@ -17,6 +17,7 @@
 } from "./promotionTiming.ts";
 import { broadcastRow, startChange } from "./rowChange.ts";
 import { runElection, startElection } from "./runElection.ts";
+import { sendRelease } from "./sendRelease.ts";
 import { isChangeDeferred } from "./tableEra.ts";
 import { isPrimaryLost, isPrimarySuspected, isPromotable, probePrimary } from "./watchPrimary.ts";
 
@@ -36,11 +37,18 @@
     repairReplicas(state, step, stored);
 };
 
-const renewLease = (state: GroupState, step: Step, { version, row }: StoredRow): void => {
-    if (state.releasedVersion === version || step.nowMs - state.renewedAtMs < RENEW_INTERVAL_MS) {
+const renewLease = (state: GroupState, step: Step, stored: StoredRow): void => {
+    const { version, row } = stored;
+    const isReleased = state.releasedVersion === version;
+    if ((isReleased && !isChangeDeferred(state, step)) || step.nowMs - state.renewedAtMs < RENEW_INTERVAL_MS) {
         return;
     }
     state.renewedAtMs = step.nowMs;
+    if (isReleased) {
+        // The successor's row can be missing from the restored table service.
+        sendRelease(step, stored);
+        return;
+    }
     sendRenewals(step, row.witnesses, version);
     if (state.change?.isLeaderKept === true) {
         sendRenewals(step, state.change.nextRow.witnesses, state.change.expectedVersion + 1);
--- a/packages/version/promote-primary/src/receiveMessage.ts
+++ b/packages/version/promote-primary/src/receiveMessage.ts
@@ -107,6 +107,9 @@
     if (rowVersion === knownVersion(state) && state.stored?.row.holder.vm === from.vm) {
         releaseVersion(state.witness, rowVersion, step.nowMs);
     }
+    else if (rowVersion < knownVersion(state)) {
+        sendRow(state, step, from.vm);
+    }
 };
 
 const receiveRowNotice: Handler<RowNotice> = (state, step, _from, { rowVersion, value }) => {
--- a/packages/version/promote-primary/src/runElection.ts
+++ b/packages/version/promote-primary/src/runElection.ts
@@ -9,6 +9,7 @@
 import { PREPARE_INTERVAL_MS, RELEASE_AFTER_MS, REPLICA_WAIT_MS } from "./promotionTiming.ts";
 import { startChange } from "./rowChange.ts";
 import { runPlannedPromotion } from "./runPlannedPromotion.ts";
+import { sendRelease } from "./sendRelease.ts";
 import { createRowWithHolder, startPromotion } from "./startPromotion.ts";
 import { isPrimaryLost, probePrimary } from "./watchPrimary.ts";
 
@@ -107,9 +108,7 @@
 };
 
 /** Releases the lease because this VM reaches neither the primary nor an eligible replica, so that the witnesses can become candidates without waiting. */
-const releaseLease = (state: GroupState, step: Step, { version, row }: StoredRow): void => {
-    state.releasedVersion = version;
-    for (const { vm } of row.witnesses) {
-        step.actions.push({ kind: GroupActionKind.Send, vm, message: { kind: LeaseMessageKind.Release, rowVersion: version } });
-    }
+const releaseLease = (state: GroupState, step: Step, stored: StoredRow): void => {
+    state.releasedVersion = stored.version;
+    sendRelease(step, stored);
 };
--- a/tests/leases/restoredElection.test.ts
+++ b/tests/leases/restoredElection.test.ts
@@ -18,6 +18,12 @@
     { kind: "pauseVm", target: 0, isLeader: false, atMs: 4_676, durationMs: 100 },
 ];
 
+/** The holder is cut off and releases its lease. It returns after the store has lost the election of its successor. */
+const UNHEARD_AFTER_RELEASE: readonly Fault[] = [
+    { kind: "isolateVm", target: 0, isLeader: false, atMs: 3_385, durationMs: 2_427 },
+    { kind: "restoreStore", target: 0, isLeader: false, atMs: 5_588, durationMs: 100 },
+];
+
 /** The store loses a promotion, and all controllers, which know of it, restart before they have written it again. */
 const UNKNOWN_TO_ALL: readonly Fault[] = [
     { kind: "pauseVm", target: 0, isLeader: false, atMs: 2_462, durationMs: 2_100 },
@@ -40,6 +46,10 @@
     expect(findViolations(UNHEARD_BY_FORMER_HOLDER)).toEqual([]);
 });
 
+test("a holder that has released its lease leads again after the store has lost the election of its successor", () => {
+    expect(findViolations(UNHEARD_AFTER_RELEASE)).toEqual([]);
+});
+
 test("a former term leads after the store and all controllers have lost a promotion", () => {
     expect(findViolations(UNKNOWN_TO_ALL)).toEqual([]);
 });
