--- a/packages/version/group-lease/src/LeaseGuards.ts
+++ b/packages/version/group-lease/src/LeaseGuards.ts
@@ -28,6 +28,10 @@
     readonly isOwnLeaseWaitedOut: boolean;
     /** Lease durations allow for clock rates that differ by `CLOCK_RATE_MARGIN`. */
     readonly isClockMarginKept: boolean;
+    /** The row is written only in the era of the table service in which the change was decided. */
+    readonly isEraCompared: boolean;
+    /** After a restore of the table service, a VM without a valid lease waits before it changes the row. */
+    readonly isRestoreWaitedOut: boolean;
 }
 
 /** All rules on, as in production. */
@@ -46,4 +50,6 @@
     isHolderIncarnationChecked: true,
     isOwnLeaseWaitedOut: true,
     isClockMarginKept: true,
+    isEraCompared: true,
+    isRestoreWaitedOut: true,
 };
--- a/packages/version/promote-primary/src/rowChange.ts
+++ b/packages/version/promote-primary/src/rowChange.ts
@@ -18,7 +18,7 @@
     state.change = {
         operationId,
         expectedVersion: state.stored?.version ?? 0,
-        expectedEra: state.tableEra,
+        expectedEra: step.guards.isEraCompared ? state.tableEra : undefined,
         nextRow: { ...nextRow, operationId },
         isLeaderKept,
         startedAtMs: step.nowMs,
--- a/packages/version/promote-primary/src/tableEra.ts
+++ b/packages/version/promote-primary/src/tableEra.ts
@@ -24,4 +24,4 @@
  * that there is none: another holder would have waited for its end.
  */
 export const isChangeDeferred = (state: GroupState, step: Step): boolean =>
-    step.nowMs < state.restoreSettledAtMs && holderLeaseExpiry(state, step) <= step.nowMs;
+    step.guards.isRestoreWaitedOut && step.nowMs < state.restoreSettledAtMs && holderLeaseExpiry(state, step) <= step.nowMs;
--- a/tests/leases/support/LeaseSimulation.ts
+++ b/tests/leases/support/LeaseSimulation.ts
@@ -18,7 +18,7 @@
 const VM_COUNT = 6;
 const MEMBERSHIP_TIMEOUT_MS = 3_000;
 
-const ROW_KEY = groupRowKey("ledger-1");
+export const ROW_KEY = groupRowKey("ledger-1");
 
 type ActionHandler<Action> = (vm: FakeVm, action: Action) => void;
 
--- a/tests/leases/support/mutationTable.ts
+++ b/tests/leases/support/mutationTable.ts
@@ -3,7 +3,7 @@
 import type { FakeVm } from "./FakeVm.ts";
 import type { Fault } from "./faults.ts";
 import { injectFault } from "./faults.ts";
-import { LeaseSimulation } from "./LeaseSimulation.ts";
+import { LeaseSimulation, ROW_KEY } from "./LeaseSimulation.ts";
 
 /** A guard, and a scenario that violates the leadership check when the guard is disabled. */
 export interface MutationRow {
@@ -18,6 +18,10 @@
 }
 
 const START_MS = 6_000;
+/** Age of an election that the store loses. */
+const ELECTION_AGE_MS = 5;
+/** Time in which the elected VM has sent its row to all VMs. */
+const NOTICE_TIME_MS = 200;
 const TWO_LEADERS = /two leaders|is replaced while/;
 
 /** Runs a row's scenario, in which the group already has a leader, with some guards overridden. */
@@ -62,6 +66,20 @@
     simulation.heal();
 };
 
+/** The holder is isolated until it has missed the election of another VM. The store loses that election, and the holder returns. */
+const loseElection = (simulation: LeaseSimulation, holder: FakeVm): void => {
+    simulation.isolate([holder.name]);
+    const { store, clock } = simulation;
+    const versionBefore = store.read(ROW_KEY).version;
+    while (store.read(ROW_KEY).version === versionBefore) {
+        simulation.run(1);
+    }
+    store.restore(clock.nowMs - ELECTION_AGE_MS);
+    simulation.run(NOTICE_TIME_MS);
+    simulation.heal();
+    simulation.run(5_000);
+};
+
 export const mutationTable: readonly MutationRow[] = [
     {
         guard: "isPromiseKept",
@@ -248,4 +266,18 @@
             partitionWithWaitingCandidate(simulation, holder, () => undefined);
         },
     },
+    {
+        guard: "isEraCompared",
+        scenario: "the store loses an election, and the holder that was cut off changes the row before it has read it again",
+        seed: 16,
+        violation: TWO_LEADERS,
+        run: loseElection,
+    },
+    {
+        guard: "isRestoreWaitedOut",
+        scenario: "the store loses an election, and the holder that was cut off reads the row and changes it again",
+        seed: 16,
+        violation: TWO_LEADERS,
+        run: loseElection,
+    },
 ];
