Order no promotion on a listing that is older than the claim

At 9.9 s i-a75b leads with 1.119, so 1.120 to 1.149 are rolled back. front-cluj-a-2 has had no store since 8.1 s and cannot reach i-a75b. At 14.0 s the store answers its claim; it surveys, hears only i-febe, which has just come back, and orders its promotion: two promotions, and the commits are back after reads have missed them. Its feeds are read again 0.2 s later.

Cause: an applied claim proves that the store answers now, not that the VM knows what the store lists now.

Change: after an applied claim the VM reads the listing at the store. If that shows a primary that the VM has not heard of, or cannot be read, it abandons the attempt and lets its feeds catch up. One call more for each replacement.

Measured: the new row of stepReplacement.test.ts orders before.

--- a/packages/process/replacement-runner/src/ReplacementActor.ts
+++ b/packages/process/replacement-runner/src/ReplacementActor.ts
@@ -106,11 +106,25 @@
         const { authorities, service, vm, log } = this.options;
         try {
             const change = await authorities.claim(service.name, vm, fence, known);
-            dispatch(this.reference, { kind: "claimed", change });
+            const isReplacing = change.isApplied && this.state.reason !== undefined;
+            const isListingCurrent = isReplacing && await this.isListingCurrent();
+            dispatch(this.reference, { kind: "claimed", change, isListingCurrent });
         }
         catch (error) {
             log("the authority store did not answer a claim", { service: service.name, reason: (error as Error).message });
-            dispatch(this.reference, { kind: "claimed", change: undefined });
+            dispatch(this.reference, { kind: "claimed", change: undefined, isListingCurrent: false });
+        }
+    }
+
+    private async isListingCurrent(): Promise<boolean> {
+        const { authorities, service, log } = this.options;
+        try {
+            const primaries = await authorities.listPrimaries(service.name);
+            return primaries.every(id => service.knownLeader.claims.has(id));
+        }
+        catch (error) {
+            log("the listing of the instances cannot be read after a claim", { reason: (error as Error).message });
+            return false;
         }
     }
 
--- a/packages/shared/types/src/Protocols.ts
+++ b/packages/shared/types/src/Protocols.ts
@@ -74,4 +74,11 @@
      * @throws PomeloturnError with code `StoreUnavailable` when the store does not answer
      */
     claim(service: string, holder: string, fence: number, known: Authority): Promise<AuthorityChange>;
+
+    /**
+     * Lists the ids of the instances of a service that are listed as the primary now.
+     *
+     * @throws PomeloturnError with code `StoreUnavailable` when the store does not answer
+     */
+    listPrimaries(service: string): Promise<readonly string[]>;
 }
--- a/packages/version/replace-primary/src/replacementMessages.ts
+++ b/packages/version/replace-primary/src/replacementMessages.ts
@@ -39,7 +39,12 @@
     /** The authority in the store was changed, by this or another VM, or is not held in a new era of the store. */
     | { readonly kind: "authorityChanged"; readonly authority: Authority; }
     /** `change` is undefined when the store did not answer, so that the claim may have been applied. */
-    | { readonly kind: "claimed"; readonly change: AuthorityChange | undefined; }
+    | {
+        readonly kind: "claimed";
+        readonly change: AuthorityChange | undefined;
+        /** Whether the listing was read after the claim and shows no primary that this VM has not heard of. */
+        readonly isListingCurrent: boolean;
+    }
     | { readonly kind: "surveyed"; readonly instances: readonly SurveyedInstance[]; }
     | { readonly kind: "steppedDown"; }
     | { readonly kind: "ordered"; readonly outcome: PromotionOutcome; };
--- a/packages/version/replace-primary/src/stepReplacement.test.ts
+++ b/packages/version/replace-primary/src/stepReplacement.test.ts
@@ -6,7 +6,7 @@
 import { stepReplacement } from "./stepReplacement.ts";
 
 const VIEW: LeaderView = { leaderId: "a", isLeaderDraining: false, instanceCount: 3, vmIndex: 0 };
-const UNAVAILABLE = { kind: "claimed", change: undefined } as const;
+const UNAVAILABLE = { kind: "claimed", change: undefined, isListingCurrent: false } as const;
 
 /** Creates the state of a VM whose primary refused two probes. */
 const createSuspecting = (): ReplacementState => {
@@ -43,7 +43,7 @@
         const state = createSuspecting();
         stepReplacement(state, { kind: "tick", view: VIEW }, 1_400);
         const authority = { holder: "vm-0", fence: 1_000_005, era: 1, version: 9 };
-        stepReplacement(state, { kind: "claimed", change: { isApplied: true, authority } }, 1_410);
+        stepReplacement(state, { kind: "claimed", change: { isApplied: true, authority }, isListingCurrent: true }, 1_410);
         const instances = [{ id: "b", isDraining: false, state: { isPrimary: false, term: 1, received: { term: 1, position: 7 } } }];
         const ordered = stepReplacement(state, { kind: "surveyed", instances }, 1_420);
         expect(ordered.at(-1)).toEqual({ kind: "order", instanceId: "b", fence: 1_000_005 });
@@ -54,11 +54,21 @@
         expect(kinds(next)).not.toContain("order");
     });
 
+    it("orders no promotion when the store lists a primary that this VM has not heard of", () => {
+        const state = createSuspecting();
+        stepReplacement(state, { kind: "tick", view: VIEW }, 1_400);
+        const authority = { holder: "vm-0", fence: 1_000_005, era: 1, version: 9 };
+        stepReplacement(state, { kind: "claimed", change: { isApplied: true, authority }, isListingCurrent: false }, 1_410);
+        expect([state.phase, state.authority]).toEqual([ReplacementPhase.Watching, authority]);
+        const instances = [{ id: "b", isDraining: false, state: { isPrimary: false, term: 1, received: { term: 1, position: 7 } } }];
+        expect(kinds(stepReplacement(state, { kind: "surveyed", instances }, 1_420))).not.toContain("order");
+    });
+
     it("orders no promotion under an authority that the restored store has lost", () => {
         const state = createSuspecting();
         stepReplacement(state, { kind: "tick", view: VIEW }, 1_400);
         const authority = { holder: "vm-0", fence: 1_000_005, era: 1, version: 9 };
-        stepReplacement(state, { kind: "claimed", change: { isApplied: true, authority } }, 1_410);
+        stepReplacement(state, { kind: "claimed", change: { isApplied: true, authority }, isListingCurrent: true }, 1_410);
         stepReplacement(state, { kind: "authorityChanged", authority: createUnheldAuthority(2) }, 1_415);
         const instances = [{ id: "b", isDraining: false, state: { isPrimary: false, term: 1, received: { term: 1, position: 7 } } }];
         expect(kinds(stepReplacement(state, { kind: "surveyed", instances }, 1_420))).not.toContain("order");
--- a/packages/version/replace-primary/src/stepReplacement.ts
+++ b/packages/version/replace-primary/src/stepReplacement.ts
@@ -72,6 +72,14 @@
             "replacement of the primary abandoned: the store did not answer the claim and this VM does not hold the authority",
         );
     }
+    if (change !== undefined && !event.isListingCurrent) {
+        // A VM that could not reach the store may have missed a replacement by another VM.
+        return abandon(
+            state,
+            nowMs,
+            "replacement of the primary abandoned: the store lists a primary that this VM has not heard of, or its listing cannot be read",
+        );
+    }
     // Without an answer from the store, this VM may act under the authority that it holds: the platform rejects its order if another VM holds a newer one.
     enterPhase(state, ReplacementPhase.Surveying, nowMs);
     return requestSurvey(state, nowMs, REPLACEMENT_SURVEY_INTERVAL_MS);
--- a/tests/claimsAfterRestore.test.ts
+++ b/tests/claimsAfterRestore.test.ts
@@ -41,6 +41,16 @@
     expect(claimed.authority.fence).toBeGreaterThan(lost.authority.fence);
 });
 
+it("lists a primary of another service, one that has stepped down, or an entry that is not valid", async () => {
+    const instance = { service: SERVICE, address: "127.0.0.1:9", zone: "north-a", state: "ready", slots: 2, born: 1_000 };
+    store.write("servers", "a", { ...instance, db_role: "primary" });
+    store.write("servers", "a", { ...instance, db_role: "replica" });
+    store.write("servers", "b", { ...instance, db_role: "primary" });
+    store.write("servers", "c", { ...instance, service: "other", db_role: "primary" });
+    store.write("servers", "d", { db_role: "primary" });
+    expect(await authorities.listPrimaries(SERVICE)).toEqual(["b"]);
+});
+
 it("does not count a claim whose version the restored store has given to another VM's claim", async () => {
     const copy = store.newestVersion;
     const lost = await claim("vm-1");
--- a/tests/replacement/support/ReplacementSimulation.ts
+++ b/tests/replacement/support/ReplacementSimulation.ts
@@ -184,7 +184,7 @@
 
     private claim(vm: SimulatedVm, known: Authority, fence: number): void {
         if (this.isStoreDown) {
-            this.dispatchLater(vm, STORE_TIMEOUT_MS, () => ({ kind: "claimed", change: undefined }));
+            this.dispatchLater(vm, STORE_TIMEOUT_MS, () => ({ kind: "claimed", change: undefined, isListingCurrent: false }));
             return;
         }
         this.at(this.nowMs + ROUND_TRIP_MS / 2, () => {
@@ -197,10 +197,14 @@
             }
             const authority = this.row;
             if (this.random() < this.lostClaimShare) {
-                this.dispatchLater(vm, STORE_TIMEOUT_MS, () => ({ kind: "claimed", change: undefined }));
+                this.dispatchLater(vm, STORE_TIMEOUT_MS, () => ({ kind: "claimed", change: undefined, isListingCurrent: false }));
             }
             else {
-                this.dispatchLater(vm, ROUND_TRIP_MS / 2, () => ({ kind: "claimed", change: { isApplied, authority } }));
+                this.dispatchLater(
+                    vm,
+                    ROUND_TRIP_MS / 2,
+                    () => ({ kind: "claimed", change: { isApplied, authority }, isListingCurrent: true }),
+                );
             }
         });
     }
