--- a/packages/process/replacement-runner/src/ReplacementActor.ts
+++ b/packages/process/replacement-runner/src/ReplacementActor.ts
@@ -123,7 +123,10 @@
             return primaries.every(id => service.knownLeader.claims.has(id));
         }
         catch (error) {
-            log("the listing of the instances cannot be read after a claim", { reason: (error as Error).message });
+            log("the listing of the instances cannot be read after a claim", {
+                service: service.name,
+                reason: (error as Error).message,
+            });
             return false;
         }
     }
