Show that a holder whose authority was taken over promotes, where fences are not checked

A machine that holds the authority and is cut off from the store orders a promotion with its old fence after another machine has claimed the next one and ordered. The setting that says whether the platform checks fences is used nowhere.

The stand-ins render the settings from the template of the deploy file, can cut and silence connections to the store, and end the processes that they started also when a case takes too long.

--- a/review/standins/database.mjs
+++ b/review/standins/database.mjs
@@ -81,9 +81,10 @@
 
     /** Sends each replica what it lacks. */
     feedAll(primary) {
-        this.instances.filter(each => each !== primary).forEach(replica => {
-            primary.log.slice(replica.log.length).forEach(entry => void replica.receive(entry, primary));
-        });
+        const newest = primary.log.at(-1);
+        if (newest !== undefined) {
+            this.instances.filter(each => each !== primary).forEach(replica => void replica.receive(newest, primary));
+        }
     }
 
     stop() {
@@ -200,19 +201,19 @@
         return this.#busy;
     }
 
-    /** Receives a commit from the primary, and applies it later. */
+    /** Receives a commit of the primary, and what it lacks before it, and applies both later. @returns whether it has received it */
     async receive(entry, primary) {
-        const { times } = this.group;
         await sleep(this.receiveMs);
-        if (this.isDeaf || this.isDown || !primary.isPrimary || primary.term !== this.term || entry.number !== this.log.length + 1) {
+        if (this.isDeaf || this.isDown || primary.log[entry.number - 1] !== entry) {
             return false;
         }
-        this.log.push(entry);
+        const missing = primary.log.slice(this.log.length, entry.number);
+        this.log.push(...missing);
         setTimeout(() => {
             if (this.log[entry.number - 1] === entry) {
                 this.applied = Math.max(this.applied, entry.number);
             }
-        }, times.applyMs);
+        }, this.group.times.applyMs);
         return true;
     }
 
--- a/review/standins/deployment.mjs
+++ b/review/standins/deployment.mjs
@@ -40,8 +40,12 @@
     limits: { max_header_bytes: 16_384, max_body_bytes: 262_144, header_timeout_ms: 3_000, idle_timeout_ms: 15_000, tx_idle_ms: 3_000 },
 });
 
-/** Starts the stand-ins of a small deployment: a store, an order interface and one database group of three instances. */
-export const startDeployment = async (vmNames, record, groupOptions = {}, storePort = store => store.port) => {
+/**
+ * Starts the stand-ins of a small deployment: a store, an order interface and one database group of three instances.
+ *
+ * @param storePort returns the port at which a VM reaches the store, from the store and the name of the VM
+ */
+export const startDeployment = async (vmNames, record, { graceS, areFencesChecked = true, ...groupOptions } = {}, storePort = store => store.port) => {
     const store = new Store();
     await store.start();
     const group = new DatabaseGroup(SERVICE, store, record, groupOptions);
@@ -49,9 +53,11 @@
     await group.addInstance("i-2b60d4e8", "cluj-b");
     await group.addInstance("i-94c1e7a5", "buc-a");
     store.write("op", "config", createConfiguration(group.syncReplicas, group.connectionLimit));
-    const orders = new Orders([group], record);
+    const orders = new Orders([group], areFencesChecked, record);
     await orders.start();
-    const fleet = await createFleet(vmNames, await storePort(store), orders.port, record);
+    const settings = { ordersPort: orders.port, graceS, areFencesChecked };
+    const fleet = await createFleet(vmNames, name => storePort(store, name), settings, record);
+    cleanups.push(fleet.stop);
     return {
         store,
         group,
@@ -66,9 +72,24 @@
     };
 };
 
+/** Functions that end the processes that the case has started. */
+const cleanups = [];
+
+/** A case that takes longer than this could not run. */
+const TIME_LIMIT_MS = 110_000;
+
 /** Runs a case: exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run. */
 export const runCase = async (record, run) => {
     let exitCode = 2;
+    const giveUp = reason => {
+        record.say(`the case could not run: ${reason}`);
+        record.save();
+        cleanups.forEach(cleanUp => cleanUp());
+        process.exit(2);
+    };
+    setTimeout(() => giveUp(`it took over ${TIME_LIMIT_MS} ms`), TIME_LIMIT_MS).unref();
+    process.on("SIGTERM", () => giveUp("SIGTERM"));
+    process.on("SIGINT", () => giveUp("SIGINT"));
     try {
         const isBroken = await run();
         exitCode = isBroken ? 1 : 0;
--- a/review/standins/fleet.mjs
+++ b/review/standins/fleet.mjs
@@ -1,5 +1,5 @@
 import { spawn } from "node:child_process";
-import { closeSync, mkdtempSync, openSync, rmSync, writeFileSync } from "node:fs";
+import { closeSync, mkdtempSync, openSync, readFileSync, rmSync, writeFileSync } from "node:fs";
 import { get } from "node:http";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
@@ -14,6 +14,13 @@
 /** Bounds of a small deployment, as in the settings of the site erata-cluj. */
 export const BOUNDS = { contactMs: 5_000, drainMs: 7_000, graceS: 6, configApplyMs: 3_000, lossSlackMs: 200, heartbeatMs: 1_200 };
 
+/** Fills in the template of the deploy file from the fields of the settings, as DEPLOY.md says: `{{a.b}}` and `{{a|json}}`. */
+const renderSettings = fields => {
+    const find = path => path.split(".").reduce((value, name) => value?.[name], fields);
+    return readFileSync(join(ROOT, "deploy", "settings.json"), "utf8")
+        .replace(/\{\{([\w.]+)(\|json)?\}\}/g, (_all, path, json) => json === undefined ? String(find(path) ?? "") : JSON.stringify(find(path)));
+};
+
 /** One proxy process, which is started again when it ends, as on the users' platform. */
 export class Vm {
     /** Ends of the process that nobody asked for, as [exit code, signal]. */
@@ -22,28 +29,26 @@
     #isStopping = false;
     #restart;
 
-    constructor(name, ports, folder, settings, record) {
-        Object.assign(this, { name, callerPort: ports[0], readinessPort: ports[1], folder, record });
+    constructor(name, ports, folder, { storePort, ordersPort, graceS = BOUNDS.graceS, areFencesChecked }, record) {
+        Object.assign(this, { name, callerPort: ports[0], readinessPort: ports[1], folder, graceS, record });
         this.settingsFile = join(folder, `${name}.json`);
         this.logFile = join(folder, `${name}.log`);
-        this.settings = {
-            vm: name,
-            failureDomain: "cluj-a",
-            regions: { "cluj-a": "ro-nord", "buc-a": "ro-sud", "cluj-b": "ro-nord" },
-            callerAddress: `${HOST}:${ports[0]}`,
-            readinessAddress: `${HOST}:${ports[1]}`,
-            metricsAddress: `${HOST}:${ports[2]}`,
-            relayAddress: `${HOST}:${ports[3]}`,
-            shutdownGraceMs: BOUNDS.graceS * 1_000,
-            contactMs: BOUNDS.contactMs,
-            reportIntervalMs: BOUNDS.heartbeatMs,
-            areFencesChecked: true,
-            ...settings,
+        this.fields = {
+            node: name,
+            ip: HOST,
+            zone: "cluj-a",
+            zones: { "cluj-a": "ro-nord", "buc-a": "ro-sud", "cluj-b": "ro-nord" },
+            listen: { front: `${HOST}:${ports[0]}`, ready: `${HOST}:${ports[1]}` },
+            port_range: [ports[2], ports[3]],
+            heartbeat_ms: BOUNDS.heartbeatMs,
+            bounds: { contact_ms: BOUNDS.contactMs, grace_s: graceS, require_fence: areFencesChecked },
+            platform: { address: `${HOST}:${storePort}` },
+            cloud_api: { address: `${HOST}:${ordersPort}` },
         };
     }
 
     start(isFirstStart = true) {
-        writeFileSync(this.settingsFile, JSON.stringify({ ...this.settings, isFirstStart }, undefined, 4));
+        writeFileSync(this.settingsFile, renderSettings({ ...this.fields, bootstrap: isFirstStart }));
         const log = openSync(this.logFile, "a");
         const { PATH, HOME = "/", LANG = "C" } = process.env;
         const child = spawn(COMMAND[0], COMMAND.slice(1), {
@@ -74,7 +79,7 @@
         const isEnded = () => child.exitCode !== null || child.signalCode !== null;
         this.record.add(`${this.name}: SIGTERM`);
         child.kill("SIGTERM");
-        const killer = setTimeout(() => child.kill("SIGKILL"), BOUNDS.graceS * 1_000);
+        const killer = setTimeout(() => child.kill("SIGKILL"), this.graceS * 1_000);
         while (!isEnded()) {
             await sleep(10);
         }
@@ -111,12 +116,13 @@
     }
 }
 
-/** Creates proxies that use the stand-ins; nothing is started yet. */
-export const createFleet = async (names, storePort, ordersPort, record) => {
+/** Creates proxies that use the stand-ins; nothing is started yet. @param storePort returns the port at which a VM reaches the store */
+export const createFleet = async (names, storePort, settings, record) => {
     const folder = mkdtempSync(join(tmpdir(), "review-"));
     const ports = await findPorts(names.length * 4);
-    const settings = { storeAddress: `${HOST}:${storePort}`, ordersAddress: `${HOST}:${ordersPort}` };
-    const vms = names.map((name, index) => new Vm(name, ports.slice(index * 4, index * 4 + 4), folder, settings, record));
+    const storePorts = await Promise.all(names.map(storePort));
+    const vms = names.map((name, index) =>
+        new Vm(name, ports.slice(index * 4, index * 4 + 4), folder, { ...settings, storePort: storePorts[index] }, record));
     return {
         vms,
         folder,
--- a/review/standins/orders.mjs
+++ b/review/standins/orders.mjs
@@ -1,16 +1,14 @@
 import { createServer } from "node:http";
 import { HOST } from "./ports.mjs";
 
-/** Stand-in of the platform's interface for singleton duties: POST /promote, with checked fences. */
+/** Stand-in of the platform's interface for singleton duties: POST /promote. */
 export class Orders {
-    /** While set, each call is answered with this HTTP status and nothing is done. */
-    outageStatus;
     calls = [];
     #newestFence = new Map();
     #server = createServer((request, response) => void this.#handle(request, response));
 
-    constructor(groups, record) {
-        Object.assign(this, { groups, record });
+    constructor(groups, areFencesChecked, record) {
+        Object.assign(this, { groups, areFencesChecked, record });
     }
 
     async start() {
@@ -34,19 +32,20 @@
         const { service, id } = JSON.parse(Buffer.concat(chunks).toString("utf8"));
         const holder = request.headers["pomeloturn-lease-holder"];
         const fence = Number(request.headers["pomeloturn-fencing-token"]);
-        const status = this.outageStatus ?? this.#order(service, id, fence);
+        const status = this.#order(service, id, fence);
         this.calls.push({ service, id, holder, fence, status });
-        this.record.add(`orders: ${holder} orders the promotion of ${id} with fence ${fence}; answered with ${status}`);
+        this.record.say(`orders: ${holder} orders the promotion of ${id} with fence ${fence}; answered with ${status}`);
         response.writeHead(status, { "Content-Type": "application/json" });
         response.end("{}");
     }
 
     #order(service, id, fence) {
         const group = this.groups.find(each => each.service === service);
-        if (group === undefined || fence < (this.#newestFence.get(service) ?? 0) || group.find(id)?.isDown !== false) {
+        const newestFence = this.#newestFence.get(service) ?? 0;
+        if (group === undefined || (this.areFencesChecked && fence < newestFence) || group.find(id)?.isDown !== false) {
             return 409;
         }
-        this.#newestFence.set(service, fence);
+        this.#newestFence.set(service, Math.max(fence, newestFence));
         void group.promote(id);
         return 200;
     }
