Let transactions run in the case of the busy sessions

What breaks: LOST, as before; two of the six sessions now run transactions of 12 statements with pauses.

--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -11,10 +11,18 @@
 const WORK_MS = 100;
 /** Calm before the SIGTERM: the start of the processes is longer ago than `contact_ms`. */
 const CALM_MS = BOUNDS.contactMs + 1_000;
-/** Each second session writes. */
+/** Pause between the statements of a transaction. */
+const PAUSE_MS = 30;
+const WRITE_COUNT = 10;
+/** What the sessions do, by turns. Each operation follows the one before without a pause. */
 const KINDS = [
-    { database: DATABASES.bounded, timeoutMs: 1_500, text: () => "READ 1a4" },
-    { database: DATABASES.primary, timeoutMs: 800, text: id => `WRITE 1a4 ${id}` },
+    { database: DATABASES.bounded, timeoutMs: 1_500, texts: () => ["READ 1a4"] },
+    { database: DATABASES.primary, timeoutMs: 800, texts: name => [`WRITE 1a4 ${name}`] },
+    {
+        database: DATABASES.primary,
+        timeoutMs: 800,
+        texts: name => ["BEGIN", ...Array.from({ length: WRITE_COUNT }, (_each, index) => `WRITE 1a${index} ${name}`), "COMMIT"],
+    },
 ];
 const GRACE_MS = BOUNDS.graceS * 1_000;
 
@@ -33,24 +41,31 @@
     return isAround && isAccepted && !isTimedOut && !isExcused;
 };
 
-/** Sends statements on a session, each as soon as the one before is answered. After a close the session is opened at the other VM. */
-const runSession = async (name, { database, timeoutMs, text }, vms, arrivals, broken, isOver) => {
+/** Runs operations on a session, each as soon as the one before is answered. After a close the session is opened at the other VM. */
+const runSession = async (name, { database, timeoutMs, texts }, vms, arrivals, broken, isOver) => {
     let caller;
-    let vm = vms[0];
+    let vm;
     for (let number = 0; !isOver(); number++) {
         if (caller === undefined || caller.isBroken) {
-            vm = caller === undefined ? vms[0] : vms[1];
+            vm = vm === undefined ? vms[0] : vms[1];
             caller = await Caller.open(vm.callerPort, database);
             record.add(`${name}: opened at ${vm.name}`);
-            continue;
         }
-        const id = `${name}-${number}`;
-        const sentAtMs = performance.now();
-        record.add(`${id} ${text(id)} sent to ${vm.name}`);
-        const { isBroken, proof, error } = await caller.run(id, text(id));
-        record.add(`${id} ${isBroken ? "broken off without an answer" : `answered: ${error ?? proof}`}`);
-        if (isBroken) {
-            broken.push({ id, vm: vm.name, sentAtMs, brokenAtMs: performance.now(), arrivedAtMs: arrivals.get(id), timeoutMs });
+        for (const [index, text] of texts(name).entries()) {
+            if (index > 0) {
+                await sleep(PAUSE_MS);
+            }
+            if (caller === undefined || caller.isBroken) {
+                break;
+            }
+            const id = `${name}-${number}-${index}`;
+            const sentAtMs = performance.now();
+            record.add(`${id} ${text} sent to ${vm.name}`);
+            const { isBroken, proof, error } = await caller.run(id, text);
+            record.add(`${id} ${isBroken ? "broken off without an answer" : `answered: ${error ?? proof}`}`);
+            if (isBroken) {
+                broken.push({ id, text, vm: vm.name, sentAtMs, brokenAtMs: performance.now(), arrivedAtMs: arrivals.get(id), timeoutMs });
+            }
         }
     }
     caller?.close();
@@ -89,9 +104,9 @@
         hasEnded = true;
         await Promise.all(sessions);
         const lost = broken.filter(each => isLost(each, terminatedAtMs));
-        lost.forEach(({ id, vm, sentAtMs, brokenAtMs, arrivedAtMs }) => {
+        lost.forEach(({ id, text, vm, sentAtMs, brokenAtMs, arrivedAtMs }) => {
             const [sent, arrived, cut] = [sentAtMs, arrivedAtMs, brokenAtMs].map(atMs => Math.round(atMs - terminatedAtMs));
-            record.say(`${id} at ${vm}: sent ${sent} ms after the SIGTERM, at the instance at ${arrived} ms, cut at ${cut} ms`);
+            record.say(`${id} ${text} at ${vm}: sent ${sent} ms after the SIGTERM, at the instance at ${arrived} ms, cut at ${cut} ms`);
         });
         record.say(`${arrivals.size} requests reached an instance, ${broken.length} were broken off, ${lost.length} of them lost`);
         return lost.length > 0;
