--- a/packages/process/follow-table/src/followTable.test.ts
+++ b/packages/process/follow-table/src/followTable.test.ts
@@ -36,6 +36,9 @@
         onSnapshot: rows => seen.push(`all ${rows.map(({ key }) => key).join(" ")}`),
         onChanges: rows => seen.push(`changed ${rows.map(({ key }) => key).join(" ")}`),
         onReachabilityChange: isReachable => seen.push(isReachable ? "up" : "down"),
+        onUnexpectedError: error => {
+            throw error;
+        },
     });
     return seen;
 };
@@ -73,3 +76,36 @@
         ]);
     });
 });
+
+it("goes on from the same point when an error is thrown while rows are applied", async () => {
+    const stopping = new AbortController();
+    const points: number[] = [];
+    const errors: string[] = [];
+    const answers: RowsAnswer[] = [{ rows: [row("b", 2)], era: 1, version: 2 }, { rows: [row("c", 3)], era: 1, version: 3 }];
+    const reader = {
+        readTable: () => Promise.resolve({ rows: [row("a", 1)], era: 1, version: 1 }),
+        readChanges: (_table: string, after: StorePoint) => {
+            points.push(after.version);
+            const answer = answers.shift();
+            if (answer === undefined) {
+                stopping.abort();
+            }
+            return Promise.resolve(answer ?? { rows: [], era: 1, version: after.version });
+        },
+    };
+    const failToApply = (): void => {
+        throw new Error("a row cannot be applied");
+    };
+    await followTable(reader, {
+        table: "t",
+        waitMs: 5_000,
+        batchDelayMs: 0,
+        signal: stopping.signal,
+        onSnapshot: failToApply,
+        onChanges: failToApply,
+        onReachabilityChange: isReachable => errors.push(`reachable: ${isReachable}`),
+        onUnexpectedError: error => errors.push(error.message),
+    });
+    expect(points).toEqual([1, 2, 3]);
+    expect(errors).toEqual(Array.from({ length: 3 }, () => "a row cannot be applied"));
+});
--- a/packages/process/follow-table/src/followTable.ts
+++ b/packages/process/follow-table/src/followTable.ts
@@ -20,6 +20,8 @@
     readonly onChanges: (rows: readonly StoreRow[], point: StorePoint) => void;
     /** Called with false and the error message when the store cannot be read, and with true when it can be read again. */
     readonly onReachabilityChange: (isReachable: boolean, reason: string) => void;
+    /** Called with each error that `onSnapshot` or `onChanges` has thrown. The table is followed further from the same point. */
+    readonly onUnexpectedError: (error: Error) => void;
 }
 
 /** Wait of the first call for changes after a failure: short, so that the return of the store is detected soon. */
@@ -29,6 +31,16 @@
 
 const backoffMs = (failureCount: number): number => Math.min(MAXIMUM_BACKOFF_MS, INITIAL_BACKOFF_MS * 2 ** (failureCount - 1));
 
+/** Hands rows over. An error is not one of the store, and must neither end the following nor have the changes read again. */
+const applyRows = (options: FollowOptions, apply: () => void): void => {
+    try {
+        apply();
+    }
+    catch (error) {
+        options.onUnexpectedError(error as Error);
+    }
+};
+
 /** Reads a table and then its changes until the signal is aborted. Retries with backoff while the store cannot be read. */
 export const followTable = async (reader: TableReader, options: FollowOptions): Promise<void> => {
     const { table, waitMs, batchDelayMs, signal } = options;
@@ -47,12 +59,8 @@
             const isFull = point === undefined;
             point = answer === undefined ? undefined : { era: answer.era, version: answer.version };
             if (answer !== undefined && point !== undefined && (isFull || answer.rows.length > 0)) {
-                if (isFull) {
-                    options.onSnapshot(answer.rows, point, last);
-                }
-                else {
-                    options.onChanges(answer.rows, point);
-                }
+                const read: StorePoint = point;
+                applyRows(options, () => isFull ? options.onSnapshot(answer.rows, read, last) : options.onChanges(answer.rows, read));
                 await delay(batchDelayMs, undefined, { ref: false });
             }
             last = point ?? last;
--- a/packages/process/replacement-runner/src/ReplacementActor.test.ts
+++ b/packages/process/replacement-runner/src/ReplacementActor.test.ts
@@ -62,6 +62,7 @@
         protocol: { decodeState: () => state } as unknown as InstanceProtocol,
         nowMs: () => performance.now(),
         openConnection: () => ({ startupReply: Promise.resolve(REFUSED), close: () => {} }) as unknown as CommandChannel,
+        isMisrouted: () => false,
         vmIndex: () => 0,
         log: () => {},
     });
--- a/packages/process/replacement-runner/src/ReplacementActor.ts
+++ b/packages/process/replacement-runner/src/ReplacementActor.ts
@@ -20,6 +20,8 @@
     readonly nowMs: () => number;
     /** Opens a connection to an instance outside its pool. */
     readonly openConnection: (instance: InstanceRuntime) => CommandChannel;
+    /** Whether another instance answers at the address of an entry, so that its claim to be the primary does not count. */
+    readonly isMisrouted: (instanceId: string) => boolean;
     /** Index of this VM in the order in which VMs act on the service. */
     readonly vmIndex: () => number;
     /** Writes a log line. */
@@ -35,9 +37,10 @@
     private readonly handlers: ActionHandlers;
 
     private constructor(private readonly options: ReplacementOptions) {
-        const { system, vm, service } = options;
+        const { system, vm } = options;
         this.state = createReplacement(vm, options.nowMs());
-        this.reference = spawnStateless(system, (event: ReplacementEvent) => this.step(event), `replacement-${service.name}`);
+        // Without a name: the library refuses names with characters that the name of a service may have.
+        this.reference = spawnStateless(system, (event: ReplacementEvent) => this.step(event));
         this.handlers = this.createHandlers();
     }
 
@@ -117,10 +120,10 @@
     }
 
     private async isListingCurrent(): Promise<boolean> {
-        const { authorities, service, log } = this.options;
+        const { authorities, service, isMisrouted, log } = this.options;
         try {
             const primaries = await authorities.listPrimaries(service.name);
-            return primaries.every(id => service.knownLeader.claims.has(id));
+            return primaries.every(id => service.knownLeader.claims.has(id) || isMisrouted(id));
         }
         catch (error) {
             log("the listing of the instances cannot be read after a claim", {
--- a/packages/process/replacement-runner/src/inspectInstance.ts
+++ b/packages/process/replacement-runner/src/inspectInstance.ts
@@ -10,8 +10,8 @@
 /** Surveys use connections with the most urgent rank. */
 const SURVEY_RANK = 0;
 
-/** Whether a reply comes from the instance, with any result. */
-const isFromInstance = ({ code }: InstanceReply): boolean => code !== ResultCode.BackendLost;
+/** Whether a reply comes from the instance, with any result, and not from another one that has its address now. */
+const isFromInstance = ({ code }: InstanceReply): boolean => code !== ResultCode.BackendLost && code !== ResultCode.WrongInstance;
 
 /** Sends a command over a pooled connection and closes it on a timeout. @returns undefined on a timeout or without a free connection */
 const sendCommand = async ({ pool }: InstanceRuntime, command: InstanceCommand): Promise<InstanceReply | undefined> => {
--- a/packages/process/service-directory/src/InstanceRuntime.ts
+++ b/packages/process/service-directory/src/InstanceRuntime.ts
@@ -18,6 +18,8 @@
     /** Monotonic time until which reads that need a newer position than `position` avoid this instance. */
     behindUntilMs = 0;
     readonly pace: AttemptPace = createAttemptPace();
+    /** Monotonic time from which it may be checked again whether the instance is at its address. */
+    nextCheckAtMs = -Infinity;
     private behindBackoffMs = INITIAL_BEHIND_BACKOFF_MS;
 
     private constructor(public entry: InstanceEntry, readonly pool: InstancePool) {}
--- a/programs/controller/src/MembershipActor.ts
+++ b/programs/controller/src/MembershipActor.ts
@@ -36,7 +36,8 @@
 
     private constructor(private readonly options: MembershipActorOptions) {
         this.state = createMembership(options.self, options.nowMs());
-        this.actor = spawnStateless(options.system, (event: MembershipEvent) => this.step(event), `membership-${options.self.vm}`);
+        // Without a name: the library refuses names with characters that the name of a VM may have.
+        this.actor = spawnStateless(options.system, (event: MembershipEvent) => this.step(event));
         this.handlers = this.createHandlers();
     }
 
--- a/programs/entry/src/DirectoryFeeds.test.ts
+++ b/programs/entry/src/DirectoryFeeds.test.ts
@@ -1,8 +1,9 @@
+import type { InstancePool } from "@pomeloturn/instance-pool/InstancePool";
 import { Counters } from "@pomeloturn/logger/Counters";
 import { createLogger } from "@pomeloturn/logger/createLogger";
 import { ServiceDirectory } from "@pomeloturn/service-directory/ServiceDirectory";
 import type { RowsAnswer, StoreRow, TableReader } from "@pomeloturn/types/StoreRow";
-import { afterEach, beforeEach, expect, it, vi } from "vitest";
+import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
 import { DirectoryFeeds } from "./DirectoryFeeds.ts";
 
 const encode = (value: object): string => Buffer.from(JSON.stringify(value)).toString("base64");
@@ -39,6 +40,9 @@
         configurationWaitMs: 4_000,
         reportIntervalMs: 1_000,
         nowMs: () => 0,
+        onUnexpectedError: error => {
+            throw error;
+        },
         onConfigurationFeedFailed: () => {},
         onMembersChanged: () => {},
         onEraRead: () => {},
@@ -91,6 +95,9 @@
         configurationWaitMs: 4_000,
         reportIntervalMs: 1_000,
         nowMs: () => 0,
+        onUnexpectedError: error => {
+            throw error;
+        },
         onConfigurationFeedFailed: () => {},
         onMembersChanged: listing =>
             members.push(...[...listing.members.values()].map(({ vm, failureDomain }) => `${vm} ${failureDomain}`)),
@@ -100,3 +107,95 @@
     await vi.waitFor(() => expect(members).toEqual(["broken ", "vm-2 north-a"]));
     expect(authorities).toEqual(["log vm-2"]);
 });
+
+describe("an odd entry among those of the instances", () => {
+    const REPORT_INTERVAL_MS = 1_000;
+    const INSTANCE = {
+        service: "ledger",
+        address: "10.0.0.1:80",
+        zone: "north-a",
+        version: "v1",
+        slots: 2,
+        state: "ready",
+        cold_remaining_ms: 0,
+        db_role: "replica",
+        seq: 1,
+    };
+
+    const createUnusedPool = (): InstancePool =>
+        ({ setLimit: () => {}, warmUp: () => {}, close: () => {}, retire: () => {}, tick: () => {} }) as unknown as InstancePool;
+
+    const instanceRow = (key: string, version: number, value: unknown): StoreRow => ({
+        key,
+        value: Buffer.from(typeof value === "string" ? value : JSON.stringify(value)).toString("base64"),
+        version,
+        isDeleted: false,
+    });
+
+    const listIds = (directory: ServiceDirectory): string[] => [...directory.services.get("ledger")?.instances.keys() ?? []].sort();
+
+    /** Follows a store that lists the instance "a" at first, and then answers with these changes. */
+    const followInstances = (
+        changes: readonly StoreRow[],
+    ): { readonly directory: ServiceDirectory; readonly feeds: DirectoryFeeds; readonly clock: { nowMs: number; }; } => {
+        const directory = ServiceDirectory.create(createUnusedPool);
+        const clock = { nowMs: 0 };
+        const configuration = { version: 1, routes: [], services: [{ name: "ledger", max_conns: 4 }], limits: {} };
+        const tables: Readonly<Record<string, readonly StoreRow[]>> = {
+            op: [{ key: "config", value: encode(configuration), version: 1, isDeleted: false }],
+            servers: [instanceRow("a", 2, INSTANCE)],
+        };
+        const answers: (RowsAnswer | undefined)[] = [{ rows: changes, era: 1, version: 30 }];
+        const feeds = DirectoryFeeds.create({
+            reader: {
+                readTable: table => Promise.resolve({ rows: tables[table] ?? [], era: 1, version: 4 }),
+                readChanges: table => table === "servers" && answers.length > 0 ? Promise.resolve(answers.pop()) : new Promise(() => {}),
+            },
+            store: createReader([]),
+            directory,
+            logger: createLogger("test", "vm-1"),
+            counters: Counters.create(),
+            signal: abortController.signal,
+            configurationWaitMs: 4_000,
+            reportIntervalMs: REPORT_INTERVAL_MS,
+            nowMs: () => clock.nowMs,
+            onUnexpectedError: error => {
+                throw error;
+            },
+            onConfigurationFeedFailed: () => {},
+            onMembersChanged: () => {},
+            onEraRead: () => {},
+            onAuthorityChanged: () => {},
+        });
+        feeds.start();
+        return { directory, feeds, clock };
+    };
+
+    it.each<[string, unknown]>([
+        ["is very deeply nested", "[".repeat(100_000) + "]".repeat(100_000)],
+        ["has a field that is very deeply nested", `{"service":${"{\"a\":".repeat(20_000)}1${"}".repeat(20_000)}}`],
+        ["has a number that is too large", JSON.stringify(INSTANCE).replace("\"seq\":1", "\"seq\":1e999")],
+        ["has a port out of range", { ...INSTANCE, address: "10.0.0.1:70000" }],
+        ["is of a service that no configuration names", { ...INSTANCE, service: "audit" }],
+        ["is of a service named __proto__", { ...INSTANCE, service: "__proto__" }],
+        ["is of a service whose name is not a word", { ...INSTANCE, service: "audit/nightly \r\n" }],
+        ["is null", "null"],
+        ["is not JSON", "\u0000\u0001"],
+        ["is empty", ""],
+    ])("does not stop the others from being followed when it %s", async (_what, odd) => {
+        const { directory } = followInstances([instanceRow("odd", 20, odd), instanceRow("b", 21, { ...INSTANCE, address: "10.0.0.2:80" })]);
+        await vi.waitFor(() => expect(listIds(directory)).toEqual(["a", "b"]));
+        expect([...directory.services.keys()]).toEqual(["ledger"]);
+    });
+
+    it("does not take an instance out of use at once when it overwrites that instance's row", async () => {
+        const { directory, feeds, clock } = followInstances([instanceRow("a", 20, "{}"), instanceRow("b", 21, INSTANCE)]);
+        await vi.waitFor(() => expect(listIds(directory)).toEqual(["a", "b"]));
+        clock.nowMs = 2 * REPORT_INTERVAL_MS;
+        feeds.tick(clock.nowMs);
+        expect(listIds(directory)).toEqual(["a", "b"]);
+        clock.nowMs = 5 * REPORT_INTERVAL_MS;
+        feeds.tick(clock.nowMs);
+        expect(listIds(directory)).toEqual(["b"]);
+    });
+});
--- a/programs/entry/src/DirectoryFeeds.ts
+++ b/programs/entry/src/DirectoryFeeds.ts
@@ -21,6 +21,12 @@
 /** Delay before the listing of a restored store is read again when it could not be read, or when more instances are due. */
 const SETTLING_RETRY_DELAY_MS = 1_000;
 
+/** Reports that an instance may miss before it counts as gone. */
+const MISSED_REPORT_LIMIT = 3;
+const REPORT_DELAY_MS = 1_000;
+
+const LOGGED_KEY_LENGTH = 60;
+
 /** Time in which VMs that start at the same moment register, so that each finds most of the others. */
 const REGISTRATION_DELAY_MS = 700;
 /** Time after which the other tables are followed although the VMs' own table could not be read. */
@@ -34,6 +40,8 @@
     readonly signal: AbortSignal;
     /** Time between two reports of an instance. */
     readonly reportIntervalMs: number;
+    /** Called with errors that were thrown while rows were applied. */
+    readonly onUnexpectedError: (error: Error) => void;
     /** Called when the feed of the configuration fails. Aborts the calls that are in progress, because their connections may be dead too. */
     readonly onConfigurationFeedFailed: () => void;
 }
@@ -43,6 +51,8 @@
     /** Era of the last full read of the instances. */
     private listingEra = 0;
     private nextSettlingAtMs = -Infinity;
+    /** Instances in use whose row another writer has overwritten, and the monotonic time until which they have to write it again. */
+    private readonly overwrittenUntilMs = new Map<string, number>();
     private readonly coordination: CoordinationTable;
 
     private constructor(private readonly options: DirectoryFeedsOptions) {
@@ -77,6 +87,7 @@
     /** Reads tables of a restored store again when the time is over in which instances have reported, and VMs registered, to it. */
     tick(nowMs: number): void {
         this.coordination.tick(nowMs);
+        this.removeOverwritten(nowMs);
         if (nowMs >= this.nextSettlingAtMs && this.options.directory.isSettlingDue(nowMs)) {
             this.nextSettlingAtMs = nowMs + SETTLING_RETRY_DELAY_MS;
             void this.settleInstances(nowMs);
@@ -133,7 +144,7 @@
         onSnapshot: (rows: readonly StoreRow[], point: StorePoint, last: StorePoint | undefined) => void,
         onChanges: (rows: readonly StoreRow[], point: StorePoint) => void,
     ): void {
-        const { reader, logger, counters, signal, onConfigurationFeedFailed } = this.options;
+        const { reader, logger, counters, signal, onConfigurationFeedFailed, onUnexpectedError } = this.options;
         const onReachabilityChange = (isReachable: boolean, reason: string): void => {
             counters.add(isReachable ? "store_regained" : "store_lost");
             if (!isReachable && table === OPERATOR_TABLE) {
@@ -148,7 +159,16 @@
             this.reportFullRead(table, rows.length, point, last);
             onSnapshot(rows, point, last);
         };
-        void followTable(reader, { table, waitMs, batchDelayMs, signal, onSnapshot: onRead, onChanges, onReachabilityChange });
+        void followTable(reader, {
+            table,
+            waitMs,
+            batchDelayMs,
+            signal,
+            onSnapshot: onRead,
+            onChanges,
+            onReachabilityChange,
+            onUnexpectedError,
+        });
     }
 
     /** @param last point up to which the table was known; undefined at the start of the process */
@@ -193,15 +213,35 @@
         }
     }
 
+    /** @returns the last entry of a known instance while its row is not valid and it may still write the row again */
     private decodeEntry(row: StoreRow, { era }: StorePoint): InstanceEntry | undefined {
         const entry = row.isDeleted ? undefined : decodeInstance(row, era);
-        if (entry === undefined && !row.isDeleted) {
-            this.options.logger.warn("the entry of an instance is not valid; the instance is not used", {
-                id: row.key,
-                version: row.version,
-            });
+        if (entry !== undefined || row.isDeleted) {
+            this.overwrittenUntilMs.delete(row.key);
+            return entry;
+        }
+        const { directory, logger, reportIntervalMs, nowMs } = this.options;
+        const known = directory.findEntry(row.key);
+        if (known !== undefined && !this.overwrittenUntilMs.has(row.key)) {
+            this.overwrittenUntilMs.set(row.key, nowMs() + MISSED_REPORT_LIMIT * reportIntervalMs + REPORT_DELAY_MS);
+        }
+        logger.warn("the entry of an instance is not valid and is not used", {
+            id: row.key.slice(0, LOGGED_KEY_LENGTH),
+            version: row.version,
+            isKnown: known !== undefined,
+        });
+        return known;
+    }
+
+    /** Removes instances that have not written their row again after another writer has overwritten it. */
+    private removeOverwritten(nowMs: number): void {
+        for (const [id, untilMs] of this.overwrittenUntilMs) {
+            if (nowMs >= untilMs) {
+                this.overwrittenUntilMs.delete(id);
+                this.options.directory.removeInstance(id);
+                this.options.logger.info("an instance was removed because it has not written its overwritten entry again", { id });
+            }
         }
-        return entry;
     }
 
     private replaceInstances(rows: readonly StoreRow[], point: StorePoint, last: StorePoint | undefined): void {
@@ -225,9 +265,12 @@
         const { directory, logger } = this.options;
         for (const row of rows) {
             const entry = this.decodeEntry(row, point);
+            if (entry === undefined && !row.isDeleted) {
+                continue;
+            }
             if (entry === undefined) {
                 directory.removeInstance(row.key);
-                logger.info("an instance was removed because it is no longer listed or its entry is not valid", { id: row.key });
+                logger.info("an instance was removed because it is no longer listed", { id: row.key.slice(0, LOGGED_KEY_LENGTH) });
             }
             else {
                 directory.applyEntry(entry);
--- a/programs/entry/src/Entry.ts
+++ b/programs/entry/src/Entry.ts
@@ -14,6 +14,7 @@
 import { OPERATOR_TABLE } from "@pomeloturn/platform/tables";
 import { clearSamples } from "@pomeloturn/position-samples/PositionSamples";
 import { Distance } from "@pomeloturn/rank-candidates/rankCandidates";
+import { probeInstance } from "@pomeloturn/replacement-runner/inspectInstance";
 import { ServiceDirectory } from "@pomeloturn/service-directory/ServiceDirectory";
 import type { RunnerPorts } from "@pomeloturn/statement-runner/RunnerPorts";
 import { RelayedTableReader } from "@pomeloturn/table-relay/RelayedTableReader";
@@ -84,7 +85,9 @@
             protocol: lineInstanceProtocol,
             nowMs: this.ports.nowMs,
             openConnection: ({ entry }) => this.connect(entry, () => {}),
+            isMisrouted: id => this.directory.isMisrouted(id),
             log: (text, details) => logger.info(text, details),
+            onUnexpectedError: this.ports.onUnexpectedError,
         });
     }
 
@@ -105,6 +108,7 @@
             configurationWaitMs: settings.contactMs - RECONNECT_MARGIN_MS,
             reportIntervalMs: settings.reportIntervalMs,
             nowMs: this.ports.nowMs,
+            onUnexpectedError: this.ports.onUnexpectedError,
             onConfigurationFeedFailed: () => this.store.reconnect(),
             onMembersChanged: (listing, point) => {
                 const { members } = listing;
@@ -207,6 +211,7 @@
         this.countDroppedLines();
         this.feeds?.tick(this.ports.nowMs());
         this.directory.tick();
+        this.directory.takeDueChecks(this.ports.nowMs()).forEach(entry => void probeInstance(this.connect(entry, () => {})));
         return this.replacements.tick(this.directory.services.values()) ? ACTIVE_TICK_MS : TICK_MS;
     }
 
@@ -222,7 +227,17 @@
     private connect(entry: InstanceEntry, onClosed: (reason: string, isRemote: boolean) => void): InstanceConnection {
         const { host, port, service, id: instanceId } = entry;
         const target = { host, port, service, instanceId, caller: this.settings.vm };
-        return InstanceConnection.create(target, lineInstanceProtocol, onClosed);
+        const connection = InstanceConnection.create(target, lineInstanceProtocol, onClosed);
+        void connection.startupReply.then(({ code }) => this.recordStartup(entry, code));
+        return connection;
+    }
+
+    private recordStartup(entry: InstanceEntry, code: number): void {
+        if (this.directory.recordStartup(entry, code, this.ports.nowMs())) {
+            const { id, service, host, port } = entry;
+            this.metrics.counters.add("entries_misrouted");
+            this.logger.warn("another instance answers at the address of an entry; the entry is not used", { id, service, host, port });
+        }
     }
 
     private createPool(entry: InstanceEntry): InstancePool {
--- a/programs/entry/src/ReplacementActors.ts
+++ b/programs/entry/src/ReplacementActors.ts
@@ -5,7 +5,10 @@
 import type { Authority } from "@pomeloturn/types/Protocols";
 
 /** Options that are the same for the replacement actors of all services. */
-export type SharedReplacementOptions = Omit<ReplacementOptions, "service" | "vmIndex">;
+export type SharedReplacementOptions = Omit<ReplacementOptions, "service" | "vmIndex"> & {
+    /** Called with an error that the actor of one service has thrown. */
+    readonly onUnexpectedError: (error: Error) => void;
+};
 
 /** Creates and drives the replacement actor of each service. */
 export class ReplacementActors {
@@ -48,9 +51,15 @@
     tick(services: Iterable<ServiceRuntime>): boolean {
         let isActive = false;
         for (const service of services) {
-            const actor = this.findOrCreate(service);
-            actor.tick();
-            isActive ||= actor.isActive;
+            try {
+                const actor = this.findOrCreate(service);
+                actor.tick();
+                isActive ||= actor.isActive;
+            }
+            catch (error) {
+                // The other services are still watched.
+                this.options.onUnexpectedError(error as Error);
+            }
         }
         return isActive;
     }
--- a/tests/claimsAfterRestore.test.ts
+++ b/tests/claimsAfterRestore.test.ts
@@ -42,7 +42,8 @@
 });
 
 it("lists a primary of another service, one that has stepped down, or an entry that is not valid", async () => {
-    const instance = { service: SERVICE, address: "127.0.0.1:9", zone: "north-a", state: "ready", slots: 2, born: 1_000 };
+    const report = { version: "v1", state: "ready", cold_remaining_ms: 0, slots: 2, born: 1_000, seq: 1 };
+    const instance = { ...report, service: SERVICE, address: "127.0.0.1:9", zone: "north-a" };
     store.write("servers", "a", { ...instance, db_role: "primary" });
     store.write("servers", "a", { ...instance, db_role: "replica" });
     store.write("servers", "b", { ...instance, db_role: "primary" });
--- a/tests/restores/support/FleetVm.ts
+++ b/tests/restores/support/FleetVm.ts
@@ -70,6 +70,9 @@
             configurationWaitMs: CONFIGURATION_WAIT_MS,
             reportIntervalMs,
             nowMs,
+            onUnexpectedError: error => {
+                throw error;
+            },
             onConfigurationFeedFailed: () => this.store.reconnect(),
             onMembersChanged: (listing, point) => {
                 this.members = [...listing.members.keys()].sort();
--- a/tests/restores/support/RestoredFleet.ts
+++ b/tests/restores/support/RestoredFleet.ts
@@ -8,7 +8,16 @@
 /** Reports that an instance misses before the store drops its row. */
 const MISSED_REPORT_LIMIT = 3;
 const VM_COUNT = 5;
-const INSTANCE = { service: "ledger", zone: "north-a", db_role: "replica", slots: 2, born: 1_000 };
+const INSTANCE = {
+    service: "ledger",
+    zone: "north-a",
+    version: "v1",
+    cold_remaining_ms: 0,
+    db_role: "replica",
+    slots: 2,
+    born: 1_000,
+};
+const SERVICES = [{ name: "ledger", max_conns: 8 }];
 
 /** An instance as it really is, whatever the store says. */
 interface LiveInstance {
@@ -179,7 +188,7 @@
     }
 
     private writeConfiguration(): void {
-        this.store.write("op", "config", { version: this.configurationVersion, routes: [], services: [], limits: {} });
+        this.store.write("op", "config", { version: this.configurationVersion, routes: [], services: SERVICES, limits: {} });
     }
 
     private report(id: string): void {
--- a/tests/support/StoreFollower.ts
+++ b/tests/support/StoreFollower.ts
@@ -29,6 +29,9 @@
             configurationWaitMs: CONFIGURATION_WAIT_MS,
             reportIntervalMs: REPORT_INTERVAL_MS,
             nowMs: () => performance.now(),
+            onUnexpectedError: error => {
+                throw error;
+            },
             onConfigurationFeedFailed: () => store.reconnect(),
             onMembersChanged: ({ members }) => {
                 this.members = [...members.keys()];
