--- a/packages/process/statement-runner/src/SessionRunner.ts
+++ b/packages/process/statement-runner/src/SessionRunner.ts
@@ -18,6 +18,17 @@
 const NO_INSTANCE_RETRY_AFTER_MS = 500;
 const DEFAULT_TRANSACTION_IDLE_MS = 3_000;
 
+const SHUTDOWN_DETAIL = "the proxy is shutting down";
+
+/** Statements that need no instance in any state of a session. */
+const LOCAL_KINDS: ReadonlySet<StatementKind> = new Set<StatementKind>([
+    StatementKind.Set,
+    StatementKind.Prepare,
+    StatementKind.Close,
+    StatementKind.Rollback,
+    StatementKind.Malformed,
+]);
+
 /** Runs the statements of one session sequentially. */
 export class SessionRunner {
     private readonly state: SessionState;
@@ -45,6 +56,43 @@
         return this.isIdle ? undefined : this.begunAtMs;
     }
 
+    /** Time limit of the session's next statement, in milliseconds; 0 if no route has its database. */
+    get timeoutMs(): number {
+        return (this.transaction?.routeEntry ?? this.ports.directory.findRoute(this.state.database))?.timeoutMs ?? 0;
+    }
+
+    /** Whether the statement is answered without an instance, in the present state of the session. */
+    isAnsweredLocally({ kind }: Statement): boolean {
+        return LOCAL_KINDS.has(kind) || this.state.status === TransactionStatus.Failed;
+    }
+
+    /** Answers a statement that is not run because the process shuts down. An open transaction is rolled back and fails. */
+    refuse(): CallerReply {
+        const { status } = this.state;
+        return this.transaction === undefined
+            ? createErrorReply(ResultCode.Draining, SHUTDOWN_DETAIL, status, 0)
+            : this.failTransaction(createErrorReply(ResultCode.TransactionLost, SHUTDOWN_DETAIL, status, 0));
+    }
+
+    /** Answers the statement that is running although its outcome may not be known, because the process exits. */
+    abandon(): CallerReply {
+        const { operation, transaction } = this;
+        const { status } = this.state;
+        if (operation === undefined || operation.isDone) {
+            return this.refuse();
+        }
+        const kind = operation.statement.kind;
+        const isWrite = kind === StatementKind.Write || operation.prepared?.isWrite === true;
+        if (transaction !== undefined && !(kind === StatementKind.Commit && transaction.mayHaveCommitted)) {
+            return createErrorReply(ResultCode.TransactionLost, SHUTDOWN_DETAIL, TransactionStatus.Failed, 0);
+        }
+        if (transaction === undefined && operation.attempts === 0) {
+            return createErrorReply(ResultCode.Draining, SHUTDOWN_DETAIL, status, 0);
+        }
+        const code = transaction !== undefined || isWrite ? ResultCode.OutcomeUnknown : ResultCode.DeadlineWhileRunning;
+        return createErrorReply(code, SHUTDOWN_DETAIL, TransactionStatus.Idle);
+    }
+
     async run(statement: Statement): Promise<CallerReply> {
         clearTimeout(this.idleTimer);
         const reply = answerLocally(this.state, statement) ?? await this.dispatch(statement);
--- a/packages/shared/types/src/Protocols.ts
+++ b/packages/shared/types/src/Protocols.ts
@@ -12,6 +12,8 @@
      * @throws PomeloturnError when the bytes violate the protocol
      */
     push(chunk: Buffer): Message[];
+    /** Whether bytes of a message that is not complete have been received. */
+    readonly hasPartialMessage: boolean;
 }
 
 /** Wire protocol between callers and the proxy. */
--- a/programs/entry/src/CallerListener.ts
+++ b/programs/entry/src/CallerListener.ts
@@ -1,7 +1,9 @@
+import type { HostPort } from "@pomeloturn/platform/PlatformSettings";
 import type { RunnerPorts } from "@pomeloturn/statement-runner/RunnerPorts";
 import type { CallerProtocol } from "@pomeloturn/types/Protocols";
-import { createServer, type Server } from "node:net";
-import { CallerSession } from "./CallerSession.ts";
+import { once } from "node:events";
+import { type AddressInfo, createServer, type Server } from "node:net";
+import { CallerSession, type StatementGate } from "./CallerSession.ts";
 
 const BACKLOG = 1_024;
 
@@ -10,18 +12,26 @@
     readonly sessions = new Set<CallerSession>();
     private readonly server: Server;
 
-    private constructor(protocol: CallerProtocol, ports: RunnerPorts) {
+    private constructor(protocol: CallerProtocol, ports: RunnerPorts, gate: StatementGate) {
         this.server = createServer({ allowHalfOpen: true }, socket => {
-            this.sessions.add(CallerSession.create(socket, protocol, ports, session => this.sessions.delete(session)));
+            this.sessions.add(CallerSession.create(socket, protocol, ports, gate, session => this.sessions.delete(session)));
         });
     }
 
-    static create(host: string, port: number, protocol: CallerProtocol, ports: RunnerPorts): CallerListener {
-        const listener = new CallerListener(protocol, ports);
+    static create({ host, port }: HostPort, protocol: CallerProtocol, ports: RunnerPorts, gate: StatementGate): CallerListener {
+        const listener = new CallerListener(protocol, ports, gate);
         listener.server.listen({ host, port, backlog: BACKLOG });
         return listener;
     }
 
+    /** Resolves with the port once the listener accepts callers. */
+    async listeningPort(): Promise<number> {
+        if (!this.server.listening) {
+            await once(this.server, "listening");
+        }
+        return (this.server.address() as AddressInfo).port;
+    }
+
     /** Stops accepting callers. Open sessions continue. */
     stopAccepting(): void {
         this.server.close();
--- a/programs/entry/src/CallerSession.ts
+++ b/programs/entry/src/CallerSession.ts
@@ -1,13 +1,23 @@
+import { type DrainedStatement, StatementDecision } from "@pomeloturn/drain/stepEntryDrain";
 import type { PomeloturnError } from "@pomeloturn/errors/PomeloturnError";
 import { ResultCode } from "@pomeloturn/errors/ResultCode";
 import type { RunnerPorts } from "@pomeloturn/statement-runner/RunnerPorts";
 import { SessionRunner } from "@pomeloturn/statement-runner/SessionRunner";
-import type { CallerMessage } from "@pomeloturn/types/CallerMessage";
+import type { CallerMessage, CallerReply } from "@pomeloturn/types/CallerMessage";
 import type { CallerProtocol, Decoder } from "@pomeloturn/types/Protocols";
 import type { Socket } from "node:net";
 
-/** Number of waiting messages above which the session stops reading from its caller. */
+/** Time after the end of a session at which its connection is closed although its caller has not closed it. */
+const LINGER_MS = 5_000;
+
+/** Number and size of waiting messages above which the session stops reading from its caller. */
 const MAXIMUM_WAITING_MESSAGES = 64;
+const MAXIMUM_WAITING_BYTES = 262_144;
+
+/** Decides whether a statement is run while the process shuts down. */
+export interface StatementGate {
+    decide(statement: DrainedStatement): StatementDecision;
+}
 
 type MessageHandler = (message: CallerMessage) => Promise<void> | void;
 
@@ -16,6 +26,8 @@
     Idle: "idle",
     InTransaction: "inTransaction",
     Running: "running",
+    /** Everything has been answered; the caller has not closed the connection yet. */
+    Ended: "ended",
 } as const;
 export type SessionActivity = typeof SessionActivity[keyof typeof SessionActivity];
 
@@ -24,8 +36,21 @@
     private readonly decoder: Decoder<CallerMessage>;
     private readonly waitingMessages: CallerMessage[] = [];
     private runner: SessionRunner | undefined;
+    /** Bytes that were received since the last message was taken from an empty queue. */
+    private waitingBytes = 0;
     private isBusy = false;
+    /** Whether a statement has been begun and not been answered. */
+    private isAnswering = false;
     private isEnded = false;
+    private lingerTimer: NodeJS.Timeout | undefined;
+    /** When the last message was received or answered, in monotonic milliseconds. */
+    private lastUsedAtMs: number;
+    /** Whether the caller has closed its sending side. What it sent before is still answered. */
+    private isInputEnded = false;
+    /** Whether the session ends once no message waits. */
+    private isEnding = false;
+    /** Number from 0 to 1 by which the sessions differ in the time at which a shutdown refuses their statements. */
+    private readonly drainShare: number;
 
     private readonly handlers: Readonly<Record<CallerMessage["kind"], MessageHandler>> = {
         startup: message => this.start((message as Extract<CallerMessage, { kind: "startup"; }>).database),
@@ -38,40 +63,105 @@
         private readonly socket: Socket,
         private readonly protocol: CallerProtocol,
         private readonly ports: RunnerPorts,
+        private readonly gate: StatementGate,
         private readonly onClosed: (session: CallerSession) => void,
     ) {
         this.decoder = protocol.createDecoder();
+        this.drainShare = ports.random();
+        this.lastUsedAtMs = ports.nowMs();
     }
 
-    static create(socket: Socket, protocol: CallerProtocol, ports: RunnerPorts, onClosed: (session: CallerSession) => void): CallerSession {
-        const session = new CallerSession(socket, protocol, ports, onClosed);
+    static create(
+        socket: Socket,
+        protocol: CallerProtocol,
+        ports: RunnerPorts,
+        gate: StatementGate,
+        onClosed: (session: CallerSession) => void,
+    ): CallerSession {
+        const session = new CallerSession(socket, protocol, ports, gate, onClosed);
         socket.setNoDelay(true);
         socket.on("data", chunk => session.receive(chunk));
         // The close event that follows ends the session.
         socket.on("error", () => socket.destroy());
-        socket.on("end", () => session.end());
+        socket.on("end", () => session.handleInputEnd());
         socket.on("close", () => session.handleClose());
         return session;
     }
 
     get activity(): SessionActivity {
-        if (this.isBusy || this.waitingMessages.length > 0) {
+        if (this.isEnded) {
+            return SessionActivity.Ended;
+        }
+        if (this.isBusy || this.waitingMessages.length > 0 || this.decoder.hasPartialMessage) {
             return SessionActivity.Running;
         }
         return this.runner === undefined || this.runner.isIdle ? SessionActivity.Idle : SessionActivity.InTransaction;
     }
 
+    /** Time since the last message was received or answered, in milliseconds. */
+    get quietMs(): number {
+        return this.ports.nowMs() - this.lastUsedAtMs;
+    }
+
+    /** Size of the replies that the caller has not read yet, as far as this process holds them. */
+    get unsentBytes(): number {
+        return this.socket.writableLength;
+    }
+
     /** When the open transaction began, in monotonic milliseconds; undefined when none is open. */
     get transactionBeganAtMs(): number | undefined {
         return this.runner?.transactionBeganAtMs;
     }
 
-    /** Closes the connection after sending what has been written to it. */
+    /**
+     * Closes the connection after sending what has been written to it. What the caller sends afterwards is read and dropped:
+     * a reset for unread bytes could destroy the last reply.
+     */
     end(): void {
         if (!this.isEnded) {
             this.isEnded = true;
+            this.waitingMessages.length = 0;
             this.socket.end();
+            this.socket.resume();
             this.runner?.close();
+            this.lingerTimer = setTimeout(() => this.socket.destroy(), LINGER_MS).unref();
+        }
+    }
+
+    /** Closes the connection at once. */
+    destroy(): void {
+        this.socket.destroy();
+    }
+
+    /** Ends the session unless bytes of another message have arrived by now. */
+    endIfIdle(): void {
+        setImmediate(() => {
+            if (this.activity === SessionActivity.Idle || this.activity === SessionActivity.InTransaction) {
+                this.end();
+            }
+        });
+    }
+
+    /** Answers what has been received, without running it, and ends the session. */
+    abandon(): void {
+        const { runner } = this;
+        if (this.isEnded) {
+            return;
+        }
+        if (runner !== undefined && this.isAnswering) {
+            this.reply(runner.abandon());
+        }
+        const waiting = this.waitingMessages.splice(0).filter(({ kind }) => kind === "statement");
+        if (runner !== undefined) {
+            waiting.forEach(() => this.reply(runner.refuse()));
+        }
+        this.end();
+    }
+
+    private handleInputEnd(): void {
+        this.isInputEnded = true;
+        if (!this.isBusy) {
+            this.end();
         }
     }
 
@@ -86,7 +176,9 @@
             this.closeWithError((error as PomeloturnError).code ?? ResultCode.MalformedMessage, (error as Error).message);
             return;
         }
-        if (this.waitingMessages.length > MAXIMUM_WAITING_MESSAGES) {
+        this.lastUsedAtMs = this.ports.nowMs();
+        this.waitingBytes += chunk.length;
+        if (this.waitingMessages.length > MAXIMUM_WAITING_MESSAGES || this.waitingBytes > MAXIMUM_WAITING_BYTES) {
             this.socket.pause();
         }
         if (!this.isBusy) {
@@ -104,15 +196,41 @@
                 this.ports.onUnexpectedError(error as Error);
                 this.closeWithError(ResultCode.OutcomeUnknown, "internal error in the proxy");
             }
+            if (this.socket.writableNeedDrain) {
+                await this.waitUntilWritable();
+            }
         }
         this.isBusy = false;
+        this.waitingBytes = 0;
+        this.lastUsedAtMs = this.ports.nowMs();
+        if (this.isInputEnded || this.isEnding) {
+            this.end();
+        }
         this.socket.resume();
     }
 
+    /** Resolves when the caller has read enough of its replies, or the connection is closed. */
+    private waitUntilWritable(): Promise<void> {
+        const { socket } = this;
+        socket.pause();
+        return new Promise(resolve => {
+            const finish = (): void => {
+                socket.off("drain", finish);
+                socket.off("close", finish);
+                resolve();
+            };
+            socket.on("drain", finish);
+            socket.on("close", finish);
+        });
+    }
+
     private start(database: string): void {
         if (this.runner !== undefined) {
             this.closeWithError(ResultCode.MalformedStartup, "the session has already started");
         }
+        else if (this.decide(undefined, 0) !== StatementDecision.Run) {
+            this.closeWithError(ResultCode.Draining, "the proxy is shutting down");
+        }
         else if (this.ports.directory.routes === undefined) {
             this.closeWithError(ResultCode.NoInstance, "the proxy has not received a configuration yet");
         }
@@ -130,7 +248,21 @@
             this.closeWithError(ResultCode.MalformedStartup, "the first statement was sent before the start-up message");
             return;
         }
-        const reply = await this.runner.run(statement);
+        const { runner } = this;
+        const isRefused = !runner.isAnsweredLocally(statement)
+            && (this.isEnding || this.decide(runner.transactionBeganAtMs, runner.timeoutMs) !== StatementDecision.Run);
+        this.isEnding ||= isRefused;
+        this.isAnswering = !isRefused;
+        const reply = isRefused ? runner.refuse() : await runner.run(statement);
+        this.isAnswering = false;
+        this.reply(reply);
+    }
+
+    private decide(transactionBeganAtMs: number | undefined, timeoutMs: number): StatementDecision {
+        return this.gate.decide({ transactionBeganAtMs, timeoutMs, share: this.drainShare });
+    }
+
+    private reply(reply: CallerReply): void {
         if (!this.isEnded) {
             this.socket.write(this.protocol.encodeReply(reply), "latin1");
         }
@@ -145,6 +277,7 @@
 
     private handleClose(): void {
         this.isEnded = true;
+        clearTimeout(this.lingerTimer);
         this.runner?.close();
         this.onClosed(this);
     }
--- a/programs/entry/src/Entry.ts
+++ b/programs/entry/src/Entry.ts
@@ -1,6 +1,7 @@
 import { startLoop } from "@pomeloturn/clock/startLoop";
 import { SuspensionDetector } from "@pomeloturn/clock/SuspensionDetector";
 import { AfterError, createErrorHistory, decideAfterError } from "@pomeloturn/drain/decideAfterError";
+import { StatementDecision } from "@pomeloturn/drain/stepEntryDrain";
 import { InstanceConnection } from "@pomeloturn/instance-connection/InstanceConnection";
 import { InstancePool } from "@pomeloturn/instance-pool/InstancePool";
 import type { ProcessLogger } from "@pomeloturn/logger/createLogger";
@@ -22,6 +23,7 @@
 import type { InstanceEntry } from "@pomeloturn/types/ServiceEntries";
 import { start } from "nact";
 import { CallerListener } from "./CallerListener.ts";
+import type { StatementGate } from "./CallerSession.ts";
 import { DirectoryFeeds } from "./DirectoryFeeds.ts";
 import { EntryDrain } from "./EntryDrain.ts";
 import { EntryMetrics } from "./EntryMetrics.ts";
@@ -30,11 +32,15 @@
 import { ReplacementActors } from "./ReplacementActors.ts";
 import { StatementLog } from "./StatementLog.ts";
 
+const MS_PER_S = 1_000;
+
 const TICK_MS = 200;
 /** Interval of ticks while a primary is suspected, missing or being replaced. */
 const ACTIVE_TICK_MS = 40;
 /** Part of `contactMs` that remains for the calls to the store after a dead connection has been detected. */
 const RECONNECT_MARGIN_MS = 1_000;
+/** Share of `contactMs` that one call of the configuration's feed may wait at least. */
+const MINIMUM_WAIT_SHARE = 0.5;
 
 /**
  * Longest waits of calls to the store while this VM relays its tables. Changes of the configuration have to be in force
@@ -58,6 +64,7 @@
     private feeds: DirectoryFeeds | undefined;
     private listener: CallerListener | undefined;
     private isDraining = false;
+    private entryDrain: EntryDrain | undefined;
 
     private constructor(private settings: PlatformSettings, private readonly logger: ProcessLogger) {
         this.store = StoreClient.create(settings.storeAddress);
@@ -105,7 +112,7 @@
             logger,
             counters: this.metrics.counters,
             signal: this.abortController.signal,
-            configurationWaitMs: settings.contactMs - RECONNECT_MARGIN_MS,
+            configurationWaitMs: Math.max(settings.contactMs * MINIMUM_WAIT_SHARE, settings.contactMs - RECONNECT_MARGIN_MS),
             reportIntervalMs: settings.reportIntervalMs,
             nowMs: this.ports.nowMs,
             onUnexpectedError: this.ports.onUnexpectedError,
@@ -127,8 +134,8 @@
             this.feeds.start();
         }
         this.registration.start();
-        const { host, port } = splitAddress(settings.callerAddress);
-        this.listener = CallerListener.create(host, port, lineCallerProtocol, this.ports);
+        const gate: StatementGate = { decide: statement => this.entryDrain?.decide(statement) ?? StatementDecision.Run };
+        this.listener = CallerListener.create(splitAddress(settings.callerAddress), lineCallerProtocol, this.ports, gate);
         ReadinessServer.create(settings.readinessAddress, () => !this.isDraining && directory.isServing);
         RelayServer.create(splitAddress(settings.relayAddress), this.createRelaySource(), this.ports.nowMs, logger);
         MetricsServer.create(splitAddress(settings.metricsAddress), this.metrics);
@@ -150,7 +157,8 @@
             return;
         }
         this.isDraining = true;
-        this.logger.info(`the proxy is shutting down within ${this.settings.shutdownGraceMs} ms`, {
+        const graceMs = this.settings.shutdownGraceS * MS_PER_S;
+        this.logger.info(`the proxy is shutting down within ${graceMs} ms`, {
             sessions: this.listener?.sessions.size,
         });
         const finish = (): void => {
@@ -160,7 +168,7 @@
         };
         const sessions = this.listener?.sessions ?? new Set();
         const stopAccepting = (): void => this.listener?.stopAccepting();
-        EntryDrain.create({ sessions, stopAccepting, nowMs: this.ports.nowMs, onDone: finish }, this.settings.shutdownGraceMs);
+        this.entryDrain = EntryDrain.create({ sessions, stopAccepting, nowMs: this.ports.nowMs, onDone: finish }, graceMs);
         this.registration.shutDown();
     }
 
