--- /dev/null
+++ b/packages/process/replacement-runner/src/CommitHolders.ts
@@ -0,0 +1,54 @@
+import type { ServiceRuntime } from "@pomeloturn/service-directory/ServiceRuntime";
+
+/** Time after the removal of an instance's entry in which it may be listed again, as after an outage of the store. */
+const RETURN_WINDOW_MS = 3_000;
+/** Time for an instance to answer at its address after it was listed. One that does not may be the invention of another writer. */
+const FIRST_ANSWER_WINDOW_MS = 10_000;
+
+interface Holder {
+    readonly firstListedAtMs: number;
+    lastListedAtMs: number;
+    hasAnswered: boolean;
+}
+
+/** Instances of a service that may hold acknowledged commits although they do not answer now. Times are monotonic milliseconds. */
+export class CommitHolders {
+    private readonly holders = new Map<string, Holder>();
+
+    private constructor() {}
+
+    static create(): CommitHolders {
+        return new CommitHolders();
+    }
+
+    /** Records which instances are listed. Must be called regularly. */
+    update({ instances, knownLeader: { answeredIds } }: ServiceRuntime, nowMs: number): void {
+        for (const id of instances.keys()) {
+            const holder = this.holders.get(id) ?? { firstListedAtMs: nowMs, lastListedAtMs: nowMs, hasAnswered: false };
+            holder.lastListedAtMs = nowMs;
+            holder.hasAnswered ||= answeredIds.has(id);
+            this.holders.set(id, holder);
+        }
+        for (const [id, { lastListedAtMs }] of this.holders) {
+            if (nowMs - lastListedAtMs > RETURN_WINDOW_MS) {
+                this.holders.delete(id);
+            }
+        }
+    }
+
+    /** Whether a listed instance that does not answer may hold commits. */
+    mayHoldCommits(id: string, { knownLeader: { answeredIds } }: ServiceRuntime, nowMs: number): boolean {
+        const holder = this.holders.get(id);
+        return holder === undefined || holder.hasAnswered || answeredIds.has(id)
+            || nowMs - holder.firstListedAtMs <= FIRST_ANSWER_WINDOW_MS;
+    }
+
+    /** Returns the ids of the instances that have answered and are no longer listed, but may be listed again. */
+    listAbsent({ instances }: ServiceRuntime, nowMs: number): string[] {
+        return [...this.holders]
+            .filter(([id, { hasAnswered, lastListedAtMs }]) =>
+                hasAnswered && !instances.has(id) && nowMs - lastListedAtMs <= RETURN_WINDOW_MS
+            )
+            .map(([id]) => id);
+    }
+}
--- a/packages/process/replacement-runner/src/ReplacementActor.test.ts
+++ b/packages/process/replacement-runner/src/ReplacementActor.test.ts
@@ -31,7 +31,7 @@
 
 const createDirectory = (): ServiceDirectory => {
     const directory = ServiceDirectory.create(createTestPool);
-    const services = new Map([[SERVICE, { name: SERVICE, connectionLimit: 1 }]]);
+    const services = new Map([[SERVICE, { name: SERVICE, connectionLimit: 1, syncReplicas: 0 }]]);
     directory.applyRoutes({ version: 1, routes: new Map(), services, transactionIdleMs: 3_000 });
     const shared = { service: SERVICE, host: "127.0.0.1", port: 1, failureDomain: "domain", slots: 2, isDraining: false };
     const written = { startedAtMs: undefined, reportNumber: undefined, writtenAt: { era: 1, version: 1 } };
@@ -44,7 +44,7 @@
 const replacePrimary = async (listPrimaries: () => Promise<readonly string[]>): Promise<readonly string[]> => {
     const ordered: string[] = [];
     const system = start();
-    const state = { isPrimary: false, term: 1, received: { term: 1, position: 7 } };
+    const state = { isPrimary: false, term: 1, received: { term: 1, position: 7 }, heldTerm: 0 };
     const actor = ReplacementActor.create({
         system,
         vm: "vm-1",
@@ -63,6 +63,9 @@
         nowMs: () => performance.now(),
         openConnection: () => ({ startupReply: Promise.resolve(REFUSED), close: () => {} }) as unknown as CommandChannel,
         isMisrouted: () => false,
+        areFencesChecked: true,
+        detectSuspensions: () => 0,
+        syncReplicas: () => 0,
         vmIndex: () => 0,
         log: () => {},
     });
--- a/packages/process/replacement-runner/src/ReplacementActor.ts
+++ b/packages/process/replacement-runner/src/ReplacementActor.ts
@@ -6,7 +6,8 @@
 import type { ServiceRuntime } from "@pomeloturn/service-directory/ServiceRuntime";
 import type { Authority, AuthorityStore, InstanceProtocol, Promoter } from "@pomeloturn/types/Protocols";
 import { type ActorSystemRef, dispatch, type Ref, spawnStateless } from "nact";
-import { probeInstance, stepDownInstance, surveyInstance } from "./inspectInstance.ts";
+import { CommitHolders } from "./CommitHolders.ts";
+import { probeInstance, resumeInstance, stepDownInstance, surveyInstance } from "./inspectInstance.ts";
 
 /** Dependencies of `ReplacementActor`. */
 export interface ReplacementOptions {
@@ -22,6 +23,12 @@
     readonly openConnection: (instance: InstanceRuntime) => CommandChannel;
     /** Whether another instance answers at the address of an entry, so that its claim to be the primary does not count. */
     readonly isMisrouted: (instanceId: string) => boolean;
+    /** Whether the platform refuses orders whose fence is lower than one that it has seen. */
+    readonly areFencesChecked: boolean;
+    /** Checks for suspensions of this VM, which its monotonic clock does not count, and returns their number. */
+    readonly detectSuspensions: () => number;
+    /** Number of replicas of the service that have to receive a commit before it is acknowledged. */
+    readonly syncReplicas: () => number;
     /** Index of this VM in the order in which VMs act on the service. */
     readonly vmIndex: () => number;
     /** Writes a log line. */
@@ -35,10 +42,13 @@
     private readonly state: ReplacementState;
     private readonly reference: Ref<ReplacementEvent>;
     private readonly handlers: ActionHandlers;
+    private readonly holders = CommitHolders.create();
+    private suspensions: number;
 
     private constructor(private readonly options: ReplacementOptions) {
         const { system, vm } = options;
-        this.state = createReplacement(vm, options.nowMs());
+        this.suspensions = options.detectSuspensions();
+        this.state = createReplacement(vm, options.nowMs(), options.areFencesChecked);
         // Without a name: the library refuses names with characters that the name of a service may have.
         this.reference = spawnStateless(system, (event: ReplacementEvent) => this.step(event));
         this.handlers = this.createHandlers();
@@ -67,6 +77,15 @@
     }
 
     private step(event: ReplacementEvent): void {
+        const suspensions = this.options.detectSuspensions();
+        if (suspensions !== this.suspensions) {
+            this.suspensions = suspensions;
+            this.execute({ kind: "suspensionDetected" });
+        }
+        this.execute(event);
+    }
+
+    private execute(event: ReplacementEvent): void {
         for (const action of stepReplacement(this.state, event, this.options.nowMs())) {
             const handler = this.handlers[action.kind] as (action: ReplacementAction) => void;
             handler(action);
@@ -74,12 +93,14 @@
     }
 
     private view(): LeaderView {
-        const { service, vmIndex } = this.options;
+        const { service, vmIndex, syncReplicas } = this.options;
         const { leader } = service;
+        this.holders.update(service, this.options.nowMs());
         return {
             leaderId: leader?.entry.id,
             isLeaderDraining: leader?.entry.isDraining === true,
             instanceCount: service.instances.size,
+            syncReplicas: syncReplicas(),
             vmIndex: vmIndex(),
         };
     }
@@ -89,7 +110,8 @@
         return {
             probe: ({ instanceId }) => void this.probe(instanceId),
             claim: ({ known, fence }) => void this.claim(known, fence),
-            survey: () => void this.survey(),
+            survey: ({ pauseTerm }) => void this.survey(pauseTerm),
+            resume: ({ instanceIds }) => instanceIds.forEach(id => void this.resume(id)),
             stepDown: ({ instanceId, term }) => void this.stepDown(instanceId, term),
             order: ({ instanceId, fence }) => void this.order(instanceId, fence),
             confirm: ({ instanceId, term }) => service.confirmLeader(instanceId, term),
@@ -134,12 +156,24 @@
         }
     }
 
-    private async survey(): Promise<void> {
-        const { service, protocol } = this.options;
-        const instances = await Promise.all([...service.instances.values()].map(instance => surveyInstance(instance, protocol)));
+    private async survey(pauseTerm: number | undefined): Promise<void> {
+        const { service, protocol, nowMs } = this.options;
+        const listed = [...service.instances.values()];
+        const surveyed = await Promise.all(listed.map(instance => surveyInstance(instance, protocol, pauseTerm)));
+        const instances = [
+            ...surveyed.filter(({ id, state }) => state !== undefined || this.holders.mayHoldCommits(id, service, nowMs())),
+            ...this.holders.listAbsent(service, nowMs()).map(id => ({ id, isDraining: true, state: undefined, isPaused: false })),
+        ];
         dispatch(this.reference, { kind: "surveyed", instances });
     }
 
+    private async resume(instanceId: string): Promise<void> {
+        const { service, log } = this.options;
+        const instance = service.instances.get(instanceId);
+        const isConfirmed = instance !== undefined && await resumeInstance(instance);
+        log("a replica that had stopped receiving is told to receive again", { service: service.name, instance: instanceId, isConfirmed });
+    }
+
     private async stepDown(instanceId: string, term: number): Promise<void> {
         const { service } = this.options;
         const instance = service.instances.get(instanceId);
--- a/packages/process/replacement-runner/src/inspectInstance.ts
+++ b/packages/process/replacement-runner/src/inspectInstance.ts
@@ -13,20 +13,19 @@
 /** Whether a reply comes from the instance, with any result, and not from another one that has its address now. */
 const isFromInstance = ({ code }: InstanceReply): boolean => code !== ResultCode.BackendLost && code !== ResultCode.WrongInstance;
 
-/** Sends a command over a pooled connection and closes it on a timeout. @returns undefined on a timeout or without a free connection */
-const sendCommand = async ({ pool }: InstanceRuntime, command: InstanceCommand): Promise<InstanceReply | undefined> => {
+/** Sends commands over a pooled connection and closes it on a timeout. @returns undefined on a timeout or without a free connection */
+const sendCommands = async ({ pool }: InstanceRuntime, commands: readonly InstanceCommand[]): Promise<InstanceReply[] | undefined> => {
     const pooledConnection = await pool.acquire(SURVEY_RANK, SURVEY_TIMEOUT_MS);
     if (pooledConnection === undefined) {
         return undefined;
     }
-    const [sent] = pooledConnection.send([command]);
-    const reply = await withTimeout(sent!, SURVEY_TIMEOUT_MS);
-    if (reply === undefined) {
+    const replies = await withTimeout(Promise.all(pooledConnection.send(commands)), SURVEY_TIMEOUT_MS);
+    if (replies === undefined) {
         pooledConnection.discard(`no answer to a survey command within ${SURVEY_TIMEOUT_MS} ms`);
         return undefined;
     }
-    pooledConnection.release(reply.status);
-    return reply;
+    pooledConnection.release(replies.at(-1)!.status);
+    return replies;
 };
 
 /** Checks over a new connection whether an instance is alive, since open connections may be dead. Closes the connection. */
@@ -39,14 +38,34 @@
     return isFromInstance(reply) ? ProbeOutcome.Alive : ProbeOutcome.Refused;
 };
 
-/** Queries the role and position of an instance; `state` is undefined when it did not report them. */
-export const surveyInstance = async (instance: InstanceRuntime, protocol: InstanceProtocol): Promise<SurveyedInstance> => {
+/** Whether a replica has stopped receiving, or does not know the command and so may receive on. */
+const isPausedBy = ({ code }: InstanceReply): boolean => code === ResultCode.Ok || code === ResultCode.MalformedMessage;
+
+/**
+ * Queries the role and position of an instance; `state` is undefined when it did not report them.
+ *
+ * @param pauseTerm term for which it is told to stop receiving first, if it is a replica; undefined to leave it receiving
+ */
+export const surveyInstance = async (
+    instance: InstanceRuntime,
+    protocol: InstanceProtocol,
+    pauseTerm: number | undefined,
+): Promise<SurveyedInstance> => {
     const { id, isDraining } = instance.entry;
-    const reply = await sendCommand(instance, { kind: CommandKind.Status });
-    return { id, isDraining, state: reply?.code === ResultCode.Ok ? protocol.decodeState(reply) : undefined };
+    const pauses: InstanceCommand[] = pauseTerm === undefined ? [] : [{ kind: CommandKind.Pause, term: pauseTerm }];
+    const replies = await sendCommands(instance, [...pauses, { kind: CommandKind.Status }]);
+    const reply = replies?.at(-1);
+    const state = reply?.code === ResultCode.Ok ? protocol.decodeState(reply) : undefined;
+    const isPaused = pauseTerm !== undefined && state !== undefined && !state.isPrimary && state.term < pauseTerm
+        && isPausedBy(replies![0]!);
+    return { id, isDraining, state, isPaused };
 };
 
 /** Orders a primary to accept no more writes in `term`. Ignores its reply. */
 export const stepDownInstance = async (instance: InstanceRuntime, term: number): Promise<void> => {
-    await sendCommand(instance, { kind: CommandKind.StepDown, term });
+    await sendCommands(instance, [{ kind: CommandKind.StepDown, term }]);
 };
+
+/** Lets a replica receive again. @returns whether it has confirmed */
+export const resumeInstance = async (instance: InstanceRuntime): Promise<boolean> =>
+    (await sendCommands(instance, [{ kind: CommandKind.Resume }]))?.[0]?.code === ResultCode.Ok;
--- a/packages/process/service-directory/src/ServiceDirectory.test.ts
+++ b/packages/process/service-directory/src/ServiceDirectory.test.ts
@@ -26,7 +26,7 @@
 const createRoutes = (version: number, ...names: readonly string[]): RouteTable => ({
     version,
     routes: new Map(),
-    services: new Map(names.map(name => [name, { name, connectionLimit: 4 }])),
+    services: new Map(names.map(name => [name, { name, connectionLimit: 4, syncReplicas: 0 }])),
     transactionIdleMs: 3_000,
 });
 
--- a/packages/process/statement-runner/src/support/createTestPorts.ts
+++ b/packages/process/statement-runner/src/support/createTestPorts.ts
@@ -21,7 +21,7 @@
         targetLatencyMs: timeoutMs,
         rank: 0,
     };
-    const services = new Map([["ledger", { name: "ledger", connectionLimit: 1 }]]);
+    const services = new Map([["ledger", { name: "ledger", connectionLimit: 1, syncReplicas: 0 }]]);
     directory.applyRoutes({ version: 1, routes: new Map([[TEST_DATABASE, route]]), services, transactionIdleMs: 3_000 });
     const instance = { id: "i-1", service: "ledger", host: "127.0.0.1", port: 1, failureDomain: "domain", slots: 2 };
     directory.applyEntry({
--- a/packages/shared/types/src/InstanceCommand.ts
+++ b/packages/shared/types/src/InstanceCommand.ts
@@ -19,6 +19,9 @@
     Status: "status",
     /** Demotes a primary of a lower term to a replica. */
     StepDown: "stepDown",
+    /** Stops a replica of a lower term from receiving until `Resume` or a promotion. */
+    Pause: "pause",
+    Resume: "resume",
 } as const;
 export type CommandKind = typeof CommandKind[keyof typeof CommandKind];
 
@@ -36,6 +39,8 @@
     | { readonly kind: typeof CommandKind.Set; readonly name: string; readonly value: string; }
     | { readonly kind: typeof CommandKind.Prepare; readonly name: string; readonly isWrite: boolean; readonly shape: string; }
     | { readonly kind: typeof CommandKind.StepDown; readonly term: number; }
+    | { readonly kind: typeof CommandKind.Pause; readonly term: number; }
+    | { readonly kind: typeof CommandKind.Resume; }
     | { readonly kind: typeof CommandKind.Begin; }
     | { readonly kind: typeof CommandKind.Rollback; }
     | { readonly kind: typeof CommandKind.Reset; }
@@ -60,4 +65,6 @@
     readonly isPrimary: boolean;
     readonly term: number;
     readonly received: LogPosition;
+    /** Term for which the instance was told to stop receiving; at most `term` while it receives. */
+    readonly heldTerm: number;
 }
--- a/packages/shared/types/src/ServiceEntries.ts
+++ b/packages/shared/types/src/ServiceEntries.ts
@@ -33,6 +33,8 @@
     readonly name: string;
     /** Connections that may be open to one instance, for all callers together. */
     readonly connectionLimit: number;
+    /** Number of replicas that have to receive a commit before it is acknowledged. */
+    readonly syncReplicas: number;
 }
 
 /** One version of the routes. */
--- a/packages/version/replace-primary/src/ReplacementState.ts
+++ b/packages/version/replace-primary/src/ReplacementState.ts
@@ -27,6 +27,8 @@
     Leaderless: "leaderless",
     /** It is about to be shut down. */
     Leaving: "leaving",
+    /** It works, but a VM that has given up has left replicas that do not receive. */
+    Unreplicated: "unreplicated",
 } as const;
 export type ReplacementReason = typeof ReplacementReason[keyof typeof ReplacementReason];
 
@@ -70,10 +72,29 @@
     order: PromotionOrder | undefined;
     /** Whether the leaving primary has answered the order to stop accepting writes. */
     isSteppedDown: boolean;
+    /** Number of replicas that have to receive a commit before it is acknowledged. */
+    syncReplicas: number;
+    /** The last known primary, which may hold commits that were acknowledged. */
+    lastLeaderId: string | undefined;
+    /** Term for which this VM has told the replicas to stop receiving; undefined if it has not. */
+    pauseTerm: number | undefined;
+    /** When it is checked whether a VM that has given up has left replicas that do not receive; undefined if it is not. */
+    resumeCheckAtMs: number | undefined;
+    /** Whether replicas were found that do not receive from the primary. */
+    hasPausedReplicas: boolean;
+    /** Whether the platform refuses orders whose fence is lower than one that it has seen. */
+    readonly areFencesChecked: boolean;
+    /** When this VM sent its last claim. */
+    claimSentAtMs: number;
+    /** The last order of this VM, which may still be carried out. */
+    lastOrder: { readonly fence: number; readonly instanceId: string; } | undefined;
 }
 
-/** @param nowMs monotonic time at the start of the process */
-export const createReplacement = (vm: string, nowMs: number): ReplacementState => ({
+/**
+ * @param nowMs monotonic time at the start of the process
+ * @param areFencesChecked whether the platform refuses orders whose fence is lower than one that it has seen
+ */
+export const createReplacement = (vm: string, nowMs: number, areFencesChecked: boolean): ReplacementState => ({
     vm,
     phase: ReplacementPhase.Watching,
     phaseSinceMs: nowMs,
@@ -88,4 +109,19 @@
     nextSurveyAtMs: 0,
     order: undefined,
     isSteppedDown: false,
+    syncReplicas: 0,
+    lastLeaderId: undefined,
+    pauseTerm: undefined,
+    resumeCheckAtMs: undefined,
+    hasPausedReplicas: false,
+    areFencesChecked,
+    claimSentAtMs: -Infinity,
+    lastOrder: undefined,
 });
+
+/**
+ * Whether a VM orders only soon after a claim that the store has confirmed, and the others wait until it can order no longer:
+ * where the platform does not refuse the order of a former holder, or where two promotions in a row could lose commits that
+ * replicas had to receive.
+ */
+export const isOrderTimeLimited = ({ areFencesChecked, syncReplicas }: ReplacementState): boolean => !areFencesChecked || syncReplicas > 0;
--- a/packages/version/replace-primary/src/phases.ts
+++ b/packages/version/replace-primary/src/phases.ts
@@ -1,5 +1,5 @@
 import type { ReplacementAction } from "./replacementMessages.ts";
-import type { ReplacementPhase, ReplacementState } from "./ReplacementState.ts";
+import { ReplacementPhase, type ReplacementState } from "./ReplacementState.ts";
 
 export const enterPhase = (state: ReplacementState, phase: ReplacementPhase, nowMs: number): void => {
     state.phase = phase;
@@ -13,5 +13,5 @@
     }
     state.isSurveying = true;
     state.nextSurveyAtMs = nowMs + intervalMs;
-    return [{ kind: "survey" }];
+    return [{ kind: "survey", pauseTerm: state.phase === ReplacementPhase.Surveying ? state.pauseTerm : undefined }];
 };
--- a/packages/version/replace-primary/src/receiveAuthority.ts
+++ b/packages/version/replace-primary/src/receiveAuthority.ts
@@ -1,5 +1,6 @@
 import type { Authority } from "@pomeloturn/types/Protocols";
 import { ReplacementPhase, type ReplacementState } from "./ReplacementState.ts";
+import { RESUME_CHECK_DELAY_MS } from "./replacementTiming.ts";
 
 /** Phases in which the next order will use the authority that was claimed. */
 const PHASES_BEFORE_ORDER: ReadonlySet<ReplacementPhase> = new Set<ReplacementPhase>([
@@ -7,6 +8,9 @@
     ReplacementPhase.TransferringLeadership,
 ]);
 
+/** Phases in which an order may still be sent. */
+const PHASES_WITH_ORDER: ReadonlySet<ReplacementPhase> = new Set<ReplacementPhase>([...PHASES_BEFORE_ORDER, ReplacementPhase.Ordering]);
+
 const isNewer = (authority: Authority, known: Authority): boolean =>
     authority.era > known.era
     || (authority.era === known.era && (authority.fence > known.fence || authority.version > known.version));
@@ -28,7 +32,8 @@
     if (isRestored || isOfOtherVm) {
         // A restored store may have lost the claim of another VM that has just ordered a promotion.
         state.otherVmClaimedAtMs = nowMs;
+        state.resumeCheckAtMs = nowMs + RESUME_CHECK_DELAY_MS;
     }
     state.authority = authority;
-    return isRestored && PHASES_BEFORE_ORDER.has(state.phase);
+    return (isRestored && PHASES_BEFORE_ORDER.has(state.phase)) || (isOfOtherVm && PHASES_WITH_ORDER.has(state.phase));
 };
--- a/packages/version/replace-primary/src/replacementMessages.ts
+++ b/packages/version/replace-primary/src/replacementMessages.ts
@@ -15,8 +15,10 @@
 export interface SurveyedInstance {
     readonly id: string;
     readonly isDraining: boolean;
-    /** Undefined when the instance did not answer before the timeout. */
+    /** Undefined when the instance did not answer before the timeout, or is no longer listed. */
     readonly state: InstanceState | undefined;
+    /** Whether it has stopped receiving for the term that the survey asked for, or does not know such a command. */
+    readonly isPaused: boolean;
 }
 
 /** State of the service as known to this VM at a tick. */
@@ -26,6 +28,8 @@
     readonly isLeaderDraining: boolean;
     /** Number of listed instances of the service. */
     readonly instanceCount: number;
+    /** Number of replicas that have to receive a commit before it is acknowledged. */
+    readonly syncReplicas: number;
     /** Index of this VM in the order in which VMs act; the VM with index 0 acts first. */
     readonly vmIndex: number;
 }
@@ -47,13 +51,18 @@
     }
     | { readonly kind: "surveyed"; readonly instances: readonly SurveyedInstance[]; }
     | { readonly kind: "steppedDown"; }
+    /** The VM was suspended, for a time that its clock does not count. */
+    | { readonly kind: "suspensionDetected"; }
     | { readonly kind: "ordered"; readonly outcome: PromotionOutcome; };
 
-/** Action that the caller of `stepReplacement` has to carry out. Each kind except `confirm` and `log` is answered by an event. */
+/** Action that the caller of `stepReplacement` has to carry out. Each kind except `confirm`, `resume` and `log` is answered by an event. */
 export type ReplacementAction =
     | { readonly kind: "probe"; readonly instanceId: string; }
     | { readonly kind: "claim"; readonly known: Authority; readonly fence: number; }
-    | { readonly kind: "survey"; }
+    /** With a term, the replicas are told to stop receiving for it before they state their positions. */
+    | { readonly kind: "survey"; readonly pauseTerm: number | undefined; }
+    /** The replicas are told to receive again. */
+    | { readonly kind: "resume"; readonly instanceIds: readonly string[]; }
     | { readonly kind: "stepDown"; readonly instanceId: string; readonly term: number; }
     | { readonly kind: "order"; readonly instanceId: string; readonly fence: number; }
     /** The instance was found to lead the term. */
--- a/packages/version/replace-primary/src/replacementTiming.ts
+++ b/packages/version/replace-primary/src/replacementTiming.ts
@@ -16,6 +16,10 @@
 export const MAXIMUM_STAGGER_COUNT = 8;
 /** Time after a claim of the authority before another VM may claim it. */
 export const OTHER_VM_CLAIM_WAIT_MS = 1_700;
+/** Time after its claim in which a VM may order a promotion, where the time for orders is limited. */
+export const ORDER_WINDOW_MS = 1_500;
+/** The same as `OTHER_VM_CLAIM_WAIT_MS`, where the time for orders is limited: the window, and time for an order to be carried out. */
+export const LIMITED_CLAIM_WAIT_MS = 3_500;
 /** Delay after a failed attempt. */
 export const RETRY_DELAY_MS = 400;
 /** Time limit of a phase. */
@@ -32,5 +36,7 @@
 export const CATCH_UP_TIMEOUT_MS = 1_500;
 /** Time after the start of the process before an authority that no VM holds is claimed. */
 export const FIRST_CLAIM_DELAY_MS = 3_000;
+/** Time after another VM's claim at which it has ordered a promotion or given up. */
+export const RESUME_CHECK_DELAY_MS = 6_000;
 /** Delay before an unanswered order is repeated. */
 export const ORDER_RETRY_DELAY_MS = 100;
--- a/packages/version/replace-primary/src/stepReplacement.test.ts
+++ b/packages/version/replace-primary/src/stepReplacement.test.ts
@@ -5,12 +5,12 @@
 import { createReplacement, ReplacementPhase, type ReplacementState } from "./ReplacementState.ts";
 import { stepReplacement } from "./stepReplacement.ts";
 
-const VIEW: LeaderView = { leaderId: "a", isLeaderDraining: false, instanceCount: 3, vmIndex: 0 };
+const VIEW: LeaderView = { leaderId: "a", isLeaderDraining: false, instanceCount: 3, syncReplicas: 0, vmIndex: 0 };
 const UNAVAILABLE = { kind: "claimed", change: undefined, isListingCurrent: false } as const;
 
 /** Creates the state of a VM whose primary refused two probes. */
 const createSuspecting = (): ReplacementState => {
-    const state = createReplacement("vm-0", 0);
+    const state = createReplacement("vm-0", 0, true);
     stepReplacement(state, { kind: "suspected", instanceId: "a" }, 1_000);
     for (const atMs of [1_000, 1_200]) {
         stepReplacement(state, { kind: "tick", view: VIEW }, atMs);
@@ -19,6 +19,8 @@
     return state;
 };
 
+const REPLICA_STATE = { isPrimary: false, term: 1, received: { term: 1, position: 7 }, heldTerm: 0 };
+
 const kinds = (actions: readonly ReplacementAction[]): string[] => actions.map(({ kind }) => kind);
 
 describe("a VM whose primary is down", () => {
@@ -34,7 +36,12 @@
         // Ends the survey that began before the claim.
         stepReplacement(state, { kind: "surveyed", instances: [] }, 2_010);
         expect(kinds(stepReplacement(state, { kind: "tick", view: VIEW }, 2_300))).toContain("survey");
-        const instances = [{ id: "b", isDraining: false, state: { isPrimary: true, term: 2, received: { term: 2, position: 7 } } }];
+        const instances = [{
+            id: "b",
+            isDraining: false,
+            state: { isPrimary: true, term: 2, received: { term: 2, position: 7 }, heldTerm: 0 },
+            isPaused: false,
+        }];
         expect(stepReplacement(state, { kind: "surveyed", instances }, 2_310)).toEqual([{ kind: "confirm", instanceId: "b", term: 2 }]);
         expect(state.suspicion).toBeUndefined();
     });
@@ -44,7 +51,12 @@
         stepReplacement(state, { kind: "tick", view: VIEW }, 1_400);
         const authority = { holder: "vm-0", fence: 1_000_005, era: 1, version: 9 };
         stepReplacement(state, { kind: "claimed", change: { isApplied: true, authority }, isListingCurrent: true }, 1_410);
-        const instances = [{ id: "b", isDraining: false, state: { isPrimary: false, term: 1, received: { term: 1, position: 7 } } }];
+        const instances = [{
+            id: "b",
+            isDraining: false,
+            state: { isPrimary: false, term: 1, received: { term: 1, position: 7 }, heldTerm: 0 },
+            isPaused: false,
+        }];
         const ordered = stepReplacement(state, { kind: "surveyed", instances }, 1_420);
         expect(ordered.at(-1)).toEqual({ kind: "order", instanceId: "b", fence: 1_000_005 });
         stepReplacement(state, { kind: "ordered", outcome: PromotionOutcome.Refused }, 1_430);
@@ -60,17 +72,74 @@
         const authority = { holder: "vm-0", fence: 1_000_005, era: 1, version: 9 };
         stepReplacement(state, { kind: "claimed", change: { isApplied: true, authority }, isListingCurrent: false }, 1_410);
         expect([state.phase, state.authority]).toEqual([ReplacementPhase.Watching, authority]);
-        const instances = [{ id: "b", isDraining: false, state: { isPrimary: false, term: 1, received: { term: 1, position: 7 } } }];
+        const instances = [{
+            id: "b",
+            isDraining: false,
+            state: { isPrimary: false, term: 1, received: { term: 1, position: 7 }, heldTerm: 0 },
+            isPaused: false,
+        }];
+        expect(kinds(stepReplacement(state, { kind: "surveyed", instances }, 1_420))).not.toContain("order");
+    });
+
+    it("orders no promotion with the fence of another VM that has claimed the authority meanwhile", () => {
+        const state = createSuspecting();
+        stepReplacement(state, { kind: "tick", view: VIEW }, 1_400);
+        const authority = { holder: "vm-0", fence: 1_000_005, era: 1, version: 9 };
+        stepReplacement(state, { kind: "claimed", change: { isApplied: true, authority }, isListingCurrent: true }, 1_410);
+        stepReplacement(state, { kind: "authorityChanged", authority: { holder: "vm-1", fence: 1_000_006, era: 1, version: 10 } }, 1_415);
+        const instances = [{ id: "b", isDraining: false, state: REPLICA_STATE, isPaused: false }];
         expect(kinds(stepReplacement(state, { kind: "surveyed", instances }, 1_420))).not.toContain("order");
     });
 
+    it("repeats no unanswered order after another VM has claimed the authority", () => {
+        const state = createSuspecting();
+        stepReplacement(state, { kind: "tick", view: VIEW }, 1_400);
+        const authority = { holder: "vm-0", fence: 1_000_005, era: 1, version: 9 };
+        stepReplacement(state, { kind: "claimed", change: { isApplied: true, authority }, isListingCurrent: true }, 1_410);
+        const instances = [{ id: "b", isDraining: false, state: REPLICA_STATE, isPaused: false }];
+        expect(kinds(stepReplacement(state, { kind: "surveyed", instances }, 1_420))).toContain("order");
+        stepReplacement(state, { kind: "ordered", outcome: PromotionOutcome.Unknown }, 1_770);
+        stepReplacement(state, { kind: "authorityChanged", authority: { holder: "vm-1", fence: 1_000_006, era: 1, version: 10 } }, 1_780);
+        expect(kinds(stepReplacement(state, { kind: "tick", view: VIEW }, 1_900))).not.toContain("order");
+    });
+
+    it("names no other instance with a fence whose order may still be carried out", () => {
+        const state = createSuspecting();
+        stepReplacement(state, { kind: "tick", view: VIEW }, 1_400);
+        const authority = { holder: "vm-0", fence: 1_000_005, era: 1, version: 9 };
+        stepReplacement(state, { kind: "claimed", change: { isApplied: true, authority }, isListingCurrent: true }, 1_410);
+        const survey = (id: string, nowMs: number): string[] =>
+            kinds(
+                stepReplacement(
+                    state,
+                    { kind: "surveyed", instances: [{ id, isDraining: false, state: REPLICA_STATE, isPaused: false }] },
+                    nowMs,
+                ),
+            );
+        expect(survey("b", 1_420)).toContain("order");
+        // The attempt is given up without an answer, and the store does not answer the next claim.
+        for (let nowMs = 1_430; nowMs < 6_000 && state.phase === ReplacementPhase.Ordering; nowMs += 100) {
+            stepReplacement(state, { kind: "ordered", outcome: PromotionOutcome.Unknown }, nowMs);
+            stepReplacement(state, { kind: "tick", view: VIEW }, nowMs);
+        }
+        state.phase = ReplacementPhase.Claiming;
+        stepReplacement(state, UNAVAILABLE, 6_100);
+        expect(state.phase).toBe(ReplacementPhase.Surveying);
+        expect(survey("c", 6_110)).not.toContain("order");
+    });
+
     it("orders no promotion under an authority that the restored store has lost", () => {
         const state = createSuspecting();
         stepReplacement(state, { kind: "tick", view: VIEW }, 1_400);
         const authority = { holder: "vm-0", fence: 1_000_005, era: 1, version: 9 };
         stepReplacement(state, { kind: "claimed", change: { isApplied: true, authority }, isListingCurrent: true }, 1_410);
         stepReplacement(state, { kind: "authorityChanged", authority: createUnheldAuthority(2) }, 1_415);
-        const instances = [{ id: "b", isDraining: false, state: { isPrimary: false, term: 1, received: { term: 1, position: 7 } } }];
+        const instances = [{
+            id: "b",
+            isDraining: false,
+            state: { isPrimary: false, term: 1, received: { term: 1, position: 7 }, heldTerm: 0 },
+            isPaused: false,
+        }];
         expect(kinds(stepReplacement(state, { kind: "surveyed", instances }, 1_420))).not.toContain("order");
     });
 
--- a/packages/version/replace-primary/src/stepReplacement.ts
+++ b/packages/version/replace-primary/src/stepReplacement.ts
@@ -1,16 +1,17 @@
 import { PromotionOutcome } from "@pomeloturn/types/Protocols";
-import { chooseSuccessor, countMissingCommits, findPrimary, hasCaughtUp } from "./chooseSuccessor.ts";
+import { abandon, confirm, findPaused, isOrderWindowOver, resumeReplicas } from "./attempt.ts";
+import { findPrimary } from "./chooseSuccessor.ts";
+import { decideSuccessor, finishLeadershipTransfer } from "./decideSuccessor.ts";
 import { enterPhase, requestSurvey } from "./phases.ts";
 import { receiveAuthority } from "./receiveAuthority.ts";
 import { ProbeOutcome, type ReplacementAction, type ReplacementEvent, type SurveyedInstance } from "./replacementMessages.ts";
-import { ReplacementPhase, ReplacementReason, type ReplacementState } from "./ReplacementState.ts";
+import { isOrderTimeLimited, ReplacementPhase, type ReplacementState } from "./ReplacementState.ts";
 import {
-    CATCH_UP_TIMEOUT_MS,
-    MAXIMUM_MISSING_COMMITS,
     ORDER_RETRY_DELAY_MS,
     PHASE_TIMEOUT_MS,
     PROBE_INTERVAL_MS,
     REPLACEMENT_SURVEY_INTERVAL_MS,
+    RESUME_CHECK_DELAY_MS,
     RETRY_DELAY_MS,
 } from "./replacementTiming.ts";
 import { watchLeader } from "./watchLeader.ts";
@@ -23,27 +24,6 @@
     ) => ReplacementAction[];
 };
 
-/** Abandons the present attempt. The next attempt starts from the beginning with a new fence. */
-const abandon = (state: ReplacementState, nowMs: number, text: string): ReplacementAction[] => {
-    const details = { phase: state.phase, reason: state.reason, fence: state.authority.fence };
-    enterPhase(state, ReplacementPhase.Watching, nowMs);
-    state.order = undefined;
-    state.isSteppedDown = false;
-    state.pausedUntilMs = nowMs + RETRY_DELAY_MS;
-    return [{ kind: "log", text, details }];
-};
-
-const confirm = (state: ReplacementState, primary: SurveyedInstance, nowMs: number): ReplacementAction[] => {
-    if (state.phase !== ReplacementPhase.Watching) {
-        enterPhase(state, ReplacementPhase.Watching, nowMs);
-        state.order = undefined;
-        state.isSteppedDown = false;
-    }
-    state.suspicion = undefined;
-    state.leaderlessSinceMs = undefined;
-    return [{ kind: "confirm", instanceId: primary.id, term: primary.state!.term }];
-};
-
 const receiveClaimAnswer = (
     state: ReplacementState,
     event: Extract<ReplacementEvent, { kind: "claimed"; }>,
@@ -63,13 +43,14 @@
     }
     if (change?.isApplied === false) {
         state.otherVmClaimedAtMs = nowMs;
+        state.resumeCheckAtMs = nowMs + RESUME_CHECK_DELAY_MS;
         return abandon(state, nowMs, "replacement of the primary abandoned: another VM has claimed the authority");
     }
-    if (change === undefined && state.authority.holder !== state.vm) {
+    if (change === undefined && (state.authority.holder !== state.vm || isOrderTimeLimited(state))) {
         return abandon(
             state,
             nowMs,
-            "replacement of the primary abandoned: the store did not answer the claim and this VM does not hold the authority",
+            "replacement of the primary abandoned: the store did not answer the claim, and this VM may not act without its answer",
         );
     }
     if (change !== undefined && !event.isListingCurrent) {
@@ -85,72 +66,11 @@
     return requestSurvey(state, nowMs, REPLACEMENT_SURVEY_INTERVAL_MS);
 };
 
-const order = (state: ReplacementState, successor: SurveyedInstance, nowMs: number): ReplacementAction[] => {
-    const { fence } = state.authority;
-    state.order = { instanceId: successor.id, fence, orderedAtMs: nowMs, repeatAtMs: undefined };
-    enterPhase(state, ReplacementPhase.Ordering, nowMs);
-    return [
-        {
-            kind: "log",
-            text: "ordering the platform to promote an instance",
-            details: { reason: state.reason, instance: successor.id, fence, received: successor.state?.received },
-        },
-        { kind: "order", instanceId: successor.id, fence },
-    ];
-};
-
-/** Chooses the successor after the claim, from the states that the instances reported. */
-const decideSuccessor = (state: ReplacementState, instances: readonly SurveyedInstance[], nowMs: number): ReplacementAction[] => {
-    const primary = findPrimary(instances);
-    if (primary !== undefined && (state.reason !== ReplacementReason.Leaving || !primary.isDraining)) {
-        return [...confirm(state, primary, nowMs), {
-            kind: "log",
-            text: "replacement of the primary not needed: an instance reports that it is the primary",
-            details: { instance: primary.id },
-        }];
-    }
-    const successor = chooseSuccessor(instances, primary?.id);
-    if (successor === undefined) {
-        return abandon(state, nowMs, "replacement of the primary abandoned: no replica answered the survey");
-    }
-    if (state.reason === ReplacementReason.Leaving && primary !== undefined) {
-        return startLeadershipTransfer(state, primary, successor, nowMs);
-    }
-    return order(state, successor, nowMs);
-};
-
-/** Handles a planned replacement: the primary stops accepting writes once its successor has nearly caught up, so that no commit is lost. */
-const startLeadershipTransfer = (
-    state: ReplacementState,
-    leaving: SurveyedInstance,
-    successor: SurveyedInstance,
-    nowMs: number,
-): ReplacementAction[] => {
-    const isClose = countMissingCommits(successor, leaving) <= MAXIMUM_MISSING_COMMITS || nowMs - state.phaseSinceMs >= CATCH_UP_TIMEOUT_MS;
-    if (!isClose) {
-        return [];
-    }
-    enterPhase(state, ReplacementPhase.TransferringLeadership, nowMs);
-    state.isSteppedDown = false;
-    return [{ kind: "stepDown", instanceId: leaving.id, term: leaving.state!.term + 1 }];
-};
-
-/** Promotes the successor after the leaving primary has stopped, once it has all commits or `CATCH_UP_TIMEOUT_MS` have passed. */
-const finishLeadershipTransfer = (state: ReplacementState, instances: readonly SurveyedInstance[], nowMs: number): ReplacementAction[] => {
-    const successor = chooseSuccessor(instances, undefined);
-    if (successor === undefined) {
-        return abandon(state, nowMs, "replacement of the primary abandoned: no replica answered the survey");
-    }
-    const leaving = instances.find(({ isDraining, state: each }) => isDraining && each !== undefined);
-    const isComplete = hasCaughtUp(successor, leaving) || nowMs - state.phaseSinceMs >= CATCH_UP_TIMEOUT_MS;
-    return isComplete ? order(state, successor, nowMs) : [];
-};
-
 const receiveSurvey: Handlers["surveyed"] = (state, { instances }, nowMs) => {
     state.isSurveying = false;
     const primary = findPrimary(instances);
     const handlers: Readonly<Partial<Record<ReplacementPhase, () => ReplacementAction[]>>> = {
-        watching: () => primary === undefined ? [] : confirm(state, primary, nowMs),
+        watching: () => primary === undefined ? [] : watchReplicas(state, primary, instances, nowMs),
         surveying: () => decideSuccessor(state, instances, nowMs),
         transferringLeadership: () => state.isSteppedDown ? finishLeadershipTransfer(state, instances, nowMs) : [],
         confirming: () =>
@@ -162,12 +82,28 @@
                         details: { instance: primary.id, term: primary.state!.term, afterMs: nowMs - state.order!.orderedAtMs },
                     },
                     ...confirm(state, primary, nowMs),
+                    ...(state.syncReplicas > 0 ? resumeReplicas(primary, instances) : []),
                 ]
                 : [],
     };
     return handlers[state.phase]?.() ?? [];
 };
 
+/** Confirms the primary and notes whether a VM has left replicas paused. One that still replaces the primary would have ordered by then. */
+const watchReplicas = (
+    state: ReplacementState,
+    primary: SurveyedInstance,
+    instances: readonly SurveyedInstance[],
+    nowMs: number,
+): ReplacementAction[] => {
+    const actions = confirm(state, primary, nowMs);
+    if (state.resumeCheckAtMs !== undefined && nowMs >= state.resumeCheckAtMs) {
+        state.resumeCheckAtMs = undefined;
+        state.hasPausedReplicas = findPaused(primary, instances).length > 0;
+    }
+    return actions;
+};
+
 const receiveOrderAnswer: Handlers["ordered"] = (state, { outcome }, nowMs) => {
     if (state.phase !== ReplacementPhase.Ordering || state.order === undefined) {
         return [];
@@ -190,11 +126,11 @@
     if (lastOrder?.repeatAtMs === undefined || nowMs < lastOrder.repeatAtMs) {
         return [];
     }
-    if (nowMs - lastOrder.orderedAtMs >= PHASE_TIMEOUT_MS) {
+    if (nowMs - lastOrder.orderedAtMs >= PHASE_TIMEOUT_MS || isOrderWindowOver(state, nowMs)) {
         return abandon(
             state,
             nowMs,
-            `replacement of the primary abandoned: the platform did not answer the promotion order within ${PHASE_TIMEOUT_MS} ms`,
+            "replacement of the primary abandoned: the platform did not answer the promotion order in time",
         );
     }
     lastOrder.repeatAtMs = undefined;
@@ -229,6 +165,10 @@
     }
     if (outcome === ProbeOutcome.Alive) {
         state.suspicion = undefined;
+        if (state.syncReplicas > 0) {
+            // A primary whose replicas have been left paused is alive and acknowledges no commit.
+            state.resumeCheckAtMs ??= nowMs + RESUME_CHECK_DELAY_MS;
+        }
         return [];
     }
     suspicion.isProbing = false;
@@ -238,6 +178,14 @@
     return [];
 };
 
+/** Phases in which an order is still to be sent or repeated. */
+const PHASES_OF_ATTEMPT: ReadonlySet<ReplacementPhase> = new Set<ReplacementPhase>([
+    ReplacementPhase.Claiming,
+    ReplacementPhase.Surveying,
+    ReplacementPhase.TransferringLeadership,
+    ReplacementPhase.Ordering,
+]);
+
 const handlers: Handlers = {
     tick,
     suspected: (state, { instanceId }, nowMs) => {
@@ -247,7 +195,11 @@
     probed: receiveProbe,
     authorityChanged: (state, { authority }, nowMs) =>
         receiveAuthority(state, authority, nowMs)
-            ? abandon(state, nowMs, "replacement of the primary abandoned: the store was restored and has lost the claim of the authority")
+            ? abandon(
+                state,
+                nowMs,
+                "replacement of the primary abandoned: another VM holds the authority now, or a restored store has lost the claim",
+            )
             : [],
     claimed: receiveClaimAnswer,
     surveyed: receiveSurvey,
@@ -255,6 +207,14 @@
         state.isSteppedDown = true;
         return state.phase === ReplacementPhase.TransferringLeadership ? requestSurvey(state, nowMs, REPLACEMENT_SURVEY_INTERVAL_MS) : [];
     },
+    suspensionDetected: (state, _event, nowMs) =>
+        isOrderTimeLimited(state) && PHASES_OF_ATTEMPT.has(state.phase)
+            ? abandon(
+                state,
+                nowMs,
+                "replacement of the primary abandoned: this VM was suspended, and another one may have claimed the authority",
+            )
+            : [],
     ordered: receiveOrderAnswer,
 };
 
--- a/packages/version/replace-primary/src/watchLeader.ts
+++ b/packages/version/replace-primary/src/watchLeader.ts
@@ -1,10 +1,11 @@
 import { nextFence } from "./nextFence.ts";
 import { enterPhase, requestSurvey } from "./phases.ts";
 import type { LeaderView, ReplacementAction } from "./replacementMessages.ts";
-import { ReplacementPhase, ReplacementReason, type ReplacementState } from "./ReplacementState.ts";
+import { isOrderTimeLimited, ReplacementPhase, ReplacementReason, type ReplacementState } from "./ReplacementState.ts";
 import {
     FAILED_PROBE_LIMIT,
     LEADERLESS_TIMEOUT_MS,
+    LIMITED_CLAIM_WAIT_MS,
     MAXIMUM_STAGGER_COUNT,
     OTHER_VM_CLAIM_WAIT_MS,
     REFUSED_PROBE_LIMIT,
@@ -32,7 +33,10 @@
     }
     const isDown = suspicion !== undefined && suspicion.instanceId === view.leaderId
         && (suspicion.refusedCount >= REFUSED_PROBE_LIMIT || suspicion.silentCount + suspicion.refusedCount >= FAILED_PROBE_LIMIT);
-    return isDown ? ReplacementReason.Down : undefined;
+    if (isDown) {
+        return ReplacementReason.Down;
+    }
+    return state.hasPausedReplicas && state.syncReplicas > 0 ? ReplacementReason.Unreplicated : undefined;
 };
 
 /** Decides at a tick whether to probe the primary, survey the instances or start a replacement. */
@@ -47,6 +51,8 @@
     if (state.suspicion !== undefined && state.suspicion.instanceId !== view.leaderId) {
         state.suspicion = undefined;
     }
+    state.syncReplicas = view.syncReplicas;
+    state.lastLeaderId = view.leaderId ?? state.lastLeaderId;
     const { suspicion } = state;
     if (suspicion !== undefined && !suspicion.isProbing && nowMs >= suspicion.nextProbeAtMs) {
         suspicion.isProbing = true;
@@ -54,7 +60,8 @@
     }
     // A VM that cannot reach the store learns of a promotion by another VM only from the instances.
     const isLost = view.leaderId === undefined || findReason(state, view, nowMs) === ReplacementReason.Down;
-    if (isLost && view.instanceCount > 0 && nowMs >= state.nextSurveyAtMs) {
+    const isResumeCheckDue = state.resumeCheckAtMs !== undefined && nowMs >= state.resumeCheckAtMs;
+    if ((isLost || isResumeCheckDue) && view.instanceCount > 0 && nowMs >= state.nextSurveyAtMs) {
         actions.push(...requestSurvey(state, nowMs, SURVEY_INTERVAL_MS));
     }
     return [...actions, ...startIfDue(state, view, nowMs)];
@@ -72,10 +79,12 @@
         state.phaseSinceMs = nowMs;
     }
     const delayMs = Math.min(MAXIMUM_STAGGER_COUNT, view.vmIndex) * VM_STAGGER_MS;
+    const otherVmWaitMs = isOrderTimeLimited(state) ? LIMITED_CLAIM_WAIT_MS : OTHER_VM_CLAIM_WAIT_MS;
     const isDue = nowMs - state.phaseSinceMs >= delayMs && nowMs >= state.pausedUntilMs
-        && nowMs - state.otherVmClaimedAtMs >= OTHER_VM_CLAIM_WAIT_MS;
+        && nowMs - state.otherVmClaimedAtMs >= otherVmWaitMs;
     if (reason !== undefined && isDue) {
         enterPhase(state, ReplacementPhase.Claiming, nowMs);
+        state.claimSentAtMs = nowMs;
         return [
             {
                 kind: "log",
--- a/programs/bench/src/statementCost.ts
+++ b/programs/bench/src/statementCost.ts
@@ -67,7 +67,7 @@
     directory.applyRoutes({
         version: 1,
         routes: new Map([primaryRoute, boundedRoute].map(route => [route.database, route])),
-        services: new Map([[SERVICE, { name: SERVICE, connectionLimit: 16 }]]),
+        services: new Map([[SERVICE, { name: SERVICE, connectionLimit: 16, syncReplicas: 0 }]]),
         transactionIdleMs: 3_000,
     });
     ["one", "two", "three"].forEach((id, index) =>
--- a/programs/entry/src/Entry.ts
+++ b/programs/entry/src/Entry.ts
@@ -91,8 +91,11 @@
             ),
             protocol: lineInstanceProtocol,
             nowMs: this.ports.nowMs,
+            areFencesChecked: true,
+            detectSuspensions: this.ports.detectSuspensions,
             openConnection: ({ entry }) => this.connect(entry, () => {}),
             isMisrouted: id => this.directory.isMisrouted(id),
+            syncReplicas: service => this.directory.routes?.services.get(service)?.syncReplicas ?? 0,
             log: (text, details) => logger.info(text, details),
             onUnexpectedError: this.ports.onUnexpectedError,
         });
--- a/programs/entry/src/ReplacementActors.ts
+++ b/programs/entry/src/ReplacementActors.ts
@@ -5,7 +5,9 @@
 import type { Authority } from "@pomeloturn/types/Protocols";
 
 /** Options that are the same for the replacement actors of all services. */
-export type SharedReplacementOptions = Omit<ReplacementOptions, "service" | "vmIndex"> & {
+export type SharedReplacementOptions = Omit<ReplacementOptions, "service" | "vmIndex" | "syncReplicas"> & {
+    /** Number of replicas of a service that have to receive a commit before it is acknowledged. */
+    readonly syncReplicas: (service: string) => number;
     /** Called with an error that the actor of one service has thrown. */
     readonly onUnexpectedError: (error: Error) => void;
 };
@@ -69,8 +71,13 @@
         if (known !== undefined) {
             return known;
         }
-        const { vm } = this.options;
-        const actor = ReplacementActor.create({ ...this.options, service, vmIndex: () => computeOrder(this.members, vm, service.name) });
+        const { vm, syncReplicas } = this.options;
+        const actor = ReplacementActor.create({
+            ...this.options,
+            service,
+            vmIndex: () => computeOrder(this.members, vm, service.name),
+            syncReplicas: () => syncReplicas(service.name),
+        });
         this.actors.set(service.name, actor);
         actor.changeAuthority(this.authorities.get(service.name) ?? createUnheldAuthority(this.era));
         return actor;
--- a/tests/promises/support/PromiseSimulation.ts
+++ b/tests/promises/support/PromiseSimulation.ts
@@ -209,7 +209,7 @@
         directory.applyRoutes({
             version: 1,
             routes: new Map(ROUTES.map(each => [each.database, each])),
-            services: new Map([["group", { name: "group", connectionLimit: 16 }]]),
+            services: new Map([["group", { name: "group", connectionLimit: 16, syncReplicas: 0 }]]),
             transactionIdleMs: 3_000,
         });
         directory.setVmCount(2);
--- a/tests/replacement/support/ReplacementSimulation.ts
+++ b/tests/replacement/support/ReplacementSimulation.ts
@@ -8,46 +8,26 @@
 import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 
+import { findSharedFences, findStaleOrders, findUnsafeFences, type SimulatedOrder } from "./orderChecks.ts";
+import { type SimulatedInstance, SimulatedLog } from "./SimulatedLog.ts";
+
 const TICK_MS = 40;
 const ROUND_TRIP_MS = 10;
 const PROBE_TIMEOUT_MS = 300;
 const PROMOTION_DURATION_MS = 1_000;
 const STORE_TIMEOUT_MS = 1_500;
 const ORDER_TIMEOUT_MS = 1_000;
-const REPLICA_LAG_COMMITS = 3;
-
-/** An instance of the simulated group. */
-export interface SimulatedInstance {
-    readonly id: string;
-    condition: "up" | "refusing" | "unresponsive";
-    isDraining: boolean;
-    receivedCommitCount: number;
-    /** Highest term for which it was ordered to step down. */
-    stepDownTerm: number;
-    /** Names of the VMs that cannot reach it. */
-    readonly unreachableVms: Set<string>;
-}
-
-interface SimulatedOrder {
-    readonly holder: string;
-    readonly fence: number;
-    readonly instanceId: string;
-    readonly atMs: number;
-    /** Whether it got no answer, and may be executed late. */
-    readonly isLost: boolean;
-}
 
 interface SimulatedVm {
     readonly name: string;
     readonly state: ReplacementState;
     leaderId: string | undefined;
     isSuspended: boolean;
+    /** Whether it gets no answers and no news from the store. */
+    isCutOff: boolean;
     readonly pendingEvents: (() => void)[];
 }
 
-const countDistinct = (orders: readonly SimulatedOrder[], field: "holder" | "instanceId"): number =>
-    new Set(orders.map(order => order[field])).size;
-
 /** Simulates VMs that replace the primary of one group, with a store and a platform that executes promotion orders, in virtual time. */
 export class ReplacementSimulation {
     readonly instances: SimulatedInstance[];
@@ -61,6 +41,7 @@
     lostOrderShare = 0;
     /** Delay after which lost orders are executed; undefined where they never are. */
     lateOrderDelayMs: number | undefined;
+    private readonly log: SimulatedLog;
     private row = createUnheldAuthority(1);
     private highestFence = 0;
     private nowMs = 0;
@@ -68,22 +49,33 @@
     private eventCount = 0;
     private readonly random: () => number;
 
-    constructor(seed: number, vmCount = 4) {
+    /** @param syncReplicas number of replicas that have to receive a commit before it is acknowledged */
+    constructor(
+        seed: number,
+        vmCount = 4,
+        private readonly syncReplicas = 0,
+        instanceIds: readonly string[] = ["a", "b", "c"],
+        private readonly areFencesChecked = true,
+    ) {
         const generator = xoroshiro128plus(seed);
         this.random = () => uniformFloat64(generator);
-        this.instances = ["a", "b", "c"].map(id => ({
+        this.instances = instanceIds.map(id => ({
             id,
             condition: "up",
             isDraining: false,
             receivedCommitCount: 100,
+            isDeaf: false,
+            heldTerm: 0,
             stepDownTerm: 0,
             unreachableVms: new Set<string>(),
         }));
+        this.log = new SimulatedLog(this.instances, syncReplicas, this.random);
         this.vms = Array.from({ length: vmCount }, (_, index) => ({
             name: `vm-${index}`,
-            state: createReplacement(`vm-${index}`, 0),
+            state: createReplacement(`vm-${index}`, 0, areFencesChecked),
             leaderId: "a",
             isSuspended: false,
+            isCutOff: false,
             pendingEvents: [],
         }));
         this.vms.forEach((vm, index) => this.scheduleTicks(vm, index));
@@ -132,6 +124,7 @@
             leaderId: vm.leaderId,
             isLeaderDraining: leader?.isDraining === true,
             instanceCount: this.instances.length,
+            syncReplicas: this.syncReplicas,
             vmIndex: place,
         };
         this.dispatch(vm, { kind: "tick", view });
@@ -157,7 +150,13 @@
         const handlers: Handlers = {
             probe: ({ instanceId }) => this.probe(vm, instanceId),
             claim: ({ known, fence }) => this.claim(vm, known, fence),
-            survey: () => this.dispatchLater(vm, ROUND_TRIP_MS, () => ({ kind: "surveyed", instances: this.survey(vm) })),
+            survey: ({ pauseTerm }) =>
+                this.at(this.nowMs + ROUND_TRIP_MS / 2, () => {
+                    const instances = this.survey(vm, pauseTerm);
+                    this.dispatchLater(vm, ROUND_TRIP_MS / 2, () => ({ kind: "surveyed", instances }));
+                }),
+            resume: ({ instanceIds }) =>
+                this.at(this.nowMs + ROUND_TRIP_MS / 2, () => instanceIds.forEach(id => this.findInstance(id).heldTerm = 0)),
             stepDown: ({ instanceId, term }) => {
                 this.at(this.nowMs + ROUND_TRIP_MS / 2, () => this.stepDown(instanceId, term));
                 this.dispatchLater(vm, ROUND_TRIP_MS, () => ({ kind: "steppedDown" }));
@@ -183,7 +182,7 @@
     }
 
     private claim(vm: SimulatedVm, known: Authority, fence: number): void {
-        if (this.isStoreDown) {
+        if (this.isStoreDown || vm.isCutOff) {
             this.dispatchLater(vm, STORE_TIMEOUT_MS, () => ({ kind: "claimed", change: undefined, isListingCurrent: false }));
             return;
         }
@@ -191,7 +190,7 @@
             const isApplied = known.era === this.row.era && known.version === this.row.version;
             if (isApplied) {
                 this.row = { ...known, holder: vm.name, fence, version: known.version + 1 };
-                this.vms.forEach(each =>
+                this.vms.filter(({ isCutOff }) => !isCutOff).forEach(each =>
                     this.dispatchLater(each, ROUND_TRIP_MS, () => ({ kind: "authorityChanged", authority: this.row }))
                 );
             }
@@ -209,6 +208,18 @@
         });
     }
 
+    /** Lets a VM reach the store again and read the authority from it. */
+    reconnectVm(name: string): void {
+        const vm = this.vms.find(each => each.name === name)!;
+        vm.isCutOff = false;
+        this.dispatchLater(vm, ROUND_TRIP_MS, () => ({ kind: "authorityChanged", authority: this.row }));
+    }
+
+    /** Orders with a fence that is lower than that of an earlier order, or the same as in one of another VM. */
+    get staleOrders(): readonly SimulatedOrder[] {
+        return findStaleOrders(this.orders);
+    }
+
     /** Restores the store from a copy that lacks all claims. @param findOutMs time after which a VM finds out, in milliseconds */
     restoreStore(findOutMs: (vmIndex: number) => number = () => ROUND_TRIP_MS): void {
         this.row = createUnheldAuthority(this.row.era + 1);
@@ -218,35 +229,28 @@
 
     /** Fences under which more than one VM ordered, or more than one instance was to be promoted. */
     get sharedFences(): readonly number[] {
-        return this.findFences(orders => countDistinct(orders, "holder") > 1 || countDistinct(orders, "instanceId") > 1);
+        return findSharedFences(this.orders);
     }
 
     /** Fences under which more than one VM ordered, or a lost order could undo the promotion of another instance. */
     get unsafeFences(): readonly number[] {
-        return this.findFences(orders => {
-            const isUndoable = orders.some(({ isLost, instanceId }, index) =>
-                isLost && orders.slice(index).some(later => later.instanceId !== instanceId)
-            );
-            return countDistinct(orders, "holder") > 1 || isUndoable;
-        });
+        return findUnsafeFences(this.orders);
     }
 
-    private findFences(isFound: (orders: readonly SimulatedOrder[]) => boolean): readonly number[] {
-        return [...new Set(this.orders.map(({ fence }) => fence))].filter(fence =>
-            isFound(this.orders.filter(each => each.fence === fence))
-        );
-    }
-
-    private survey(vm: SimulatedVm): SurveyedInstance[] {
-        return this.instances.map(({ id, condition, isDraining, receivedCommitCount, unreachableVms, stepDownTerm }) => ({
-            id,
-            isDraining,
-            state: condition !== "up" || unreachableVms.has(vm.name) ? undefined : {
-                isPrimary: id === this.leaderId && stepDownTerm <= this.term,
-                term: this.term,
-                received: { term: this.term, position: receivedCommitCount },
-            },
-        }));
+    private survey(vm: SimulatedVm, pauseTerm: number | undefined): SurveyedInstance[] {
+        return this.instances.map(instance => {
+            const { id, condition, isDraining, receivedCommitCount, unreachableVms, stepDownTerm } = instance;
+            if (condition !== "up" || unreachableVms.has(vm.name)) {
+                return { id, isDraining, state: undefined, isPaused: false };
+            }
+            const isPrimary = id === this.leaderId && stepDownTerm <= this.term;
+            const isPaused = pauseTerm !== undefined && !isPrimary && pauseTerm > this.term;
+            if (isPaused) {
+                instance.heldTerm = Math.max(instance.heldTerm, pauseTerm);
+            }
+            const received = { term: this.term, position: receivedCommitCount };
+            return { id, isDraining, state: { isPrimary, term: this.term, received, heldTerm: instance.heldTerm }, isPaused };
+        });
     }
 
     private stepDown(instanceId: string, term: number): void {
@@ -263,7 +267,7 @@
         // The replicas receive the commits that are still in flight.
         this.at(
             this.nowMs + TICK_MS,
-            () => this.instances.forEach(each => each.receivedCommitCount = this.findInstance(instanceId).receivedCommitCount),
+            () => this.log.deliver(instance, this.term),
         );
     }
 
@@ -286,10 +290,10 @@
     /** Executes a promotion order as the platform does: orders with a fence below the highest one are refused. */
     private executeOrder(instanceId: string, fence: number): PromotionOutcome {
         const instance = this.findInstance(instanceId);
-        if (fence < this.highestFence || instance.condition !== "up") {
+        if ((this.areFencesChecked && fence < this.highestFence) || instance.condition !== "up") {
             return PromotionOutcome.Refused;
         }
-        this.highestFence = fence;
+        this.highestFence = Math.max(this.highestFence, fence);
         if (instanceId === this.leaderId && instance.stepDownTerm <= this.term) {
             return PromotionOutcome.Accepted;
         }
@@ -298,6 +302,9 @@
             const lostCommits = oldLeader?.condition === "up"
                 ? Math.max(0, oldLeader.receivedCommitCount - instance.receivedCommitCount)
                 : 0;
+            if (this.syncReplicas > 0) {
+                this.log.truncateTo(instance);
+            }
             this.term++;
             this.leaderId = instanceId;
             this.promotions.push({ id: instanceId, atMs: this.nowMs, lostCommits });
@@ -305,14 +312,16 @@
         return PromotionOutcome.Accepted;
     }
 
-    /** Commits a write at the primary; the replicas stay `REPLICA_LAG_COMMITS` behind. */
+    /** Commits a write at the primary. */
     commitWrite(): void {
         const leader = this.servingLeader;
         if (leader !== undefined) {
-            leader.receivedCommitCount += 1;
-            this.instances.filter(each => each !== leader).forEach(each =>
-                each.receivedCommitCount = leader.receivedCommitCount - REPLICA_LAG_COMMITS
-            );
+            this.log.commit(leader, this.term);
         }
     }
+
+    /** Commits that were acknowledged where replicas have to receive them first, and that a promotion has lost. */
+    get lostAcknowledgedCount(): number {
+        return this.log.lostAcknowledgedCount;
+    }
 }
