--- a/programs/entry/src/Entry.ts
+++ b/programs/entry/src/Entry.ts
@@ -91,7 +91,7 @@
             ),
             protocol: lineInstanceProtocol,
             nowMs: this.ports.nowMs,
-            areFencesChecked: true,
+            areFencesChecked: settings.areFencesChecked,
             detectSuspensions: this.ports.detectSuspensions,
             openConnection: ({ entry }) => this.connect(entry, () => {}),
             isMisrouted: id => this.directory.isMisrouted(id),
