--- a/tests/replacement/support/ReplacementSimulation.ts
+++ b/tests/replacement/support/ReplacementSimulation.ts
@@ -15,7 +15,7 @@
 const ROUND_TRIP_MS = 10;
 const PROBE_TIMEOUT_MS = 300;
 const PROMOTION_DURATION_MS = 1_000;
-const STORE_TIMEOUT_MS = 1_500;
+const STORE_TIMEOUT_MS = 600;
 const ORDER_TIMEOUT_MS = 1_000;
 
 interface SimulatedVm {
