--- a/packages/process/table-relay/src/RelayServer.ts
+++ b/packages/process/table-relay/src/RelayServer.ts
@@ -1,3 +1,4 @@
+import { listenUntilBound } from "@pomeloturn/bind-server/listenUntilBound";
 import type { ProcessLogger } from "@pomeloturn/logger/createLogger";
 import { createServer, type Server } from "node:net";
 import { RelayConnection } from "./RelayConnection.ts";
@@ -28,8 +29,7 @@
     ): RelayServer {
         const server = createServer(socket => RelayConnection.create(socket, source, nowMs, logger));
         server.maxConnections = MAXIMUM_CONNECTIONS;
-        server.on("error", error => logger.error("the relay server of this VM does not listen", { reason: error.message }));
-        server.listen(address.port, address.host);
+        listenUntilBound(server, address, error => logger.error("the relay server of this VM does not listen", { reason: error.message }));
         return new RelayServer(server);
     }
 
--- a/programs/entry/src/CallerListener.ts
+++ b/programs/entry/src/CallerListener.ts
@@ -1,3 +1,4 @@
+import { listenUntilBound } from "@pomeloturn/bind-server/listenUntilBound";
 import type { HostPort } from "@pomeloturn/platform/PlatformSettings";
 import type { RunnerPorts } from "@pomeloturn/statement-runner/RunnerPorts";
 import type { CallerProtocol } from "@pomeloturn/types/Protocols";
@@ -18,12 +19,23 @@
         });
     }
 
-    static create({ host, port }: HostPort, protocol: CallerProtocol, ports: RunnerPorts, gate: StatementGate): CallerListener {
+    /** @param onError called with each error of the server */
+    static create(
+        address: HostPort,
+        protocol: CallerProtocol,
+        ports: RunnerPorts,
+        gate: StatementGate,
+        onError: (error: Error) => void,
+    ): CallerListener {
         const listener = new CallerListener(protocol, ports, gate);
-        listener.server.listen({ host, port, backlog: BACKLOG });
+        listenUntilBound(listener.server, { ...address, backlog: BACKLOG }, onError);
         return listener;
     }
 
+    get isListening(): boolean {
+        return this.server.listening;
+    }
+
     /** Resolves with the port once the listener accepts callers. */
     async listeningPort(): Promise<number> {
         if (!this.server.listening) {
--- a/programs/entry/src/Entry.ts
+++ b/programs/entry/src/Entry.ts
@@ -138,10 +138,21 @@
         }
         this.registration.start();
         const gate: StatementGate = { decide: statement => this.entryDrain?.decide(statement) ?? StatementDecision.Run };
-        this.listener = CallerListener.create(splitAddress(settings.callerAddress), lineCallerProtocol, this.ports, gate);
-        ReadinessServer.create(settings.readinessAddress, () => !this.isDraining && directory.isServing);
+        const onListenError = (server: string) => (error: Error): void => {
+            logger.error("a server of this process does not listen; it tries again", { server, reason: error.message });
+        };
+        const listener = CallerListener.create(
+            splitAddress(settings.callerAddress),
+            lineCallerProtocol,
+            this.ports,
+            gate,
+            onListenError("callers"),
+        );
+        this.listener = listener;
+        const isReady = (): boolean => !this.isDraining && directory.isServing && listener.isListening;
+        ReadinessServer.create(settings.readinessAddress, isReady, onListenError("readiness"));
         RelayServer.create(splitAddress(settings.relayAddress), this.createRelaySource(), this.ports.nowMs, logger);
-        MetricsServer.create(splitAddress(settings.metricsAddress), this.metrics);
+        MetricsServer.create(splitAddress(settings.metricsAddress), this.metrics, onListenError("metrics"));
         startLoop(() => this.tick(), error => this.handleUnexpectedError(error), TICK_MS);
         logger.info("the proxy has started", { vm: settings.vm });
     }
--- a/programs/entry/src/MetricsServer.ts
+++ b/programs/entry/src/MetricsServer.ts
@@ -1,3 +1,4 @@
+import { listenUntilBound } from "@pomeloturn/bind-server/listenUntilBound";
 import { createServer } from "node:http";
 import type { EntryMetrics } from "./EntryMetrics.ts";
 
@@ -11,6 +12,7 @@
     static create(
         address: { readonly host: string; readonly port: number; },
         metrics: EntryMetrics,
+        onError: (error: Error) => void,
     ): MetricsServer {
         const server = createServer((request, response) => {
             if (request.url !== METRICS_PATH) {
@@ -20,7 +22,7 @@
             }
             void metrics.format().then(text => response.end(text));
         });
-        server.listen(address.port, address.host);
+        listenUntilBound(server, address, onError);
         return new MetricsServer();
     }
 }
--- a/programs/entry/src/shutdown.test.ts
+++ b/programs/entry/src/shutdown.test.ts
@@ -58,6 +58,8 @@
     const ports = createTestPorts(openChannel, TIMEOUT_MS);
     listener = CallerListener.create({ host: HOST, port: 0 }, lineCallerProtocol, ports, {
         decide: statement => drain?.decide(statement) ?? "run",
+    }, error => {
+        throw error;
     });
     port = await listener.listeningPort();
 });
