--- a/programs/entry/src/CoordinationTable.ts
+++ b/programs/entry/src/CoordinationTable.ts
@@ -21,8 +21,8 @@
     /** Reads the store itself. A relay may have been cut off from it since its last read. */
     readonly store: Pick<TableReader, "readTable">;
     readonly logger: ProcessLogger;
-    /** Wait of one feed call for the configuration. It bounds the time until a dead connection is detected. */
-    readonly configurationWaitMs: number;
+    /** Longest wait of one feed call. It bounds the time until a dead connection is detected, be it the only one that is dead. */
+    readonly feedWaitMs: number;
     /** Monotonic time in milliseconds. */
     readonly nowMs: () => number;
     /** Called with the registered VMs after each change of the table, up to a point. */
@@ -54,9 +54,9 @@
     replaceRows(rows: readonly StoreRow[], point: StorePoint, last: StorePoint | undefined): void {
         this.options.onEraRead(point.era);
         this.applyAuthorities(rows, point.era);
-        const { configurationWaitMs, nowMs, onMembersChanged } = this.options;
+        const { feedWaitMs, nowMs, onMembersChanged } = this.options;
         // Until a VM finds that it has to connect to the store again, it does not know of the restore.
-        const settledAtMs = nowMs() + configurationWaitMs + REGISTRATION_MARGIN_MS;
+        const settledAtMs = nowMs() + feedWaitMs + REGISTRATION_MARGIN_MS;
         replaceMembers(this.listing, decodeMembers(rows), { isRestored: isRestoredSince(last, point), settledAtMs });
         this.point = point;
         onMembersChanged(this.listing, point);
--- a/programs/entry/src/DirectoryFeeds.test.ts
+++ b/programs/entry/src/DirectoryFeeds.test.ts
@@ -37,13 +37,13 @@
         logger: createLogger("test", "vm-1"),
         counters,
         signal: abortController.signal,
-        configurationWaitMs: 4_000,
+        feedWaitMs: 4_000,
         reportIntervalMs: 1_000,
         nowMs: () => 0,
         onUnexpectedError: error => {
             throw error;
         },
-        onConfigurationFeedFailed: () => {},
+        onFeedFailed: () => {},
         onMembersChanged: () => {},
         onEraRead: () => {},
         onAuthorityChanged: () => {},
@@ -92,13 +92,13 @@
         logger: createLogger("test", "vm-1"),
         counters: Counters.create(),
         signal: abortController.signal,
-        configurationWaitMs: 4_000,
+        feedWaitMs: 4_000,
         reportIntervalMs: 1_000,
         nowMs: () => 0,
         onUnexpectedError: error => {
             throw error;
         },
-        onConfigurationFeedFailed: () => {},
+        onFeedFailed: () => {},
         onMembersChanged: listing =>
             members.push(...[...listing.members.values()].map(({ vm, failureDomain }) => `${vm} ${failureDomain}`)),
         onEraRead: () => {},
@@ -156,13 +156,13 @@
             logger: createLogger("test", "vm-1"),
             counters: Counters.create(),
             signal: abortController.signal,
-            configurationWaitMs: 4_000,
+            feedWaitMs: 4_000,
             reportIntervalMs: REPORT_INTERVAL_MS,
             nowMs: () => clock.nowMs,
             onUnexpectedError: error => {
                 throw error;
             },
-            onConfigurationFeedFailed: () => {},
+            onFeedFailed: () => {},
             onMembersChanged: () => {},
             onEraRead: () => {},
             onAuthorityChanged: () => {},
@@ -199,3 +199,50 @@
         expect(listIds(directory)).toEqual(["b"]);
     });
 });
+
+describe("a connection to the store that has gone silent", () => {
+    const CONTACT_WAIT_MS = 3_500;
+
+    /** Follows a store of which the feed of one table never answers. @returns the waits that were asked for, and the number of reconnects */
+    const followSilent = async (silent: string): Promise<{ readonly waitsMs: Map<string, number>; readonly reconnectCount: number; }> => {
+        const waitsMs = new Map<string, number>();
+        let reconnectCount = 0;
+        const feeds = DirectoryFeeds.create({
+            reader: {
+                readTable: () => Promise.resolve({ rows: [], era: 1, version: 4 }),
+                readChanges: (table, _after, waitMs) => {
+                    waitsMs.set(table, Math.max(waitMs, waitsMs.get(table) ?? 0));
+                    // The client ends an overdue call.
+                    return table === silent ? Promise.reject(new Error("the server did not respond")) : new Promise(() => {});
+                },
+            },
+            store: createReader([]),
+            directory: ServiceDirectory.create(() => {
+                throw new Error("the test lists no instance");
+            }),
+            logger: createLogger("test", "vm-1"),
+            counters: Counters.create(),
+            signal: abortController.signal,
+            feedWaitMs: CONTACT_WAIT_MS,
+            reportIntervalMs: 1_000,
+            nowMs: () => 0,
+            onUnexpectedError: error => {
+                throw error;
+            },
+            onFeedFailed: () => reconnectCount++,
+            onMembersChanged: () => {},
+            onEraRead: () => {},
+            onAuthorityChanged: () => {},
+        });
+        feeds.start();
+        await vi.waitFor(() => expect(waitsMs.size).toBe(3));
+        await vi.waitFor(() => expect(reconnectCount).toBeGreaterThan(0));
+        return { waitsMs, reconnectCount };
+    };
+
+    it.each(["op", "servers", "pomeloturn"])("hides no change of table %s for longer than VMs may be out of contact", async table => {
+        const { waitsMs, reconnectCount } = await followSilent(table);
+        expect(Math.max(...waitsMs.values())).toBeLessThanOrEqual(CONTACT_WAIT_MS);
+        expect(reconnectCount).toBe(1);
+    });
+});
--- a/programs/entry/src/DirectoryFeeds.ts
+++ b/programs/entry/src/DirectoryFeeds.ts
@@ -11,13 +11,14 @@
 import type { StorePoint, StoreRow, TableReader } from "@pomeloturn/types/StoreRow";
 import { CoordinationTable, type CoordinationTableOptions } from "./CoordinationTable.ts";
 
-/** Wait of one feed call for the instances and for the VMs' own table. Dead connections are detected by the feed of the configuration. */
-const LISTING_WAIT_MS = 28_000;
 /** Delay after changes, so that changes in quick succession are read by one call: each call to the store costs. */
 const CONFIGURATION_BATCH_DELAY_MS = 200;
 const INSTANCE_BATCH_DELAY_MS = 400;
 const COORDINATION_BATCH_DELAY_MS = 400;
 
+/** Shortest time between two reconnects to the store. */
+const RECONNECT_INTERVAL_MS = 1_000;
+
 /** Delay before the listing of a restored store is read again when it could not be read, or when more instances are due. */
 const SETTLING_RETRY_DELAY_MS = 1_000;
 
@@ -42,8 +43,8 @@
     readonly reportIntervalMs: number;
     /** Called with errors that were thrown while rows were applied. */
     readonly onUnexpectedError: (error: Error) => void;
-    /** Called when the feed of the configuration fails. Aborts the calls that are in progress, because their connections may be dead too. */
-    readonly onConfigurationFeedFailed: () => void;
+    /** Called when a feed fails. Aborts the calls that are in progress, because their connections may be dead too. */
+    readonly onFeedFailed: () => void;
 }
 
 /** Follows the store's tables and applies their changes to the directory. */
@@ -51,6 +52,7 @@
     /** Era of the last full read of the instances. */
     private listingEra = 0;
     private nextSettlingAtMs = -Infinity;
+    private reconnectedAtMs = -Infinity;
     /** Instances in use whose row another writer has overwritten, and the monotonic time until which they have to write it again. */
     private readonly overwrittenUntilMs = new Map<string, number>();
     private readonly coordination: CoordinationTable;
@@ -115,9 +117,10 @@
             this.coordination.replaceRows(rows, point, last);
             onRead();
         };
+        const { feedWaitMs } = this.options;
         this.follow(
             COORDINATION_TABLE,
-            LISTING_WAIT_MS,
+            feedWaitMs,
             COORDINATION_BATCH_DELAY_MS,
             replace,
             (rows, point) => this.coordination.applyChanges(rows, point),
@@ -126,11 +129,11 @@
 
     private followOthers(): void {
         const applyConfiguration = (rows: readonly StoreRow[]): void => this.applyConfiguration(rows);
-        const { configurationWaitMs } = this.options;
-        this.follow(OPERATOR_TABLE, configurationWaitMs, CONFIGURATION_BATCH_DELAY_MS, applyConfiguration, applyConfiguration);
+        const { feedWaitMs } = this.options;
+        this.follow(OPERATOR_TABLE, feedWaitMs, CONFIGURATION_BATCH_DELAY_MS, applyConfiguration, applyConfiguration);
         this.follow(
             INSTANCE_TABLE,
-            LISTING_WAIT_MS,
+            feedWaitMs,
             INSTANCE_BATCH_DELAY_MS,
             (rows, point, last) => this.replaceInstances(rows, point, last),
             (rows, point) => this.applyInstanceChanges(rows, point),
@@ -144,11 +147,11 @@
         onSnapshot: (rows: readonly StoreRow[], point: StorePoint, last: StorePoint | undefined) => void,
         onChanges: (rows: readonly StoreRow[], point: StorePoint) => void,
     ): void {
-        const { reader, logger, counters, signal, onConfigurationFeedFailed, onUnexpectedError } = this.options;
+        const { reader, logger, counters, signal, onUnexpectedError } = this.options;
         const onReachabilityChange = (isReachable: boolean, reason: string): void => {
             counters.add(isReachable ? "store_regained" : "store_lost");
-            if (!isReachable && table === OPERATOR_TABLE) {
-                onConfigurationFeedFailed();
+            if (!isReachable) {
+                this.recordFailure();
             }
             logger.info(isReachable ? "a table of the store can be read again" : "a table of the store cannot be read; the proxy retries", {
                 table,
@@ -171,6 +174,15 @@
         });
     }
 
+    /** The calls that are aborted fail too; they do not count. */
+    private recordFailure(): void {
+        const { nowMs, onFeedFailed } = this.options;
+        if (nowMs() - this.reconnectedAtMs >= RECONNECT_INTERVAL_MS) {
+            this.reconnectedAtMs = nowMs();
+            onFeedFailed();
+        }
+    }
+
     /** @param last point up to which the table was known; undefined at the start of the process */
     private reportFullRead(table: string, rowCount: number, { era, version }: StorePoint, last: StorePoint | undefined): void {
         const { logger, counters } = this.options;
--- a/programs/entry/src/Entry.ts
+++ b/programs/entry/src/Entry.ts
@@ -37,9 +37,9 @@
 const TICK_MS = 200;
 /** Interval of ticks while a primary is suspected, missing or being replaced. */
 const ACTIVE_TICK_MS = 40;
-/** Part of `contactMs` that remains for the calls to the store after a dead connection has been detected. */
-const RECONNECT_MARGIN_MS = 1_000;
-/** Share of `contactMs` that one call of the configuration's feed may wait at least. */
+/** Part of `contactMs` that remains to detect that a call is overdue, and to connect and read again. */
+const RECONNECT_MARGIN_MS = 1_500;
+/** Share of `contactMs` that one call of a feed may wait at least. */
 const MINIMUM_WAIT_SHARE = 0.5;
 
 /**
@@ -115,11 +115,11 @@
             logger,
             counters: this.metrics.counters,
             signal: this.abortController.signal,
-            configurationWaitMs: Math.max(settings.contactMs * MINIMUM_WAIT_SHARE, settings.contactMs - RECONNECT_MARGIN_MS),
+            feedWaitMs: Math.max(settings.contactMs * MINIMUM_WAIT_SHARE, settings.contactMs - RECONNECT_MARGIN_MS),
             reportIntervalMs: settings.reportIntervalMs,
             nowMs: this.ports.nowMs,
             onUnexpectedError: this.ports.onUnexpectedError,
-            onConfigurationFeedFailed: () => this.store.reconnect(),
+            onFeedFailed: () => this.store.reconnect(),
             onMembersChanged: (listing, point) => {
                 const { members } = listing;
                 directory.setVmCount(Math.max(1, members.size));
@@ -137,22 +137,7 @@
             this.feeds.start();
         }
         this.registration.start();
-        const gate: StatementGate = { decide: statement => this.entryDrain?.decide(statement) ?? StatementDecision.Run };
-        const onListenError = (server: string) => (error: Error): void => {
-            logger.error("a server of this process does not listen; it tries again", { server, reason: error.message });
-        };
-        const listener = CallerListener.create(
-            splitAddress(settings.callerAddress),
-            lineCallerProtocol,
-            this.ports,
-            gate,
-            onListenError("callers"),
-        );
-        this.listener = listener;
-        const isReady = (): boolean => !this.isDraining && directory.isServing && listener.isListening;
-        ReadinessServer.create(settings.readinessAddress, isReady, onListenError("readiness"));
-        RelayServer.create(splitAddress(settings.relayAddress), this.createRelaySource(), this.ports.nowMs, logger);
-        MetricsServer.create(splitAddress(settings.metricsAddress), this.metrics, onListenError("metrics"));
+        this.listen();
         startLoop(() => this.tick(), error => this.handleUnexpectedError(error), TICK_MS);
         logger.info("the proxy has started", { vm: settings.vm });
     }
@@ -186,6 +171,27 @@
         this.registration.shutDown();
     }
 
+    /** Starts the servers of this process. */
+    private listen(): void {
+        const { settings, logger, directory } = this;
+        const gate: StatementGate = { decide: statement => this.entryDrain?.decide(statement) ?? StatementDecision.Run };
+        const onListenError = (server: string) => (error: Error): void => {
+            logger.error("a server of this process does not listen; it tries again", { server, reason: error.message });
+        };
+        const listener = CallerListener.create(
+            splitAddress(settings.callerAddress),
+            lineCallerProtocol,
+            this.ports,
+            gate,
+            onListenError("callers"),
+        );
+        this.listener = listener;
+        const isReady = (): boolean => !this.isDraining && directory.isServing && listener.isListening;
+        ReadinessServer.create(settings.readinessAddress, isReady, onListenError("readiness"));
+        RelayServer.create(splitAddress(settings.relayAddress), this.createRelaySource(), this.ports.nowMs, logger);
+        MetricsServer.create(splitAddress(settings.metricsAddress), this.metrics, onListenError("metrics"));
+    }
+
     private createPorts(): RunnerPorts {
         const statements = StatementLog.create(this.logger, this.metrics);
         return {
--- a/tests/restores/support/FleetVm.ts
+++ b/tests/restores/support/FleetVm.ts
@@ -67,13 +67,13 @@
             logger,
             counters: Counters.create(),
             signal: this.abortController.signal,
-            configurationWaitMs: CONFIGURATION_WAIT_MS,
+            feedWaitMs: CONFIGURATION_WAIT_MS,
             reportIntervalMs,
             nowMs,
             onUnexpectedError: error => {
                 throw error;
             },
-            onConfigurationFeedFailed: () => this.store.reconnect(),
+            onFeedFailed: () => this.store.reconnect(),
             onMembersChanged: (listing, point) => {
                 this.members = [...listing.members.keys()].sort();
                 tables.setMembers(listing.members.values());
--- a/tests/support/StoreFollower.ts
+++ b/tests/support/StoreFollower.ts
@@ -26,13 +26,13 @@
             logger,
             counters: this.counters,
             signal: this.abortController.signal,
-            configurationWaitMs: CONFIGURATION_WAIT_MS,
+            feedWaitMs: CONFIGURATION_WAIT_MS,
             reportIntervalMs: REPORT_INTERVAL_MS,
             nowMs: () => performance.now(),
             onUnexpectedError: error => {
                 throw error;
             },
-            onConfigurationFeedFailed: () => store.reconnect(),
+            onFeedFailed: () => store.reconnect(),
             onMembersChanged: ({ members }) => {
                 this.members = [...members.keys()];
             },
