--- a/packages/process/statement-runner/src/attemptRead.ts
+++ b/packages/process/statement-runner/src/attemptRead.ts
@@ -8,7 +8,7 @@
 import { beginAtLeader } from "./beginAtLeader.ts";
 import type { Operation } from "./Operation.ts";
 import { recordReply } from "./recordReply.ts";
-import { rollBack } from "./rollBack.ts";
+import { releaseAfterRollback, rollBack } from "./rollBack.ts";
 import type { RunnerPorts } from "./RunnerPorts.ts";
 import { sendAfterSynchronization } from "./sendAfterSynchronization.ts";
 import { waitForLeaderTurn, waitForTurn } from "./waitForTurn.ts";
@@ -124,9 +124,9 @@
         { kind: CommandKind.Forward, statement, preparedName, after: undefined },
         { kind: CommandKind.Rollback },
     ]);
-    void rollbackReply!.then(({ status }) => lease.release(status));
     const reply = await awaitReply(answer!, lease, operation, ports);
     invalidatePreparedStatements(lease, reply);
+    void releaseAfterRollback(lease, rollbackReply!);
     recordReadReply(instance, reply, sentAtMs, false, ports);
     return reply;
 };
