--- a/packages/connection/statement-session/src/ConnectionState.ts
+++ b/packages/connection/statement-session/src/ConnectionState.ts
@@ -15,11 +15,11 @@
 
 export const createConnectionState = (): ConnectionState => ({ settings: new Map(), preparedNames: new Set() });
 
-/** Shapes that are used in a prepared statement's name as they are; others are hex-encoded. */
+/** Shapes that are used in a prepared statement's name as they are; others are hex-encoded behind a prefix of their own. */
 const PLAIN_NAME_PATTERN = /^[A-Za-z0-9_]{1,64}$/;
 
 const getPreparedName = ({ isWrite, shape }: PreparedStatement): string =>
-    `${isWrite ? "w" : "r"}_${PLAIN_NAME_PATTERN.test(shape) ? shape : Buffer.from(shape, "latin1").toString("hex")}`;
+    (isWrite ? "w" : "r") + (PLAIN_NAME_PATTERN.test(shape) ? `_${shape}` : `x_${Buffer.from(shape, "latin1").toString("hex")}`);
 
 /** Commands that bring a connection into the state of a session. */
 export interface SynchronizationPlan {
