--- a/packages/connection/statement-session/src/SessionState.ts
+++ b/packages/connection/statement-session/src/SessionState.ts
@@ -10,6 +10,8 @@
     readonly preparedStatements: Map<string, PreparedStatement>;
     /** Log position of the session's last commit, by service. */
     readonly commitPositions: Map<string, LogPosition>;
+    /** Characters in the names and values of settings and prepared statements. */
+    storedLength: number;
     status: TransactionStatus;
 }
 
@@ -18,5 +20,6 @@
     settings: new Map(),
     preparedStatements: new Map(),
     commitPositions: new Map(),
+    storedLength: 0,
     status: TransactionStatus.Idle,
 });
--- a/packages/connection/statement-session/src/answerLocally.ts
+++ b/packages/connection/statement-session/src/answerLocally.ts
@@ -30,19 +30,37 @@
     status,
 });
 
+/** Largest `storedLength` of a session: the process keeps what its sessions have set for as long as they last. */
+const MAXIMUM_STORED_LENGTH = 262_144;
+
+const lengthOf = (name: string, value: string | undefined): number => value === undefined ? 0 : name.length + value.length;
+
+/** Replaces a setting or a prepared statement, unless the session would then hold too much. */
+const store = (session: SessionState, oldLength: number, newLength: number, apply: () => void): CallerReply => {
+    const storedLength = session.storedLength - oldLength + newLength;
+    if (storedLength > MAXIMUM_STORED_LENGTH) {
+        const detail = `the settings and prepared statements of a session are limited to ${MAXIMUM_STORED_LENGTH} characters`;
+        return createErrorReply(ResultCode.MessageTooLarge, detail, session.status);
+    }
+    session.storedLength = storedLength;
+    apply();
+    return createSuccessReply(session.status);
+};
+
 const localHandlers: Readonly<Partial<Record<StatementKind, LocalHandler>>> = {
-    set: (session, { name, argument }) => {
-        session.settings.set(name, argument);
-        return createSuccessReply(session.status);
-    },
+    set: (session, { name, argument }) =>
+        store(session, lengthOf(name, session.settings.get(name)), lengthOf(name, argument), () => session.settings.set(name, argument)),
     prepare: (session, { name, argument, isWrite }) => {
-        session.preparedStatements.set(name, { isWrite, shape: argument });
-        return createSuccessReply(session.status);
-    },
-    close: (session, { name }) => {
-        session.preparedStatements.delete(name);
-        return createSuccessReply(session.status);
+        const known = session.preparedStatements.get(name);
+        return store(
+            session,
+            lengthOf(name, known?.shape),
+            lengthOf(name, argument),
+            () => session.preparedStatements.set(name, { isWrite, shape: argument }),
+        );
     },
+    close: (session, { name }) =>
+        store(session, lengthOf(name, session.preparedStatements.get(name)?.shape), 0, () => session.preparedStatements.delete(name)),
     malformed: (session, { text }) =>
         createErrorReply(ResultCode.MalformedMessage, text.slice(0, MAXIMUM_DETAIL_CHARACTERS), session.status),
 };
--- a/packages/connection/statement-session/src/session.test.ts
+++ b/packages/connection/statement-session/src/session.test.ts
@@ -42,6 +42,24 @@
     );
 });
 
+describe("what a session stores", () => {
+    const LARGE = "v".repeat(100_000);
+
+    it.each([StatementKind.Set, StatementKind.Prepare])("is not kept without a limit (%s)", kind => {
+        const session = createSession("orders");
+        const codes = ["a", "b", "c", "d"].map(name => answerLocally(session, statement(kind, name, LARGE))?.code);
+        expect(codes).toEqual([ResultCode.Ok, ResultCode.Ok, ResultCode.MessageTooLarge, ResultCode.MessageTooLarge]);
+        expect(session.settings.size + session.preparedStatements.size).toBe(2);
+    });
+
+    it("does not count what was replaced or closed", () => {
+        const session = createSession("orders");
+        const kinds = [StatementKind.Set, StatementKind.Prepare, StatementKind.Close];
+        const codes = Array.from({ length: 30 }, (_each, index) => answerLocally(session, statement(kinds[index % 3]!, "a", LARGE))?.code);
+        expect(new Set(codes)).toEqual(new Set([ResultCode.Ok]));
+    });
+});
+
 describe("synchronizeConnection", () => {
     const createSettings = (entries: Readonly<Record<string, string>>): Map<string, string> => new Map(Object.entries(entries));
 
@@ -67,11 +85,12 @@
     });
 
     it("gives prepared statements unique names by kind and shape", () => {
-        const names = [["q", true], ["q", false], ["q c", true]].map(([shape, isWrite]) =>
-            synchronizeConnection(createConnectionState(), createSettings({}), { shape: shape as string, isWrite: isWrite as boolean })
-                .preparedName
+        const names = [["q", true], ["q", false], ["q c", true], ["q2c:v2", true], ["7132633a7632", true], ["x_71", true]].map((
+            [shape, isWrite],
+        ) => synchronizeConnection(createConnectionState(), createSettings({}), { shape: shape as string, isWrite: isWrite as boolean })
+            .preparedName
         );
-        expect(new Set(names).size).toBe(3);
+        expect(new Set(names).size).toBe(names.length);
         expect(names.every(name => /^\w+$/.test(name))).toBe(true);
     });
 });
