--- /dev/null
+++ b/tests/entry/shutdown.test.ts
@@ -0,0 +1,135 @@
+import { findPorts } from "@pomeloturn/standin/findPorts";
+import { type ChildProcess, spawn, spawnSync } from "node:child_process";
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { setTimeout as delay } from "node:timers/promises";
+import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import { beforeAll, expect, it } from "vitest";
+import { RestorableStore } from "../support/RestorableStore.ts";
+import { LineInstance } from "./support/LineInstance.ts";
+import { RandomCaller, type SentStatement } from "./support/RandomCaller.ts";
+
+/** The environment variables SHUTDOWN_SEEDS and SHUTDOWN_SEED change the number of seeds and the first one. */
+const SEED_COUNT = Number(process.env["SHUTDOWN_SEEDS"] ?? 2);
+const FIRST_SEED = Number(process.env["SHUTDOWN_SEED"] ?? 1);
+
+const SERVICE = "ledger";
+const HOST = "127.0.0.1";
+const TIMEOUT_MS = 800;
+const GRACE_S = 3;
+const CALLER_COUNT = 30;
+const VM_COUNT = 2;
+/** Time within which a statement that was not passed on may be cut: it crosses the close of its session. */
+const CROSSING_MS = 200;
+/** Time after a SIGTERM in which the load balancer still sends callers to the VM. */
+const ROTATION_MS = 1_000;
+
+const ROUTE = { service: SERVICE, timeout_ms: TIMEOUT_MS, target_latency_ms: 500, priority: 0 };
+const CONFIGURATION = {
+    version: 1,
+    routes: [
+        { ...ROUTE, host: "writes", type: "primary" },
+        { ...ROUTE, host: "reads", type: "bounded_staleness", max_staleness_ms: 1_500 },
+    ],
+    services: [{ name: SERVICE, max_conns: 200 }],
+    limits: {},
+};
+
+interface Vm {
+    readonly callerPort: number;
+    readonly process: ChildProcess;
+    isInRotation: boolean;
+}
+
+const isReady = (port: number): Promise<boolean> =>
+    fetch(`http://${HOST}:${port}/-/ready`).then(({ status }) => status === 200).catch(() => false);
+
+/** Starts the built program of the platform's entry, as deploy/system.toml runs it. */
+const startVm = async (vm: string, folder: string, storeAddress: string): Promise<Vm> => {
+    const ports = await findPorts(4);
+    const [callerAddress, readinessAddress, metricsAddress, relayAddress] = ports.map(port => `${HOST}:${port}`);
+    const file = join(folder, `${vm}.json`);
+    const settings = {
+        ...{ vm, failureDomain: "north-a", regions: { "north-a": "north" }, storeAddress, ordersAddress: `${HOST}:9` },
+        ...{ callerAddress, readinessAddress, metricsAddress, relayAddress },
+        ...{ shutdownGraceS: GRACE_S, contactMs: 5_000, reportIntervalMs: 1_200, isFirstStart: false, areFencesChecked: true },
+    };
+    writeFileSync(file, JSON.stringify(settings));
+    const env = { PATH: process.env["PATH"], POMELOTURN_BOOT: file };
+    const child = spawn(process.execPath, ["target/entry.cjs"], { env, stdio: ["ignore", "ignore", "inherit"] });
+    while (!await isReady(ports[1]!)) {
+        await delay(50);
+    }
+    return { callerPort: ports[0]!, process: child, isInRotation: true };
+};
+
+const hasExited = ({ exitCode, signalCode }: ChildProcess): boolean => exitCode !== null || signalCode !== null;
+
+/** Sends SIGTERM, among settings that are reloaded, and kills the process after the grace period. @returns when the SIGTERM was sent */
+const terminate = async (vm: Vm): Promise<number> => {
+    const terminatedAtMs = performance.now();
+    vm.process.kill("SIGHUP");
+    vm.process.kill("SIGTERM");
+    vm.process.kill("SIGHUP");
+    void delay(ROTATION_MS).then(() => vm.isInRotation = false);
+    while (!hasExited(vm.process) && performance.now() - terminatedAtMs < GRACE_S * 1_000) {
+        await delay(10);
+    }
+    vm.process.kill("SIGKILL");
+    return terminatedAtMs;
+};
+
+beforeAll(() => {
+    expect(spawnSync(process.execPath, ["scripts/buildEntry.js"], { stdio: "inherit" }).status).toBe(0);
+});
+
+it.each(Array.from({ length: SEED_COUNT }, (_each, index) => FIRST_SEED + index))(
+    "a process that is stopped under load cuts a statement that it has accepted (seed %i)",
+    async seed => {
+        const generator = xoroshiro128plus(seed);
+        const random = (): number => uniformFloat64(generator);
+        const store = await RestorableStore.start();
+        const workMs = (): number => random() < 0.1 ? 100 * random() : 10 * random();
+        const instances = [await LineInstance.start("a", SERVICE, true, workMs), await LineInstance.start("b", SERVICE, false, workMs)];
+        ["a", "b"].forEach((id, index) => store.write("servers", id, instances[index]!.entry));
+        store.write("op", "config", CONFIGURATION);
+        const folder = mkdtempSync(join(tmpdir(), "shutdown-"));
+        const sent: SentStatement[] = [];
+        const vms: Vm[] = [];
+        const callers: RandomCaller[] = [];
+        try {
+            for (let index = 0; index < VM_COUNT; index++) {
+                vms.push(await startVm(`vm-${index}`, folder, store.address));
+            }
+            const choosePort = (): number | undefined => {
+                const inRotation = vms.filter(vm => vm.isInRotation);
+                return inRotation[Math.floor(random() * inRotation.length)]?.callerPort;
+            };
+            for (let index = 0; index < CALLER_COUNT; index++) {
+                callers.push(RandomCaller.start(`c${index}`, random, choosePort, sent));
+            }
+            await delay(1_000 + 500 * random());
+            const firstTerminatedAtMs = await terminate(vms[0]!);
+            expect(vms[0]!.process.exitCode).toBe(0);
+            // The connections of the second VM go on until it is stopped too.
+            await delay(300);
+            await terminate(vms[1]!);
+            expect(vms[1]!.process.exitCode).toBe(0);
+            const arrived = (id: string): boolean => instances.some(({ arrivedAtMs }) => arrivedAtMs.has(id));
+            const cut = sent.filter(({ id, sentAtMs, brokenAtMs }) =>
+                brokenAtMs !== undefined && (arrived(id) || brokenAtMs - sentAtMs > CROSSING_MS)
+            );
+            expect(cut.map(({ id, text, sentAtMs }) => `${id} ${text} ${Math.round(sentAtMs - firstTerminatedAtMs)}`)).toEqual([]);
+            expect(sent.length).toBeGreaterThan(500);
+        }
+        finally {
+            callers.forEach(caller => caller.stop());
+            vms.forEach(vm => vm.process.kill("SIGKILL"));
+            instances.forEach(instance => instance.close());
+            store.close();
+            rmSync(folder, { recursive: true, force: true });
+        }
+    },
+);
