--- a/programs/controller/src/Controller.ts
+++ b/programs/controller/src/Controller.ts
@@ -18,10 +18,13 @@
 import { ControllerNode } from "./ControllerNode.ts";
 import type { ControllerSettings } from "./ControllerSettings.ts";
 import { DatabaseClient } from "./DatabaseClient.ts";
+import { DrainOrders } from "./DrainOrders.ts";
 
 type IControlMessage = pomeloturn.control.IControlMessage;
 
 const VIEW_PUSH_INTERVAL_MS = 100;
+/** Time for the proxy to connect for the first time during a shutdown. */
+const PROXY_CONNECT_WAIT_MS = 5_000;
 /** Limits the log during an outage of the store, in which one call per group and interval fails. */
 const MAXIMUM_FAILURE_LINES_PER_SECOND = 2;
 
@@ -48,6 +51,9 @@
     private readonly failureLogLimiter = LineRateLimiter.create(MAXIMUM_FAILURE_LINES_PER_SECOND);
     private readonly timers: NodeJS.Timeout[] = [];
     private controllerDrain: ControllerDrain | undefined;
+    private readonly drainOrders = DrainOrders.create(vm =>
+        this.streams.send(vm, { drain: { deadlineLeftMs: this.settings.drainDeadlineMs } })
+    );
     /** Called when the graceful shutdown is complete. */
     onDrained: () => void = () => undefined;
     /** Called when a newer controller process has started under this VM's name. */
@@ -94,9 +100,12 @@
         }
         this.logger.info({ event: "draining", durationMs });
         this.node.leave();
-        this.node.proxy.send({ drain: { deadlineLeftMs: durationMs } });
+        const { proxy } = this.node;
+        proxy.drain(durationMs);
+        const connectsByMs = monotonicNowMs() + PROXY_CONNECT_WAIT_MS;
         this.controllerDrain = ControllerDrain.create({
-            isProxyConnected: () => this.node.proxy.isConnected,
+            // A proxy that has just been started has to learn of the order too.
+            isProxyConnected: () => proxy.isConnected || (!proxy.hasConnected && monotonicNowMs() < connectsByMs),
             releaseLeases: () => this.node.leases.release(),
             nowMs: monotonicNowMs,
             onDrained: () => this.onDrained(),
@@ -122,7 +131,9 @@
             return { isOrdered: true };
         }
         const isKnown = this.node.members.state.members.has(vm);
-        this.streams.send(vm, { drain: { deadlineLeftMs: this.settings.drainDeadlineMs } });
+        if (isKnown) {
+            this.drainOrders.order(vm, monotonicNowMs());
+        }
         return { isOrdered: isKnown };
     }
 
@@ -188,11 +199,17 @@
             setInterval(() => {
                 this.node.tick();
                 this.streams.closeIdle();
+                this.drainOrders.repeat(vm => this.isLeaving(vm), monotonicNowMs());
             }, HEARTBEAT_INTERVAL_MS),
             setInterval(() => this.node.pushView(), VIEW_PUSH_INTERVAL_MS),
         );
     }
 
+    private isLeaving(vm: string): boolean {
+        const member = this.node.members.state.members.get(vm);
+        return member === undefined || member.isLeaving || member.condition === Condition.Gone;
+    }
+
     private addressOf(vm: string): string | undefined {
         const member = this.node.members.state.members.get(vm);
         return member === undefined ? undefined : `${member.host}:${member.controllerPort}`;
--- a/programs/controller/src/ControllerNode.ts
+++ b/programs/controller/src/ControllerNode.ts
@@ -41,7 +41,7 @@
 
 /** The controller of one VM without sockets and timers. The owner calls `tick` once per second and `pushView` more often. */
 export class ControllerNode {
-    readonly proxy = ProxyLink.create();
+    readonly proxy: ProxyLink;
     readonly members: MembershipActor;
     readonly activeConfiguration: ActiveConfiguration;
     readonly leases: LeaseService;
@@ -68,6 +68,7 @@
     ];
 
     private constructor(private readonly options: ControllerNodeOptions) {
+        this.proxy = ProxyLink.create(options.nowMs);
         const { system, self, transport, table, objects } = options;
         this.activeConfiguration = ActiveConfiguration.create({
             table,
--- a/programs/controller/src/ProxyLink.ts
+++ b/programs/controller/src/ProxyLink.ts
@@ -5,15 +5,20 @@
 /** Sends a message to the proxy. */
 export type ProxySender = (message: pomeloturn.control.IControlMessage) => void;
 
-/** Sends the view and its changes to this VM's proxy. Messages are dropped while no proxy is connected. */
+/** Sends the view, its changes and the order to shut down to this VM's proxy. */
 export class ProxyLink {
+    /** Whether a proxy has connected since the start of this process. */
+    hasConnected = false;
+    /** Monotonic time in milliseconds by which the proxy has to have shut down; undefined before it is to. */
+    private drainDeadlineAtMs: number | undefined;
     private lastSentView: ControlView | undefined;
     private sender: ProxySender | undefined;
 
-    private constructor() {}
+    /** @param nowMs returns the monotonic time in milliseconds */
+    private constructor(private readonly nowMs: () => number) {}
 
-    static create(): ProxyLink {
-        return new ProxyLink();
+    static create(nowMs: () => number): ProxyLink {
+        return new ProxyLink(nowMs);
     }
 
     get isConnected(): boolean {
@@ -23,7 +28,9 @@
     /** Registers a new stream of the proxy and sends it the whole view. */
     connect(sender: ProxySender, view: ControlView | undefined): void {
         this.sender = sender;
+        this.hasConnected = true;
         this.lastSentView = undefined;
+        this.sendDrain();
         if (view !== undefined) {
             this.push(view);
         }
@@ -48,7 +55,15 @@
         }
     }
 
-    send(message: pomeloturn.control.IControlMessage): void {
-        this.sender?.(message);
+    /** Orders the proxy to shut down within `durationMs`, also one that connects later. */
+    drain(durationMs: number): void {
+        this.drainDeadlineAtMs = this.nowMs() + durationMs;
+        this.sendDrain();
+    }
+
+    private sendDrain(): void {
+        if (this.drainDeadlineAtMs !== undefined) {
+            this.sender?.({ drain: { deadlineLeftMs: Math.max(0, Math.round(this.drainDeadlineAtMs - this.nowMs())) } });
+        }
     }
 }
--- a/tests/drain.test.ts
+++ b/tests/drain.test.ts
@@ -48,6 +48,17 @@
         expect(await Promise.all([controller.waitForExit(), proxy.waitForExit()])).toEqual([0, 0]);
     });
 
+    it("leaves no proxy running that connects to its controller after the drain command", async () => {
+        const { controller, proxy } = deployment.vms[1]!;
+        await Promise.all([controller.kill(), proxy.kill()]);
+        const restarted = await deployment.startController(1);
+        deployment.vms[1]!.controller = restarted;
+        await deployment.runCommand(1, "drain", { vm: deployment.vms[1]!.vm });
+        const late = await deployment.startProxy(1);
+        deployment.vms[1]!.proxy = late;
+        expect(await Promise.all([restarted.waitForExit(), late.waitForExit()])).toEqual([0, 0]);
+    });
+
     it("lets an open transaction finish, then closes the idle connection with a shutdown error", async () => {
         const client = await deployment.connect(0);
         const connectionError = new Promise<Error>(resolve => client.on("error", resolve));
--- a/tests/support/ControlledDeployment.ts
+++ b/tests/support/ControlledDeployment.ts
@@ -82,9 +82,15 @@
 
     /** Starts the processes of a VM, also after they have exited. */
     async startVm(index: number): Promise<void> {
+        const { vm, callerPort } = this.smallDeployment.proxies[index]!;
+        const controller = await this.startController(index);
+        this.vms[index] = { vm, callerPort, controller, proxy: await this.startProxy(index) };
+    }
+
+    startController(index: number): Promise<ProgramProcess> {
         const address = this.smallDeployment.proxies[index]!;
         const controllerPort = this.controllerPorts[index]!;
-        const controller = await ProgramProcess.create("controller", {
+        return ProgramProcess.create("controller", {
             vm: address.vm,
             failureDomain: address.failureDomain,
             host: LOCALHOST,
@@ -95,8 +101,12 @@
             platformUrl: this.platformUrl,
             drainDeadlineMs: 5_000,
         }, controllerPort);
-        const proxy = await ProgramProcess.create("proxy", { ...address, controllerPort, drainDeadlineMs: 5_000 }, address.callerPort);
-        this.vms[index] = { vm: address.vm, callerPort: address.callerPort, controller, proxy };
+    }
+
+    startProxy(index: number): Promise<ProgramProcess> {
+        const address = this.smallDeployment.proxies[index]!;
+        const controllerPort = this.controllerPorts[index]!;
+        return ProgramProcess.create("proxy", { ...address, controllerPort, drainDeadlineMs: 5_000 }, address.callerPort);
     }
 
     /** Connects a caller; retries until the proxy has loaded the configuration of the service. */
