--- a/programs/controller/src/ControllerNode.ts
+++ b/programs/controller/src/ControllerNode.ts
@@ -68,7 +68,7 @@
     ];
 
     private constructor(private readonly options: ControllerNodeOptions) {
-        this.proxy = ProxyLink.create(options.nowMs);
+        this.proxy = ProxyLink.create(() => options.nowMs());
         const { system, self, transport, table, objects } = options;
         this.activeConfiguration = ActiveConfiguration.create({
             table,
