--- a/tests/drain.test.ts
+++ b/tests/drain.test.ts
@@ -53,7 +53,8 @@
         await Promise.all([controller.kill(), proxy.kill()]);
         const restarted = await deployment.startController(1);
         deployment.vms[1]!.controller = restarted;
-        await deployment.runCommand(1, "drain", { vm: deployment.vms[1]!.vm });
+        // The port for operators opens after the one that the start waits for.
+        await deployment.waitFor(() => deployment.runCommand(1, "drain", { vm: deployment.vms[1]!.vm }));
         const late = await deployment.startProxy(1);
         deployment.vms[1]!.proxy = late;
         expect(await Promise.all([restarted.waitForExit(), late.waitForExit()])).toEqual([0, 0]);
