--- a/tests/replacement/syncReplicas.test.ts
+++ b/tests/replacement/syncReplicas.test.ts
@@ -1,30 +1,16 @@
 import fc from "fast-check";
 import { describe, expect, it } from "vitest";
+import { drawSchedule, HEAL_AT_MS, inject, type Injector, runToEnd, sharedInjectors } from "./support/replacementFaults.ts";
 import { ReplacementSimulation } from "./support/ReplacementSimulation.ts";
 
 /** The environment variables REPLACEMENT_RUNS and REPLACEMENT_SEED change the number of runs and the seed. */
 const RUNS = Number(process.env["REPLACEMENT_RUNS"] ?? 300);
 const SEED = Number(process.env["REPLACEMENT_SEED"] ?? 1);
 const FAULT_AT_MS = 5_000;
-const HEAL_AT_MS = 20_000;
-const END_MS = 40_000;
-const COMMIT_INTERVAL_MS = 20;
 const TEST_LIMIT_MS = 3_600_000;
 
 const INSTANCE_IDS = ["a", "b", "c", "d"];
 
-const run = (simulation: ReplacementSimulation): void => {
-    for (let atMs = 0; atMs < END_MS; atMs += COMMIT_INTERVAL_MS) {
-        simulation.at(atMs, () => {
-            simulation.commitWrite();
-            if (simulation.servingLeader === undefined && atMs % 100 === 0) {
-                simulation.reportSuspicions();
-            }
-        });
-    }
-    simulation.run(END_MS);
-};
-
 interface Row {
     readonly name: string;
     readonly syncReplicas: number;
@@ -102,7 +88,7 @@
         const ids = syncReplicas === 1 ? INSTANCE_IDS.slice(0, 3) : INSTANCE_IDS;
         const simulation = new ReplacementSimulation(seed, 4, syncReplicas, ids);
         simulation.at(FAULT_AT_MS, () => fault(simulation));
-        run(simulation);
+        runToEnd(simulation);
         expect(simulation.lostAcknowledgedCount).toBe(0);
         expect(simulation.promotions.length).toBeGreaterThan(0);
         expect(simulation.promotions[0]!.atMs).toBeLessThanOrEqual(FAULT_AT_MS + 1_000 + (maximumGapMs ?? Infinity));
@@ -110,28 +96,15 @@
     });
 });
 
-interface Fault {
-    readonly kind: keyof typeof injectors;
-    readonly target: number;
-    readonly atMs: number;
-    readonly durationMs: number;
-}
-
-type Injector = (simulation: ReplacementSimulation, fault: Fault) => void;
-
 const injectors = {
+    failPrimary: sharedInjectors.failPrimary,
+    storeDown: sharedInjectors.storeDown,
+    loseClaims: sharedInjectors.loseClaims,
     failInstance: (simulation, { target, atMs, durationMs }) => {
         const instance = simulation.instances[target % simulation.instances.length]!;
         instance.condition = durationMs % 2 === 0 ? "refusing" : "unresponsive";
         simulation.at(atMs + durationMs, () => instance.condition = "up");
     },
-    failPrimary: (simulation, { atMs, durationMs }) => {
-        const primary = simulation.servingLeader;
-        if (primary !== undefined) {
-            primary.condition = "refusing";
-            simulation.at(atMs + durationMs, () => primary.condition = "up");
-        }
-    },
     hidePrimary: (simulation, { target, atMs, durationMs }) => {
         const primary = simulation.servingLeader;
         const vms = simulation.vms.filter((_each, index) => (index + target) % 2 === 0);
@@ -151,36 +124,17 @@
         instance.isDraining = true;
         simulation.at(atMs + durationMs, () => instance.isDraining = false);
     },
-    storeDown: (simulation, { atMs, durationMs }) => {
-        simulation.isStoreDown = true;
-        simulation.at(atMs + durationMs, () => simulation.isStoreDown = false);
-    },
-    loseClaims: (simulation, { atMs, durationMs }) => {
-        simulation.lostClaimShare = 0.6;
-        simulation.at(atMs + durationMs, () => simulation.lostClaimShare = 0);
-    },
 } satisfies Readonly<Record<string, Injector>>;
 
-const KINDS = Object.keys(injectors) as Fault["kind"][];
-const schedules = fc.array(
-    fc.record<Fault>({
-        kind: fc.constantFrom(...KINDS),
-        target: fc.nat(3),
-        atMs: fc.integer({ min: 4_000, max: HEAL_AT_MS - 6_000 }),
-        durationMs: fc.integer({ min: 50, max: 6_000 }),
-    }),
-    { minLength: 2, maxLength: 8 },
-);
+const schedules = drawSchedule(fc.constantFrom(...Object.keys(injectors) as (keyof typeof injectors)[]));
 
 it("loses a commit that replicas had to receive, or has no primary after the faults have ended", () => {
     const sizes = fc.constantFrom<readonly [syncReplicas: number, instanceCount: number]>([1, 2], [1, 3], [1, 4], [2, 3], [2, 4]);
     fc.assert(
         fc.property(fc.integer({ min: 1, max: 2 ** 31 - 1 }), sizes, schedules, (seed, [syncReplicas, instanceCount], schedule) => {
             const simulation = new ReplacementSimulation(seed, 4, syncReplicas, INSTANCE_IDS.slice(0, instanceCount));
-            for (const fault of schedule) {
-                simulation.at(fault.atMs, () => (injectors[fault.kind])(simulation, fault));
-            }
-            run(simulation);
+            inject(simulation, injectors, schedule);
+            runToEnd(simulation);
             expect(simulation.lostAcknowledgedCount).toBe(0);
             expect(simulation.unsafeFences).toEqual([]);
             expect(simulation.servingLeader).toBeDefined();
