--- a/packages/version/replace-primary/src/decideSuccessor.ts
+++ b/packages/version/replace-primary/src/decideSuccessor.ts
@@ -2,8 +2,16 @@
 import { chooseSuccessor, countMissingCommits, findPrimary, hasCaughtUp, holdsEachCommit } from "./chooseSuccessor.ts";
 import { enterPhase, requestSurvey } from "./phases.ts";
 import type { ReplacementAction, SurveyedInstance } from "./replacementMessages.ts";
-import { ReplacementPhase, ReplacementReason, type ReplacementState } from "./ReplacementState.ts";
-import { CATCH_UP_TIMEOUT_MS, MAXIMUM_MISSING_COMMITS, REPLACEMENT_SURVEY_INTERVAL_MS } from "./replacementTiming.ts";
+import { isOrderTimeLimited, ReplacementPhase, ReplacementReason, type ReplacementState } from "./ReplacementState.ts";
+import {
+    CATCH_UP_TIMEOUT_MS,
+    LAST_STEP_DOWN_MS,
+    LIMITED_CATCH_UP_TIMEOUT_MS,
+    MAXIMUM_MISSING_COMMITS,
+    REPLACEMENT_SURVEY_INTERVAL_MS,
+} from "./replacementTiming.ts";
+
+const catchUpTimeoutMs = (state: ReplacementState): number => isOrderTimeLimited(state) ? LIMITED_CATCH_UP_TIMEOUT_MS : CATCH_UP_TIMEOUT_MS;
 
 /** Chooses the successor after the claim, from the states that the instances reported. */
 export const decideSuccessor = (state: ReplacementState, instances: readonly SurveyedInstance[], nowMs: number): ReplacementAction[] => {
@@ -57,7 +65,10 @@
     successor: SurveyedInstance,
     nowMs: number,
 ): ReplacementAction[] => {
-    const isCatchUpOver = state.syncReplicas === 0 && nowMs - state.phaseSinceMs >= CATCH_UP_TIMEOUT_MS;
+    if (isOrderTimeLimited(state) && nowMs - state.claimSentAtMs >= LAST_STEP_DOWN_MS) {
+        return abandon(state, nowMs, "replacement of the primary abandoned: the successor has not caught up in the time for an order");
+    }
+    const isCatchUpOver = state.syncReplicas === 0 && nowMs - state.phaseSinceMs >= catchUpTimeoutMs(state);
     if (countMissingCommits(successor, leaving) > MAXIMUM_MISSING_COMMITS && !isCatchUpOver) {
         return [];
     }
@@ -66,7 +77,7 @@
     return [{ kind: "stepDown", instanceId: leaving.id, term: leaving.state!.term + 1 }];
 };
 
-/** Promotes the successor after the leaving primary has stopped, once it has all commits or `CATCH_UP_TIMEOUT_MS` have passed. */
+/** Promotes the successor after the leaving primary has stopped, once it has all commits or the time to catch up is over. */
 export const finishLeadershipTransfer = (
     state: ReplacementState,
     instances: readonly SurveyedInstance[],
@@ -77,7 +88,7 @@
         return abandon(state, nowMs, "replacement of the primary abandoned: no replica answered the survey");
     }
     const leaving = instances.find(({ isDraining, state: each }) => isDraining && each !== undefined);
-    const isCatchUpOver = nowMs - state.phaseSinceMs >= CATCH_UP_TIMEOUT_MS;
+    const isCatchUpOver = nowMs - state.phaseSinceMs >= catchUpTimeoutMs(state);
     if (state.syncReplicas > 0) {
         return finishSynchronousTransfer(state, instances, successor, isCatchUpOver, nowMs);
     }
--- a/packages/version/replace-primary/src/replacementTiming.ts
+++ b/packages/version/replace-primary/src/replacementTiming.ts
@@ -18,6 +18,10 @@
 export const OTHER_VM_CLAIM_WAIT_MS = 1_700;
 /** Time after its claim in which a VM may order a promotion, where the time for orders is limited. */
 export const ORDER_WINDOW_MS = 1_500;
+/** The same as `CATCH_UP_TIMEOUT_MS`, where the time for orders is limited: two of it and the surveys fit into the window. */
+export const LIMITED_CATCH_UP_TIMEOUT_MS = 400;
+/** Time from the claim after which a leaving primary is not told to step down any more, where the time for orders is limited. */
+export const LAST_STEP_DOWN_MS = 800;
 /** The same as `OTHER_VM_CLAIM_WAIT_MS`, where the time for orders is limited: the window, and time for an order to be carried out. */
 export const LIMITED_CLAIM_WAIT_MS = 3_500;
 /** Delay after a failed attempt. */
--- a/tests/replacement/uncheckedFences.test.ts
+++ b/tests/replacement/uncheckedFences.test.ts
@@ -1,6 +1,6 @@
 import fc from "fast-check";
 import { describe, expect, it } from "vitest";
-import { drawSchedule, inject, type Injector, runToEnd, sharedInjectors } from "./support/replacementFaults.ts";
+import { drawSchedule, HEAL_AT_MS, inject, type Injector, runToEnd, sharedInjectors } from "./support/replacementFaults.ts";
 import { ReplacementSimulation } from "./support/ReplacementSimulation.ts";
 
 /** The environment variables REPLACEMENT_RUNS and REPLACEMENT_SEED change the number of runs and the seed. */
@@ -44,6 +44,16 @@
             simulation.at(FAULT_AT_MS + delayMs, () => cutOff(simulation, "vm-0", FAULT_AT_MS + 8_000));
         },
     })),
+    {
+        name: "the primary leaves while its replicas are far behind",
+        fault: simulation => {
+            simulation.instances.slice(1).forEach(replica => {
+                replica.receivedCommitCount = 10;
+                replica.isDeaf = true;
+            });
+            simulation.findInstance("a").isDraining = true;
+        },
+    },
     {
         name: "orders get no answer, and all VMs but one are cut off in turn",
         fault: simulation => {
@@ -68,6 +78,31 @@
     });
 });
 
+it("where the platform checks no fences, a leaving primary that has stepped down is not followed soon", () => {
+    for (const seed of [1, 2, 3, 4, 5]) {
+        const simulation = create(seed);
+        let longestGapMs = 0;
+        let servedAtMs = FAULT_AT_MS;
+        simulation.at(FAULT_AT_MS, () => {
+            simulation.instances.slice(1).forEach(replica => {
+                replica.receivedCommitCount = 10;
+                replica.isDeaf = true;
+            });
+            simulation.findInstance("a").isDraining = true;
+        });
+        for (let atMs = FAULT_AT_MS; atMs < HEAL_AT_MS; atMs += 10) {
+            simulation.at(atMs, () => {
+                servedAtMs = simulation.servingLeader === undefined ? servedAtMs : atMs;
+                longestGapMs = Math.max(longestGapMs, atMs - servedAtMs);
+            });
+        }
+        runToEnd(simulation);
+        // A promotion takes 1 s.
+        expect(longestGapMs).toBeLessThan(2_000);
+        expect(simulation.servingLeader?.id).not.toBe("a");
+    }
+});
+
 const injectors = {
     ...sharedInjectors,
     cutOffVm: (simulation, { target, atMs, durationMs }) =>
