--- a/packages/process/service-directory/src/ServiceDirectory.ts
+++ b/packages/process/service-directory/src/ServiceDirectory.ts
@@ -175,11 +175,6 @@
         return [...claimants, ...takeDueChecks(this.misrouted, nowMs)];
     }
 
-    /** Returns all entries, be they in use or not. */
-    listEntries(): readonly InstanceEntry[] {
-        return [...this.listKnownEntries().values()];
-    }
-
     /** Returns the last entry of an instance, be it in use or not. */
     findEntry(id: string): InstanceEntry | undefined {
         return this.unusedEntries.get(id)
--- a/programs/entry/src/DirectoryFeeds.test.ts
+++ b/programs/entry/src/DirectoryFeeds.test.ts
@@ -134,10 +134,9 @@
 
     const listIds = (directory: ServiceDirectory): string[] => [...directory.services.get("ledger")?.instances.keys() ?? []].sort();
 
-    /** Follows a store that lists the instance "a" at first, then is away if `isAway`, and then answers with these changes. */
+    /** Follows a store that lists the instance "a" at first, and then answers with these changes. */
     const followInstances = (
         changes: readonly StoreRow[],
-        isAway = false,
     ): { readonly directory: ServiceDirectory; readonly feeds: DirectoryFeeds; readonly clock: { nowMs: number; }; } => {
         const directory = ServiceDirectory.create(createUnusedPool);
         const clock = { nowMs: 0 };
@@ -147,17 +146,10 @@
             servers: [instanceRow("a", 2, INSTANCE)],
         };
         const answers: (RowsAnswer | undefined)[] = [{ rows: changes, era: 1, version: 30 }];
-        const failures = isAway ? [new Error("the store is away")] : [];
         const feeds = DirectoryFeeds.create({
             reader: {
                 readTable: table => Promise.resolve({ rows: tables[table] ?? [], era: 1, version: 4 }),
-                readChanges: table => {
-                    const failure = table === "servers" ? failures.pop() : undefined;
-                    if (failure !== undefined) {
-                        return Promise.reject(failure);
-                    }
-                    return table === "servers" && answers.length > 0 ? Promise.resolve(answers.pop()) : new Promise(() => {});
-                },
+                readChanges: table => table === "servers" && answers.length > 0 ? Promise.resolve(answers.pop()) : new Promise(() => {}),
             },
             store: createReader([]),
             directory,
@@ -206,18 +198,6 @@
         feeds.tick(clock.nowMs);
         expect(listIds(directory)).toEqual(["b"]);
     });
-
-    it.each([[false, 0, ["b"]], [true, 0, ["a", "b"]], [true, 3_000, ["b"]]])(
-        "does not count an instance as gone that an outage of the store kept from reporting (outage %s, %d ms later)",
-        async (isAway, waitMs, ids) => {
-            const deleted = { ...instanceRow("a", 20, ""), isDeleted: true };
-            const { directory, feeds, clock } = followInstances([deleted, instanceRow("b", 21, INSTANCE)], isAway);
-            await vi.waitFor(() => expect(listIds(directory)).toContain("b"));
-            clock.nowMs = waitMs;
-            feeds.tick(clock.nowMs);
-            expect(listIds(directory)).toEqual(ids);
-        },
-    );
 });
 
 describe("a connection to the store that has gone silent", () => {
--- a/programs/entry/src/DirectoryFeeds.ts
+++ b/programs/entry/src/DirectoryFeeds.ts
@@ -22,9 +22,6 @@
 /** Delay before the listing of a restored store is read again when it could not be read, or when more instances are due. */
 const SETTLING_RETRY_DELAY_MS = 1_000;
 
-/** Time after an outage of the store in which the instances that could not report are listed again. */
-const RETURN_WINDOW_MS = 2_500;
-
 /** Reports that an instance may miss before it counts as gone. */
 const MISSED_REPORT_LIMIT = 3;
 const REPORT_DELAY_MS = 1_000;
@@ -56,13 +53,8 @@
     private listingEra = 0;
     private nextSettlingAtMs = -Infinity;
     private reconnectedAtMs = -Infinity;
-    /**
-     * Instances that stay in use although their row is not valid or missing, and the monotonic time until which they have to
-     * write it again: another writer has overwritten it, or the store has dropped it in an outage, as it got no reports.
-     */
-    private readonly retainedUntilMs = new Map<string, number>();
-    /** When the listing of the instances could be read again. */
-    private regainedAtMs = -Infinity;
+    /** Instances in use whose row another writer has overwritten, and the monotonic time until which they have to write it again. */
+    private readonly overwrittenUntilMs = new Map<string, number>();
     private readonly coordination: CoordinationTable;
 
     private constructor(private readonly options: DirectoryFeedsOptions) {
@@ -97,7 +89,7 @@
     /** Reads tables of a restored store again when the time is over in which instances have reported, and VMs registered, to it. */
     tick(nowMs: number): void {
         this.coordination.tick(nowMs);
-        this.removeSilent(nowMs);
+        this.removeOverwritten(nowMs);
         if (nowMs >= this.nextSettlingAtMs && this.options.directory.isSettlingDue(nowMs)) {
             this.nextSettlingAtMs = nowMs + SETTLING_RETRY_DELAY_MS;
             void this.settleInstances(nowMs);
@@ -161,9 +153,6 @@
             if (!isReachable) {
                 this.recordFailure();
             }
-            else if (table === INSTANCE_TABLE) {
-                this.regainedAtMs = this.options.nowMs();
-            }
             logger.info(isReachable ? "a table of the store can be read again" : "a table of the store cannot be read; the proxy retries", {
                 table,
                 reason,
@@ -239,17 +228,14 @@
     /** @returns the last entry of a known instance while its row is not valid and it may still write the row again */
     private decodeEntry(row: StoreRow, { era }: StorePoint): InstanceEntry | undefined {
         const entry = row.isDeleted ? undefined : decodeInstance(row, era);
-        const { directory, logger, reportIntervalMs, nowMs } = this.options;
-        const known = directory.findEntry(row.key);
-        if (row.isDeleted && known !== undefined && this.mayReturn(known)) {
-            return known;
-        }
         if (entry !== undefined || row.isDeleted) {
-            this.retainedUntilMs.delete(row.key);
+            this.overwrittenUntilMs.delete(row.key);
             return entry;
         }
-        if (known !== undefined && !this.retainedUntilMs.has(row.key)) {
-            this.retainedUntilMs.set(row.key, nowMs() + MISSED_REPORT_LIMIT * reportIntervalMs + REPORT_DELAY_MS);
+        const { directory, logger, reportIntervalMs, nowMs } = this.options;
+        const known = directory.findEntry(row.key);
+        if (known !== undefined && !this.overwrittenUntilMs.has(row.key)) {
+            this.overwrittenUntilMs.set(row.key, nowMs() + MISSED_REPORT_LIMIT * reportIntervalMs + REPORT_DELAY_MS);
         }
         logger.warn("the entry of an instance is not valid and is not used", {
             id: row.key.slice(0, LOGGED_KEY_LENGTH),
@@ -259,23 +245,13 @@
         return known;
     }
 
-    /** Whether an instance without a row may only not have been able to report in the outage that has just ended. Retains it then. */
-    private mayReturn({ id, isDraining }: InstanceEntry): boolean {
-        const untilMs = this.regainedAtMs + RETURN_WINDOW_MS;
-        if (isDraining || this.options.nowMs() >= untilMs) {
-            return false;
-        }
-        this.retainedUntilMs.set(id, untilMs);
-        return true;
-    }
-
-    /** Removes instances that have been retained and have not written their row again. */
-    private removeSilent(nowMs: number): void {
-        for (const [id, untilMs] of this.retainedUntilMs) {
+    /** Removes instances that have not written their row again after another writer has overwritten it. */
+    private removeOverwritten(nowMs: number): void {
+        for (const [id, untilMs] of this.overwrittenUntilMs) {
             if (nowMs >= untilMs) {
-                this.retainedUntilMs.delete(id);
+                this.overwrittenUntilMs.delete(id);
                 this.options.directory.removeInstance(id);
-                this.options.logger.info("an instance was removed because it has not written its entry again", { id });
+                this.options.logger.info("an instance was removed because it has not written its overwritten entry again", { id });
             }
         }
     }
@@ -289,9 +265,7 @@
             directory.mergeEntries(listing, { isFirst, reportIntervalMs }, nowMs());
         }
         else {
-            const listed = new Set(listing.map(({ id }) => id));
-            const returning = directory.listEntries().filter(entry => !listed.has(entry.id) && this.mayReturn(entry));
-            directory.replaceEntries([...listing, ...returning]);
+            directory.replaceEntries(listing);
         }
     }
 
