--- a/packages/process/statement-runner/src/rollBack.test.ts
+++ b/packages/process/statement-runner/src/rollBack.test.ts
@@ -1,11 +1,10 @@
-import { ResultCode } from "@pomeloturn/errors/ResultCode";
 import type { CommandChannel } from "@pomeloturn/instance-connection/CommandChannel";
 import type { ConnectionLease } from "@pomeloturn/instance-pool/ConnectionLease";
-import { CommandKind, type InstanceCommand, type InstanceReply } from "@pomeloturn/types/InstanceCommand";
-import { TransactionStatus } from "@pomeloturn/types/Request";
+import { CommandKind } from "@pomeloturn/types/InstanceCommand";
 import { afterEach, beforeEach, expect, it, vi } from "vitest";
 import { rollBack } from "./rollBack.ts";
 import { sampleLeader } from "./sampleLeader.ts";
+import { createAnsweringChannel } from "./support/createAnsweringChannel.ts";
 import { createTestPorts } from "./support/createTestPorts.ts";
 
 const LONG_ENOUGH_MS = 1_000;
@@ -27,20 +26,8 @@
 
 it("does not leave bounded reads without a sample for good when the ROLLBACK of one is never answered", async () => {
     let isSilent = true;
-    const openChannel = (): CommandChannel => {
-        const answer = ({ kind }: InstanceCommand): Promise<InstanceReply> => {
-            const status = kind === CommandKind.Begin ? TransactionStatus.Open : TransactionStatus.Idle;
-            const reply = { code: ResultCode.Ok, rows: [], proof: "", text: "", status, position: { term: 1, position: 1 } };
-            return isSilent && kind === CommandKind.Rollback ? new Promise(() => {}) : Promise.resolve(reply);
-        };
-        return {
-            startupReply: answer({ kind: CommandKind.Reset }),
-            isClosed: false,
-            outstandingReplyCount: 0,
-            send: commands => commands.map(answer),
-            close: () => {},
-        };
-    };
+    const openChannel = (): CommandChannel =>
+        createAnsweringChannel(({ kind }) => isSilent && kind === CommandKind.Rollback ? new Promise(() => {}) : Promise.resolve([]));
     const ports = createTestPorts(openChannel, LONG_ENOUGH_MS);
     const service = ports.directory.services.get("ledger")!;
     let sampleCount = 0;
--- a/programs/entry/src/CallerSession.ts
+++ b/programs/entry/src/CallerSession.ts
@@ -1,4 +1,4 @@
-import { type DrainedStatement, StatementDecision } from "@pomeloturn/drain/stepEntryDrain";
+import { type DrainedStatement, StatementDecision } from "@pomeloturn/drain/decideStatement";
 import type { PomeloturnError } from "@pomeloturn/errors/PomeloturnError";
 import { ResultCode } from "@pomeloturn/errors/ResultCode";
 import type { RunnerPorts } from "@pomeloturn/statement-runner/RunnerPorts";
@@ -47,6 +47,8 @@
     private lastUsedAtMs: number;
     /** Whether the caller has closed its sending side. What it sent before is still answered. */
     private isInputEnded = false;
+    /** Error that ends the session once what was received before it is answered. */
+    private inputError: { readonly code: ResultCode; readonly detail: string; } | undefined;
     /** Whether the session ends once no message waits. */
     private isEnding = false;
     /** Number from 0 to 1 by which the sessions differ in the time at which a shutdown refuses their statements. */
@@ -166,15 +168,15 @@
     }
 
     private receive(chunk: Buffer): void {
-        if (this.isEnded) {
+        if (this.isEnded || this.inputError !== undefined) {
             return;
         }
         try {
             this.waitingMessages.push(...this.decoder.push(chunk));
         }
         catch (error) {
-            this.closeWithError((error as PomeloturnError).code ?? ResultCode.MalformedMessage, (error as Error).message);
-            return;
+            const code = (error as PomeloturnError).code as ResultCode | undefined;
+            this.inputError = { code: code ?? ResultCode.MalformedMessage, detail: (error as Error).message };
         }
         this.lastUsedAtMs = this.ports.nowMs();
         this.waitingBytes += chunk.length;
@@ -203,6 +205,9 @@
         this.isBusy = false;
         this.waitingBytes = 0;
         this.lastUsedAtMs = this.ports.nowMs();
+        if (this.inputError !== undefined) {
+            this.closeWithError(this.inputError.code, this.inputError.detail);
+        }
         if (this.isInputEnded || this.isEnding) {
             this.end();
         }
--- a/programs/entry/src/Entry.ts
+++ b/programs/entry/src/Entry.ts
@@ -1,7 +1,7 @@
 import { startLoop } from "@pomeloturn/clock/startLoop";
 import { SuspensionDetector } from "@pomeloturn/clock/SuspensionDetector";
 import { AfterError, createErrorHistory, decideAfterError } from "@pomeloturn/drain/decideAfterError";
-import { StatementDecision } from "@pomeloturn/drain/stepEntryDrain";
+import { StatementDecision } from "@pomeloturn/drain/decideStatement";
 import { InstanceConnection } from "@pomeloturn/instance-connection/InstanceConnection";
 import { InstancePool } from "@pomeloturn/instance-pool/InstancePool";
 import type { ProcessLogger } from "@pomeloturn/logger/createLogger";
--- a/programs/entry/src/EntryDrain.ts
+++ b/programs/entry/src/EntryDrain.ts
@@ -1,17 +1,10 @@
-import {
-    createEntryDrain,
-    decideStatement,
-    type DrainedStatement,
-    type EntryDrainState,
-    StatementDecision,
-    stepEntryDrain,
-} from "@pomeloturn/drain/stepEntryDrain";
+import { decideStatement, type DrainedStatement, StatementDecision } from "@pomeloturn/drain/decideStatement";
+import { createEntryDrain, type EntryDrainState } from "@pomeloturn/drain/EntryDrainState";
+import { mayCloseSession } from "@pomeloturn/drain/mayCloseSession";
+import { stepEntryDrain } from "@pomeloturn/drain/stepEntryDrain";
 import { type CallerSession, SessionActivity, type StatementGate } from "./CallerSession.ts";
 
 const STEP_INTERVAL_MS = 50;
-/** Time for which a session has to have been quiet before it is closed. The next statement of one in use is answered first. */
-const QUIET_MS = 100;
-const QUIET_IN_TRANSACTION_MS = 300;
 /** Time for the callers to read the last replies and to close their connections before the process exits. */
 const LINGER_MS = 250;
 const LINGER_STEP_MS = 10;
@@ -47,7 +40,7 @@
     private step(): void {
         const sessions = [...this.options.sessions];
         const withActivity = (activity: SessionActivity): CallerSession[] => sessions.filter(session => session.activity === activity);
-        const idle = withActivity(SessionActivity.Idle).filter(({ quietMs }) => quietMs >= QUIET_MS);
+        const idle = withActivity(SessionActivity.Idle).filter(({ quietMs }) => mayCloseSession(false, quietMs));
         const inTransaction = withActivity(SessionActivity.InTransaction);
         const ended = withActivity(SessionActivity.Ended).length;
         const runningStatements = sessions.length - ended - idle.length - inTransaction.length;
@@ -56,9 +49,7 @@
         idle.slice(0, decision.idleCloseCount).forEach(session => session.endIfIdle());
         const begunByMs = decision.endTransactionsBegunByMs ?? -Infinity;
         inTransaction
-            .filter(({ transactionBeganAtMs = Infinity, quietMs }) =>
-                transactionBeganAtMs <= begunByMs && quietMs >= QUIET_IN_TRANSACTION_MS
-            )
+            .filter(({ transactionBeganAtMs = Infinity, quietMs }) => transactionBeganAtMs <= begunByMs && mayCloseSession(true, quietMs))
             .forEach(session => session.endIfIdle());
         if (decision.stopAccepting) {
             this.options.stopAccepting();
--- a/programs/entry/src/counterNames.test.ts
+++ b/programs/entry/src/counterNames.test.ts
@@ -6,7 +6,7 @@
 /** Names in calls of `counters.add`. Parts that are filled in at run time are replaced by `*`. */
 const findCounterNames = (): string[] =>
     readdirSync(FOLDER)
-        .filter(file => !file.endsWith(".test.ts"))
+        .filter(file => file.endsWith(".ts") && !file.endsWith(".test.ts"))
         .map(file => readFileSync(`${FOLDER}/${file}`, "utf8"))
         .flatMap(text => [...text.matchAll(/counters\.add\(([^;]*)\);/g)].map(match => match[1]!))
         .flatMap(argument => [...argument.matchAll(/["`]([^"`]+)["`]/g)].map(match => match[1]!.replace(/\$\{[^}]*\}/g, "*")));
--- a/programs/entry/src/shutdown.test.ts
+++ b/programs/entry/src/shutdown.test.ts
@@ -1,20 +1,16 @@
-import { ResultCode } from "@pomeloturn/errors/ResultCode";
-import type { CommandChannel } from "@pomeloturn/instance-connection/CommandChannel";
 import { lineCallerProtocol } from "@pomeloturn/platform/lineProtocol";
-import { createTestPorts, TEST_DATABASE } from "@pomeloturn/statement-runner/support/createTestPorts";
-import { CommandKind, type InstanceCommand, type InstanceReply } from "@pomeloturn/types/InstanceCommand";
-import { TransactionStatus } from "@pomeloturn/types/Request";
-import { connect, type Socket } from "node:net";
+import { createAnsweringChannel } from "@pomeloturn/statement-runner/support/createAnsweringChannel";
+import { createTestPorts } from "@pomeloturn/statement-runner/support/createTestPorts";
+import { CommandKind, type InstanceCommand } from "@pomeloturn/types/InstanceCommand";
 import { setTimeout as delay } from "node:timers/promises";
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
 import { CallerListener } from "./CallerListener.ts";
 import { EntryDrain } from "./EntryDrain.ts";
+import { TestCaller } from "./support/TestCaller.ts";
 
 const HOST = "127.0.0.1";
 const TIMEOUT_MS = 600;
 const GRACE_MS = 2_000;
-const LARGE_READ = "READ large";
-const LARGE_ROW = "x".repeat(900_000);
 
 let workMs: number;
 let ran: string[];
@@ -23,31 +19,13 @@
 let drain: EntryDrain | undefined;
 let port: number;
 
-/** Opens a connection to an instance that answers each statement after `workMs`. */
-const openChannel = (): CommandChannel => {
-    let status: TransactionStatus = TransactionStatus.Idle;
-    const nextStatus: Readonly<Partial<Record<CommandKind, TransactionStatus>>> = {
-        [CommandKind.Begin]: TransactionStatus.Open,
-        [CommandKind.BeginRead]: TransactionStatus.Open,
-        [CommandKind.Rollback]: TransactionStatus.Idle,
-    };
-    const answer = async (command: InstanceCommand): Promise<InstanceReply> => {
-        status = nextStatus[command.kind] ?? status;
-        if (command.kind === CommandKind.Forward) {
-            ran.push(command.statement.id);
-            await delay(workMs);
-            status = command.statement.kind === "commit" ? TransactionStatus.Idle : status;
-        }
-        const rows = command.kind === CommandKind.Forward && command.statement.text === LARGE_READ ? [LARGE_ROW] : [];
-        return { code: ResultCode.Ok, rows, proof: "proof", text: "", status, position: { term: 1, position: 1 } };
-    };
-    return {
-        startupReply: answer({ kind: CommandKind.Reset }),
-        isClosed: false,
-        outstandingReplyCount: 0,
-        send: commands => commands.map(answer),
-        close: () => {},
-    };
+/** Answers each statement after `workMs`. */
+const runStatement = async (command: InstanceCommand): Promise<readonly string[]> => {
+    if (command.kind === CommandKind.Forward) {
+        ran.push(command.statement.id);
+        await delay(workMs);
+    }
+    return [];
 };
 
 beforeEach(async () => {
@@ -55,7 +33,7 @@
     ran = [];
     hasExited = false;
     drain = undefined;
-    const ports = createTestPorts(openChannel, TIMEOUT_MS);
+    const ports = createTestPorts(() => createAnsweringChannel(runStatement), TIMEOUT_MS);
     listener = CallerListener.create({ host: HOST, port: 0 }, lineCallerProtocol, ports, {
         decide: statement => drain?.decide(statement) ?? "run",
     }, error => {
@@ -65,13 +43,7 @@
 });
 
 afterEach(async () => {
-    if (drain === undefined) {
-        listener.stopAccepting();
-        listener.sessions.forEach(session => session.destroy());
-    }
-    else {
-        await vi.waitFor(() => expect(hasExited).toBe(true), { timeout: 2 * GRACE_MS });
-    }
+    await vi.waitFor(() => expect(hasExited).toBe(true), { timeout: 2 * GRACE_MS });
 });
 
 /** Shuts down with this grace period. Connections that are open at the exit are cut, as by the end of the process. */
@@ -88,69 +60,6 @@
     }, graceMs);
 };
 
-/** A raw connection of a caller. */
-class TestCaller {
-    received = "";
-    isClosed = false;
-    private readonly socket: Socket;
-
-    constructor() {
-        this.socket = connect({ host: HOST, port, noDelay: true, allowHalfOpen: true });
-        this.socket.on("data", chunk => {
-            this.received += chunk.toString("latin1");
-        });
-        this.socket.on("error", () => undefined);
-        this.socket.on("end", () => this.close());
-        this.socket.on("close", () => {
-            this.isClosed = true;
-        });
-    }
-
-    /** Number of complete replies, the one to the start-up message included. */
-    get replyCount(): number {
-        return this.received.match(/READY .*\r\n/g)?.length ?? 0;
-    }
-
-    send(text: string): void {
-        this.socket.write(text);
-    }
-
-    sendAndEnd(text: string): void {
-        this.socket.end(text);
-    }
-
-    stopReading(): void {
-        this.socket.pause();
-    }
-
-    startReading(): void {
-        this.socket.resume();
-    }
-
-    close(): void {
-        this.isClosed = true;
-        this.socket.destroy();
-    }
-
-    /** @returns the reply to a request, or undefined if the connection ended before */
-    async request(text: string): Promise<string | undefined> {
-        const start = this.received.length;
-        this.send(text);
-        for (;;) {
-            const reply = /^[^]*READY .*\r\n/.exec(this.received.slice(start));
-            if (reply !== null || this.isClosed) {
-                return reply?.[0];
-            }
-            await delay(1);
-        }
-    }
-
-    async start(): Promise<this> {
-        await this.request(`STARTUP ${TEST_DATABASE}\r\n`);
-        return this;
-    }
-}
-
 interface Broken {
     readonly id: string;
     /** Time from sending the statement to the end of the connection. */
@@ -159,7 +68,7 @@
 
 /** Sends operations without a pause until the session ends. @returns the statement that was not answered, if any */
 const runWithoutPause = async (name: string, texts: readonly string[], pauseMs = 0): Promise<Broken | undefined> => {
-    const caller = await new TestCaller().start();
+    const caller = await new TestCaller(port).start();
     for (let number = 0;; number++) {
         const id = `${name}-${number}`;
         const sentAtMs = performance.now();
@@ -193,7 +102,7 @@
 
     it("leaves no pipelined statement without an answer", async () => {
         workMs = 150;
-        const caller = await new TestCaller().start();
+        const caller = await new TestCaller(port).start();
         shutDown();
         const texts = Array.from({ length: 30 }, (_each, index) => `QUERY p${index} WRITE a ${index}\r\n`);
         caller.send(texts.join(""));
@@ -207,7 +116,7 @@
         "cuts no statement that outlasts the grace period without an answer: %s",
         async (text, answer) => {
             workMs = 10_000;
-            const caller = await new TestCaller().start();
+            const caller = await new TestCaller(port).start();
             shutDown(500);
             expect(await caller.request(`QUERY slow ${text}\r\n`)).toContain(answer);
         },
@@ -215,14 +124,14 @@
 
     it("says of no transaction that was rolled back that its outcome is unknown", async () => {
         workMs = 10_000;
-        const caller = await new TestCaller().start();
+        const caller = await new TestCaller(port).start();
         await caller.request("QUERY t1 BEGIN\r\n");
         shutDown(500);
         expect(await caller.request("QUERY t2 WRITE a 1\r\n")).toContain("ERROR ABORTED");
     });
 
     it("cuts no reply that its caller is slow to read", async () => {
-        const caller = await new TestCaller().start();
+        const caller = await new TestCaller(port).start();
         caller.stopReading();
         caller.send("QUERY a1 WRITE a 1\r\n");
         await vi.waitFor(() => expect(ran).toContain("a1"));
@@ -233,7 +142,7 @@
     });
 
     it("does not close a session while a statement is arriving", async () => {
-        const caller = await new TestCaller().start();
+        const caller = await new TestCaller(port).start();
         caller.send("QUERY half WRI");
         shutDown();
         await delay(GRACE_MS * 0.6);
@@ -242,24 +151,3 @@
         expect(caller.received).toContain("ERROR BUSY");
     });
 });
-
-it("answers a caller that closes its sending side behind its statements", async () => {
-    const callers = Array.from({ length: 20 }, () => new TestCaller());
-    callers.forEach((caller, index) =>
-        caller.sendAndEnd(`STARTUP ${TEST_DATABASE}\r\nQUERY h${index} WRITE a 1\r\nQUERY i${index} READ a\r\n`)
-    );
-    await vi.waitFor(() => expect(callers.every(({ isClosed }) => isClosed)).toBe(true), { timeout: 10_000 });
-    expect(callers.map(({ replyCount }) => replyCount)).toEqual(callers.map(() => 3));
-});
-
-it("keeps no replies without limit for a caller that never reads", async () => {
-    workMs = 0;
-    const caller = await new TestCaller().start();
-    caller.stopReading();
-    caller.send(Array.from({ length: 50 }, (_each, index) => `QUERY n${index} ${LARGE_READ}\r\n`).join(""));
-    await delay(1_500);
-    expect(Math.max(...[...listener.sessions].map(({ unsentBytes }) => unsentBytes))).toBeLessThan(2 * LARGE_ROW.length);
-    caller.startReading();
-    await vi.waitFor(() => expect(caller.replyCount).toBe(51), { timeout: 10_000 });
-    caller.close();
-});
