--- a/packages/process/replacement-runner/src/ReplacementActor.ts
+++ b/packages/process/replacement-runner/src/ReplacementActor.ts
@@ -65,6 +65,7 @@
     }
 
     tick(): void {
+        this.holders.update(this.options.service, this.options.nowMs());
         dispatch(this.reference, { kind: "tick", view: this.view() });
     }
 
@@ -95,7 +96,6 @@
     private view(): LeaderView {
         const { service, vmIndex, syncReplicas } = this.options;
         const { leader } = service;
-        this.holders.update(service, this.options.nowMs());
         return {
             leaderId: leader?.entry.id,
             isLeaderDraining: leader?.entry.isDraining === true,
--- a/packages/version/replace-primary/src/stepReplacement.test.ts
+++ b/packages/version/replace-primary/src/stepReplacement.test.ts
@@ -1,7 +1,7 @@
 import { PromotionOutcome } from "@pomeloturn/types/Protocols";
 import { describe, expect, it } from "vitest";
 import { createUnheldAuthority } from "./createUnheldAuthority.ts";
-import { type LeaderView, ProbeOutcome, type ReplacementAction } from "./replacementMessages.ts";
+import { type LeaderView, ProbeOutcome, type ReplacementAction, type ReplacementEvent } from "./replacementMessages.ts";
 import { createReplacement, ReplacementPhase, type ReplacementState } from "./ReplacementState.ts";
 import { stepReplacement } from "./stepReplacement.ts";
 
@@ -19,7 +19,21 @@
     return state;
 };
 
-const REPLICA_STATE = { isPrimary: false, term: 1, received: { term: 1, position: 7 }, heldTerm: 0 };
+const CLAIMED = { holder: "vm-0", fence: 1_000_005, era: 1, version: 9 };
+
+/** Creates the state of a VM whose claim was applied. @param isListingCurrent whether the listing was read after the claim */
+const createClaimed = (isListingCurrent = true): ReplacementState => {
+    const state = createSuspecting();
+    stepReplacement(state, { kind: "tick", view: VIEW }, 1_400);
+    stepReplacement(state, { kind: "claimed", change: { isApplied: true, authority: CLAIMED }, isListingCurrent }, 1_410);
+    return state;
+};
+
+/** Answer of a replica to a survey that no other instance has answered. */
+const surveyed = (id: string): ReplacementEvent => {
+    const state = { isPrimary: false, term: 1, received: { term: 1, position: 7 }, heldTerm: 0 };
+    return { kind: "surveyed", instances: [{ id, isDraining: false, state, isPaused: false }] };
+};
 
 const kinds = (actions: readonly ReplacementAction[]): string[] => actions.map(({ kind }) => kind);
 
@@ -47,75 +61,39 @@
     });
 
     it("claims a new fence before it orders the promotion of another instance", () => {
-        const state = createSuspecting();
-        stepReplacement(state, { kind: "tick", view: VIEW }, 1_400);
-        const authority = { holder: "vm-0", fence: 1_000_005, era: 1, version: 9 };
-        stepReplacement(state, { kind: "claimed", change: { isApplied: true, authority }, isListingCurrent: true }, 1_410);
-        const instances = [{
-            id: "b",
-            isDraining: false,
-            state: { isPrimary: false, term: 1, received: { term: 1, position: 7 }, heldTerm: 0 },
-            isPaused: false,
-        }];
-        const ordered = stepReplacement(state, { kind: "surveyed", instances }, 1_420);
+        const state = createClaimed();
+        const ordered = stepReplacement(state, surveyed("b"), 1_420);
         expect(ordered.at(-1)).toEqual({ kind: "order", instanceId: "b", fence: 1_000_005 });
         stepReplacement(state, { kind: "ordered", outcome: PromotionOutcome.Refused }, 1_430);
         const next = Array.from({ length: 20 }, (_, index) => stepReplacement(state, { kind: "tick", view: VIEW }, 1_450 + 40 * index))
             .flat();
-        expect(next.find(({ kind }) => kind === "claim")).toEqual({ kind: "claim", known: authority, fence: 1_000_006 });
+        expect(next.find(({ kind }) => kind === "claim")).toEqual({ kind: "claim", known: CLAIMED, fence: 1_000_006 });
         expect(kinds(next)).not.toContain("order");
     });
 
     it("orders no promotion when the store lists a primary that this VM has not heard of", () => {
-        const state = createSuspecting();
-        stepReplacement(state, { kind: "tick", view: VIEW }, 1_400);
-        const authority = { holder: "vm-0", fence: 1_000_005, era: 1, version: 9 };
-        stepReplacement(state, { kind: "claimed", change: { isApplied: true, authority }, isListingCurrent: false }, 1_410);
-        expect([state.phase, state.authority]).toEqual([ReplacementPhase.Watching, authority]);
-        const instances = [{
-            id: "b",
-            isDraining: false,
-            state: { isPrimary: false, term: 1, received: { term: 1, position: 7 }, heldTerm: 0 },
-            isPaused: false,
-        }];
-        expect(kinds(stepReplacement(state, { kind: "surveyed", instances }, 1_420))).not.toContain("order");
+        const state = createClaimed(false);
+        expect([state.phase, state.authority]).toEqual([ReplacementPhase.Watching, CLAIMED]);
+        expect(kinds(stepReplacement(state, surveyed("b"), 1_420))).not.toContain("order");
     });
 
     it("orders no promotion with the fence of another VM that has claimed the authority meanwhile", () => {
-        const state = createSuspecting();
-        stepReplacement(state, { kind: "tick", view: VIEW }, 1_400);
-        const authority = { holder: "vm-0", fence: 1_000_005, era: 1, version: 9 };
-        stepReplacement(state, { kind: "claimed", change: { isApplied: true, authority }, isListingCurrent: true }, 1_410);
+        const state = createClaimed();
         stepReplacement(state, { kind: "authorityChanged", authority: { holder: "vm-1", fence: 1_000_006, era: 1, version: 10 } }, 1_415);
-        const instances = [{ id: "b", isDraining: false, state: REPLICA_STATE, isPaused: false }];
-        expect(kinds(stepReplacement(state, { kind: "surveyed", instances }, 1_420))).not.toContain("order");
+        expect(kinds(stepReplacement(state, surveyed("b"), 1_420))).not.toContain("order");
     });
 
     it("repeats no unanswered order after another VM has claimed the authority", () => {
-        const state = createSuspecting();
-        stepReplacement(state, { kind: "tick", view: VIEW }, 1_400);
-        const authority = { holder: "vm-0", fence: 1_000_005, era: 1, version: 9 };
-        stepReplacement(state, { kind: "claimed", change: { isApplied: true, authority }, isListingCurrent: true }, 1_410);
-        const instances = [{ id: "b", isDraining: false, state: REPLICA_STATE, isPaused: false }];
-        expect(kinds(stepReplacement(state, { kind: "surveyed", instances }, 1_420))).toContain("order");
+        const state = createClaimed();
+        expect(kinds(stepReplacement(state, surveyed("b"), 1_420))).toContain("order");
         stepReplacement(state, { kind: "ordered", outcome: PromotionOutcome.Unknown }, 1_770);
         stepReplacement(state, { kind: "authorityChanged", authority: { holder: "vm-1", fence: 1_000_006, era: 1, version: 10 } }, 1_780);
         expect(kinds(stepReplacement(state, { kind: "tick", view: VIEW }, 1_900))).not.toContain("order");
     });
 
     it("names no other instance with a fence whose order may still be carried out", () => {
-        const state = createSuspecting();
-        stepReplacement(state, { kind: "tick", view: VIEW }, 1_400);
-        const authority = { holder: "vm-0", fence: 1_000_005, era: 1, version: 9 };
-        stepReplacement(state, { kind: "claimed", change: { isApplied: true, authority }, isListingCurrent: true }, 1_410);
-        const survey = (id: string, nowMs: number): string[] =>
-            kinds(
-                stepReplacement(
-                    state,
-                    { kind: "surveyed", instances: [{ id, isDraining: false, state: REPLICA_STATE, isPaused: false }] },
-                    nowMs,
-                ),
-            );
+        const state = createClaimed();
+        const survey = (id: string, nowMs: number): string[] => kinds(stepReplacement(state, surveyed(id), nowMs));
         expect(survey("b", 1_420)).toContain("order");
         // The attempt is given up without an answer, and the store does not answer the next claim.
         for (let nowMs = 1_430; nowMs < 6_000 && state.phase === ReplacementPhase.Ordering; nowMs += 100) {
@@ -129,18 +107,9 @@
     });
 
     it("orders no promotion under an authority that the restored store has lost", () => {
-        const state = createSuspecting();
-        stepReplacement(state, { kind: "tick", view: VIEW }, 1_400);
-        const authority = { holder: "vm-0", fence: 1_000_005, era: 1, version: 9 };
-        stepReplacement(state, { kind: "claimed", change: { isApplied: true, authority }, isListingCurrent: true }, 1_410);
+        const state = createClaimed();
         stepReplacement(state, { kind: "authorityChanged", authority: createUnheldAuthority(2) }, 1_415);
-        const instances = [{
-            id: "b",
-            isDraining: false,
-            state: { isPrimary: false, term: 1, received: { term: 1, position: 7 }, heldTerm: 0 },
-            isPaused: false,
-        }];
-        expect(kinds(stepReplacement(state, { kind: "surveyed", instances }, 1_420))).not.toContain("order");
+        expect(kinds(stepReplacement(state, surveyed("b"), 1_420))).not.toContain("order");
     });
 
     it("waits after a restore of the store as after another VM's claim, which the store may have lost", () => {
--- a/programs/entry/src/DirectoryFeeds.test.ts
+++ b/programs/entry/src/DirectoryFeeds.test.ts
@@ -1,10 +1,13 @@
 import type { InstancePool } from "@pomeloturn/instance-pool/InstancePool";
 import { Counters } from "@pomeloturn/logger/Counters";
 import { createLogger } from "@pomeloturn/logger/createLogger";
+import { createInstanceRow } from "@pomeloturn/platform/support/instanceRow";
 import { ServiceDirectory } from "@pomeloturn/service-directory/ServiceDirectory";
 import type { RowsAnswer, StoreRow, TableReader } from "@pomeloturn/types/StoreRow";
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
-import { DirectoryFeeds } from "./DirectoryFeeds.ts";
+import { DirectoryFeeds, type DirectoryFeedsOptions } from "./DirectoryFeeds.ts";
+
+const REPORT_INTERVAL_MS = 1_000;
 
 const encode = (value: object): string => Buffer.from(JSON.stringify(value)).toString("base64");
 
@@ -24,21 +27,18 @@
     };
 };
 
-/** Follows a store whose configuration has version 4 and whose feed then returns these rows. */
-const followConfiguration = (changes: readonly StoreRow[]): { readonly directory: ServiceDirectory; readonly counters: Counters; } => {
-    const directory = ServiceDirectory.create(() => {
-        throw new Error("the test lists no instance");
-    });
-    const counters = Counters.create();
+/** Creates feeds of which a test states only what it looks at. */
+const createFeeds = (options: Pick<DirectoryFeedsOptions, "reader"> & Partial<DirectoryFeedsOptions>): DirectoryFeeds =>
     DirectoryFeeds.create({
-        reader: createReader(changes),
         store: createReader([]),
-        directory,
+        directory: ServiceDirectory.create(() => {
+            throw new Error("the test lists no instance");
+        }),
         logger: createLogger("test", "vm-1"),
-        counters,
+        counters: Counters.create(),
         signal: abortController.signal,
         feedWaitMs: 4_000,
-        reportIntervalMs: 1_000,
+        reportIntervalMs: REPORT_INTERVAL_MS,
         nowMs: () => 0,
         onUnexpectedError: error => {
             throw error;
@@ -47,6 +47,19 @@
         onMembersChanged: () => {},
         onEraRead: () => {},
         onAuthorityChanged: () => {},
+        ...options,
+    });
+
+/** Follows a store whose configuration has version 4 and whose feed then returns these rows. */
+const followConfiguration = (changes: readonly StoreRow[]): { readonly directory: ServiceDirectory; readonly counters: Counters; } => {
+    const directory = ServiceDirectory.create(() => {
+        throw new Error("the test lists no instance");
+    });
+    const counters = Counters.create();
+    createFeeds({
+        reader: createReader(changes),
+        directory,
+        counters,
     }).start();
     return { directory, counters };
 };
@@ -80,28 +93,13 @@
     ];
     const authorities: string[] = [];
     const members: string[] = [];
-    DirectoryFeeds.create({
+    createFeeds({
         reader: {
             readTable: table => Promise.resolve({ rows: table === "pomeloturn" ? rows : [], era: 1, version: 4 }),
             readChanges: () => new Promise(() => {}),
         },
-        store: createReader([]),
-        directory: ServiceDirectory.create(() => {
-            throw new Error("the test lists no instance");
-        }),
-        logger: createLogger("test", "vm-1"),
-        counters: Counters.create(),
-        signal: abortController.signal,
-        feedWaitMs: 4_000,
-        reportIntervalMs: 1_000,
-        nowMs: () => 0,
-        onUnexpectedError: error => {
-            throw error;
-        },
-        onFeedFailed: () => {},
         onMembersChanged: listing =>
             members.push(...[...listing.members.values()].map(({ vm, failureDomain }) => `${vm} ${failureDomain}`)),
-        onEraRead: () => {},
         onAuthorityChanged: (service, { holder }) => authorities.push(`${service} ${holder}`),
     }).start();
     await vi.waitFor(() => expect(members).toEqual(["broken ", "vm-2 north-a"]));
@@ -109,18 +107,7 @@
 });
 
 describe("an odd entry among those of the instances", () => {
-    const REPORT_INTERVAL_MS = 1_000;
-    const INSTANCE = {
-        service: "ledger",
-        address: "10.0.0.1:80",
-        zone: "north-a",
-        version: "v1",
-        slots: 2,
-        state: "ready",
-        cold_remaining_ms: 0,
-        db_role: "replica",
-        seq: 1,
-    };
+    const INSTANCE = createInstanceRow({ service: "ledger", address: "10.0.0.1:80" });
 
     const createUnusedPool = (): InstancePool =>
         ({ setLimit: () => {}, warmUp: () => {}, close: () => {}, retire: () => {}, tick: () => {} }) as unknown as InstancePool;
@@ -146,26 +133,13 @@
             servers: [instanceRow("a", 2, INSTANCE)],
         };
         const answers: (RowsAnswer | undefined)[] = [{ rows: changes, era: 1, version: 30 }];
-        const feeds = DirectoryFeeds.create({
+        const feeds = createFeeds({
             reader: {
                 readTable: table => Promise.resolve({ rows: tables[table] ?? [], era: 1, version: 4 }),
                 readChanges: table => table === "servers" && answers.length > 0 ? Promise.resolve(answers.pop()) : new Promise(() => {}),
             },
-            store: createReader([]),
             directory,
-            logger: createLogger("test", "vm-1"),
-            counters: Counters.create(),
-            signal: abortController.signal,
-            feedWaitMs: 4_000,
-            reportIntervalMs: REPORT_INTERVAL_MS,
             nowMs: () => clock.nowMs,
-            onUnexpectedError: error => {
-                throw error;
-            },
-            onFeedFailed: () => {},
-            onMembersChanged: () => {},
-            onEraRead: () => {},
-            onAuthorityChanged: () => {},
         });
         feeds.start();
         return { directory, feeds, clock };
@@ -207,7 +181,7 @@
     const followSilent = async (silent: string): Promise<{ readonly waitsMs: Map<string, number>; readonly reconnectCount: number; }> => {
         const waitsMs = new Map<string, number>();
         let reconnectCount = 0;
-        const feeds = DirectoryFeeds.create({
+        const feeds = createFeeds({
             reader: {
                 readTable: () => Promise.resolve({ rows: [], era: 1, version: 4 }),
                 readChanges: (table, _after, waitMs) => {
@@ -216,23 +190,8 @@
                     return table === silent ? Promise.reject(new Error("the server did not respond")) : new Promise(() => {});
                 },
             },
-            store: createReader([]),
-            directory: ServiceDirectory.create(() => {
-                throw new Error("the test lists no instance");
-            }),
-            logger: createLogger("test", "vm-1"),
-            counters: Counters.create(),
-            signal: abortController.signal,
             feedWaitMs: CONTACT_WAIT_MS,
-            reportIntervalMs: 1_000,
-            nowMs: () => 0,
-            onUnexpectedError: error => {
-                throw error;
-            },
             onFeedFailed: () => reconnectCount++,
-            onMembersChanged: () => {},
-            onEraRead: () => {},
-            onAuthorityChanged: () => {},
         });
         feeds.start();
         await vi.waitFor(() => expect(waitsMs.size).toBe(3));
--- a/tests/claimsAfterRestore.test.ts
+++ b/tests/claimsAfterRestore.test.ts
@@ -1,5 +1,6 @@
 import { PlatformAuthorityStore } from "@pomeloturn/platform/PlatformAuthorityStore";
 import { StoreClient } from "@pomeloturn/platform/StoreClient";
+import { createInstanceRow } from "@pomeloturn/platform/support/instanceRow";
 import { createUnheldAuthority } from "@pomeloturn/replace-primary/createUnheldAuthority";
 import { nextFence } from "@pomeloturn/replace-primary/nextFence";
 import { afterEach, beforeEach, expect, it } from "vitest";
@@ -42,8 +43,7 @@
 });
 
 it("lists a primary of another service, one that has stepped down, or an entry that is not valid", async () => {
-    const report = { version: "v1", state: "ready", cold_remaining_ms: 0, slots: 2, born: 1_000, seq: 1 };
-    const instance = { ...report, service: SERVICE, address: "127.0.0.1:9", zone: "north-a" };
+    const instance = createInstanceRow({ service: SERVICE, address: "127.0.0.1:9" });
     store.write("servers", "a", { ...instance, db_role: "primary" });
     store.write("servers", "a", { ...instance, db_role: "replica" });
     store.write("servers", "b", { ...instance, db_role: "primary" });
--- a/tests/entry/shutdown.test.ts
+++ b/tests/entry/shutdown.test.ts
@@ -1,15 +1,17 @@
+import { createConfigurationRow } from "@pomeloturn/platform/support/configurationRow";
+import { LineInstance } from "@pomeloturn/platform/support/LineInstance";
+import { RandomCaller, type SentStatement } from "@pomeloturn/platform/support/RandomCaller";
+import { CONFIGURATION_KEY, createSettingsEnvironment, INSTANCE_TABLE, OPERATOR_TABLE } from "@pomeloturn/platform/tables";
 import { findPorts } from "@pomeloturn/standin/findPorts";
-import { type ChildProcess, spawn, spawnSync } from "node:child_process";
+import { type ChildProcess, spawn } from "node:child_process";
 import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { setTimeout as delay } from "node:timers/promises";
 import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
-import { beforeAll, expect, it } from "vitest";
+import { expect, it } from "vitest";
 import { RestorableStore } from "../support/RestorableStore.ts";
-import { LineInstance } from "./support/LineInstance.ts";
-import { RandomCaller, type SentStatement } from "./support/RandomCaller.ts";
 
 /** The environment variables SHUTDOWN_SEEDS and SHUTDOWN_SEED change the number of seeds and the first one. */
 const SEED_COUNT = Number(process.env["SHUTDOWN_SEEDS"] ?? 2);
@@ -26,17 +28,6 @@
 /** Time after a SIGTERM in which the load balancer still sends callers to the VM. */
 const ROTATION_MS = 1_000;
 
-const ROUTE = { service: SERVICE, timeout_ms: TIMEOUT_MS, target_latency_ms: 500, priority: 0 };
-const CONFIGURATION = {
-    version: 1,
-    routes: [
-        { ...ROUTE, host: "writes", type: "primary" },
-        { ...ROUTE, host: "reads", type: "bounded_staleness", max_staleness_ms: 1_500 },
-    ],
-    services: [{ name: SERVICE, max_conns: 200 }],
-    limits: {},
-};
-
 interface Vm {
     readonly callerPort: number;
     readonly process: ChildProcess;
@@ -57,7 +48,7 @@
         ...{ shutdownGraceS: GRACE_S, contactMs: 5_000, reportIntervalMs: 1_200, isFirstStart: false, areFencesChecked: true },
     };
     writeFileSync(file, JSON.stringify(settings));
-    const env = { PATH: process.env["PATH"], POMELOTURN_BOOT: file };
+    const env = { PATH: process.env["PATH"], ...createSettingsEnvironment(file) };
     const child = spawn(process.execPath, ["target/entry.cjs"], { env, stdio: ["ignore", "ignore", "inherit"] });
     while (!await isReady(ports[1]!)) {
         await delay(50);
@@ -81,10 +72,6 @@
     return terminatedAtMs;
 };
 
-beforeAll(() => {
-    expect(spawnSync(process.execPath, ["scripts/buildEntry.js"], { stdio: "inherit" }).status).toBe(0);
-});
-
 it.each(Array.from({ length: SEED_COUNT }, (_each, index) => FIRST_SEED + index))(
     "a process that is stopped under load cuts a statement that it has accepted (seed %i)",
     async seed => {
@@ -93,8 +80,8 @@
         const store = await RestorableStore.start();
         const workMs = (): number => random() < 0.1 ? 100 * random() : 10 * random();
         const instances = [await LineInstance.start("a", SERVICE, true, workMs), await LineInstance.start("b", SERVICE, false, workMs)];
-        ["a", "b"].forEach((id, index) => store.write("servers", id, instances[index]!.entry));
-        store.write("op", "config", CONFIGURATION);
+        ["a", "b"].forEach((id, index) => store.write(INSTANCE_TABLE, id, instances[index]!.entry));
+        store.write(OPERATOR_TABLE, CONFIGURATION_KEY, createConfigurationRow(SERVICE, TIMEOUT_MS));
         const folder = mkdtempSync(join(tmpdir(), "shutdown-"));
         const sent: SentStatement[] = [];
         const vms: Vm[] = [];
--- a/tests/replacement/support/ReplacementSimulation.ts
+++ b/tests/replacement/support/ReplacementSimulation.ts
@@ -64,7 +64,7 @@
             condition: "up",
             isDraining: false,
             receivedCommitCount: 100,
-            isDeaf: false,
+            isCutFromPrimary: false,
             heldTerm: 0,
             stepDownTerm: 0,
             unreachableVms: new Set<string>(),
--- a/tests/replacement/support/SimulatedLog.ts
+++ b/tests/replacement/support/SimulatedLog.ts
@@ -5,7 +5,7 @@
     isDraining: boolean;
     receivedCommitCount: number;
     /** Whether commits that are sent to it are held up. */
-    isDeaf: boolean;
+    isCutFromPrimary: boolean;
     /** Term for which it has stopped receiving; 0 while it receives. */
     heldTerm: number;
     /** Highest term for which it was ordered to step down. */
@@ -60,6 +60,6 @@
 
     /** Replicas that receive commits from the primary now. */
     private receivers(leader: SimulatedInstance, term: number): SimulatedInstance[] {
-        return this.instances.filter(each => each !== leader && each.condition === "up" && !each.isDeaf && each.heldTerm <= term);
+        return this.instances.filter(each => each !== leader && each.condition === "up" && !each.isCutFromPrimary && each.heldTerm <= term);
     }
 }
--- a/tests/replacement/syncReplicas.test.ts
+++ b/tests/replacement/syncReplicas.test.ts
@@ -36,7 +36,7 @@
         syncReplicas: 1,
         fault: simulation => {
             simulation.findInstance("b").isDraining = true;
-            simulation.findInstance("c").isDeaf = true;
+            simulation.findInstance("c").isCutFromPrimary = true;
             simulation.at(FAULT_AT_MS + 1_000, () => failPrimary(simulation));
         },
         maximumGapMs: 4_000,
@@ -45,7 +45,7 @@
         name: "the replica that has every commit does not answer surveys at first",
         syncReplicas: 1,
         fault: simulation => {
-            simulation.findInstance("c").isDeaf = true;
+            simulation.findInstance("c").isCutFromPrimary = true;
             simulation.at(FAULT_AT_MS + 1_000, () => {
                 hideReplica(simulation, "b", FAULT_AT_MS + 3_000);
                 failPrimary(simulation);
@@ -66,9 +66,9 @@
         name: "the primary leaves while one of its replicas is behind",
         syncReplicas: 1,
         fault: simulation => {
-            simulation.findInstance("b").isDeaf = true;
+            simulation.findInstance("b").isCutFromPrimary = true;
             simulation.findInstance("a").isDraining = true;
-            simulation.at(HEAL_AT_MS, () => simulation.findInstance("b").isDeaf = false);
+            simulation.at(HEAL_AT_MS, () => simulation.findInstance("b").isCutFromPrimary = false);
         },
         maximumGapMs: 4_000,
     },
@@ -76,7 +76,7 @@
         name: "two replicas have to receive, and one of three is behind",
         syncReplicas: 2,
         fault: simulation => {
-            simulation.findInstance("c").isDeaf = true;
+            simulation.findInstance("c").isCutFromPrimary = true;
             simulation.at(FAULT_AT_MS + 1_000, () => failPrimary(simulation));
         },
         maximumGapMs: 4_000,
@@ -114,10 +114,10 @@
     },
     hideInstance: (simulation, { target, atMs, durationMs }) =>
         hideReplica(simulation, simulation.instances[target % simulation.instances.length]!.id, atMs + durationMs),
-    deafReplica: (simulation, { target, atMs, durationMs }) => {
+    cutReplicaFromPrimary: (simulation, { target, atMs, durationMs }) => {
         const instance = simulation.instances[target % simulation.instances.length]!;
-        instance.isDeaf = true;
-        simulation.at(atMs + durationMs, () => instance.isDeaf = false);
+        instance.isCutFromPrimary = true;
+        simulation.at(atMs + durationMs, () => instance.isCutFromPrimary = false);
     },
     drainInstance: (simulation, { target, atMs, durationMs }) => {
         const instance = simulation.instances[target % simulation.instances.length]!;
--- a/tests/replacement/uncheckedFences.test.ts
+++ b/tests/replacement/uncheckedFences.test.ts
@@ -49,7 +49,7 @@
         fault: simulation => {
             simulation.instances.slice(1).forEach(replica => {
                 replica.receivedCommitCount = 10;
-                replica.isDeaf = true;
+                replica.isCutFromPrimary = true;
             });
             simulation.findInstance("a").isDraining = true;
         },
@@ -86,7 +86,7 @@
         simulation.at(FAULT_AT_MS, () => {
             simulation.instances.slice(1).forEach(replica => {
                 replica.receivedCommitCount = 10;
-                replica.isDeaf = true;
+                replica.isCutFromPrimary = true;
             });
             simulation.findInstance("a").isDraining = true;
         });
--- a/tests/restoredStore.test.ts
+++ b/tests/restoredStore.test.ts
@@ -1,23 +1,13 @@
 import { createLogger } from "@pomeloturn/logger/createLogger";
 import { StoreClient } from "@pomeloturn/platform/StoreClient";
+import { createInstanceRow } from "@pomeloturn/platform/support/instanceRow";
 import { setTimeout as delay } from "node:timers/promises";
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
 import { RestorableStore } from "./support/RestorableStore.ts";
 import { StoreFollower } from "./support/StoreFollower.ts";
 
 const CONFIGURATION = { routes: [], services: [{ name: "ledger", max_conns: 8 }], limits: {} };
-const INSTANCE = {
-    service: "ledger",
-    address: "127.0.0.1:9",
-    zone: "north-a",
-    version: "v1",
-    cold_remaining_ms: 0,
-    state: "ready",
-    db_role: "replica",
-    slots: 2,
-    born: 1_000,
-    seq: 1,
-};
+const INSTANCE = createInstanceRow({ service: "ledger", address: "127.0.0.1:9" });
 const LONG_ENOUGH_MS = 3_000;
 /** Time after which entries count that no instance has written again. */
 const SETTLING_MS = 5_000;
--- a/tests/restores/support/RestoredFleet.ts
+++ b/tests/restores/support/RestoredFleet.ts
@@ -1,3 +1,4 @@
+import { createInstanceRow } from "@pomeloturn/platform/support/instanceRow";
 import { findPorts } from "@pomeloturn/standin/findPorts";
 import { setTimeout as delay } from "node:timers/promises";
 import { listInstances } from "../../support/listInstances.ts";
@@ -8,15 +9,7 @@
 /** Reports that an instance misses before the store drops its row. */
 const MISSED_REPORT_LIMIT = 3;
 const VM_COUNT = 5;
-const INSTANCE = {
-    service: "ledger",
-    zone: "north-a",
-    version: "v1",
-    cold_remaining_ms: 0,
-    db_role: "replica",
-    slots: 2,
-    born: 1_000,
-};
+const INSTANCE = createInstanceRow({ service: "ledger", address: "127.0.0.1:9" });
 const SERVICES = [{ name: "ledger", max_conns: 8 }];
 
 /** An instance as it really is, whatever the store says. */
@@ -195,7 +188,7 @@
         const instance = this.instances.get(id);
         if (instance !== undefined && !this.store.isDown) {
             const { seq, state } = { ...instance, seq: ++instance.seq };
-            this.store.write("servers", id, { ...INSTANCE, address: "127.0.0.1:9", seq, state });
+            this.store.write("servers", id, { ...INSTANCE, seq, state });
         }
     }
 
