--- a/packages/process/replacement-runner/src/inspectInstance.test.ts
+++ b/packages/process/replacement-runner/src/inspectInstance.test.ts
@@ -13,12 +13,13 @@
 /** Surveys an instance that answers PAUSE with a result code and STATUS with its role and term. */
 const survey = async (
     pauseCode: number,
-    { isPrimary = false, term = 3, statusCode = ResultCode.Ok as number },
+    { isPrimary = false, term = 3, statusCode = ResultCode.Ok as number, busyCount = 0 },
 ): Promise<{ readonly isPaused: boolean; readonly sent: readonly string[]; }> => {
     const sent: string[] = [];
     const answer = ({ kind }: InstanceCommand): Promise<InstanceReply> => {
         sent.push(kind);
-        const code = kind === CommandKind.Pause ? pauseCode : statusCode;
+        const isBusy = kind === CommandKind.Status && sent.filter(each => each === kind).length <= busyCount;
+        const code = kind === CommandKind.Pause ? pauseCode : isBusy ? ResultCode.QueueFull : statusCode;
         return Promise.resolve({ code, rows: [], proof: "", text: "", status: TransactionStatus.Idle, position: undefined });
     };
     const lease = { send: (commands: readonly InstanceCommand[]) => commands.map(answer), release: () => {} } as unknown as ConnectionLease;
@@ -46,3 +47,9 @@
 ])("counts no replica as stopped that %s", async (_what, code, options) => {
     expect(await survey(code, options)).toMatchObject({ isPaused: false });
 });
+
+it("takes a replica for one that does not answer when it had no slot at first", async () => {
+    const { isPaused, sent } = await survey(ResultCode.Ok, { busyCount: 3 });
+    expect(isPaused).toBe(true);
+    expect(sent.filter(kind => kind === CommandKind.Status)).toHaveLength(4);
+});
--- a/packages/process/replacement-runner/src/inspectInstance.ts
+++ b/packages/process/replacement-runner/src/inspectInstance.ts
@@ -6,9 +6,13 @@
 import type { InstanceRuntime } from "@pomeloturn/service-directory/InstanceRuntime";
 import { CommandKind, type InstanceCommand, type InstanceReply } from "@pomeloturn/types/InstanceCommand";
 import type { InstanceProtocol } from "@pomeloturn/types/Protocols";
+import { setTimeout as delay } from "node:timers/promises";
 
 /** Surveys use connections with the most urgent rank. */
 const SURVEY_RANK = 0;
+/** Attempts to query an instance that has no free slot, and the pause between them. */
+const BUSY_ATTEMPTS = 5;
+const BUSY_PAUSE_MS = 15;
 
 /** Whether a reply comes from the instance, with any result, and not from another one that has its address now. */
 const isFromInstance = ({ code }: InstanceReply): boolean => code !== ResultCode.BackendLost && code !== ResultCode.WrongInstance;
@@ -28,6 +32,16 @@
     return replies;
 };
 
+/** Sends commands again, `BUSY_ATTEMPTS` times in all, while the instance has no free slot for the last one. */
+const sendUntilNotBusy = async (instance: InstanceRuntime, commands: readonly InstanceCommand[]): Promise<InstanceReply[] | undefined> => {
+    let replies = await sendCommands(instance, commands);
+    for (let attempts = 1; attempts < BUSY_ATTEMPTS && replies?.at(-1)?.code === ResultCode.QueueFull; attempts++) {
+        await delay(BUSY_PAUSE_MS);
+        replies = await sendCommands(instance, commands);
+    }
+    return replies;
+};
+
 /** Checks over a new connection whether an instance is alive, since open connections may be dead. Closes the connection. */
 export const probeInstance = async (connection: CommandChannel): Promise<ProbeOutcome> => {
     const reply = await withTimeout(connection.startupReply, PROBE_TIMEOUT_MS);
@@ -53,7 +67,7 @@
 ): Promise<SurveyedInstance> => {
     const { id, isDraining } = instance.entry;
     const pauses: InstanceCommand[] = pauseTerm === undefined ? [] : [{ kind: CommandKind.Pause, term: pauseTerm }];
-    const replies = await sendCommands(instance, [...pauses, { kind: CommandKind.Status }]);
+    const replies = await sendUntilNotBusy(instance, [...pauses, { kind: CommandKind.Status }]);
     const reply = replies?.at(-1);
     const state = reply?.code === ResultCode.Ok ? protocol.decodeState(reply) : undefined;
     const isPaused = pauseTerm !== undefined && state !== undefined && !state.isPrimary && state.term < pauseTerm
--- a/packages/version/replace-primary/src/decideSuccessor.ts
+++ b/packages/version/replace-primary/src/decideSuccessor.ts
@@ -1,4 +1,4 @@
-import { abandon, confirm, findPaused, order } from "./attempt.ts";
+import { abandon, confirm, findPaused, isOrderWindowOver, order } from "./attempt.ts";
 import { chooseSuccessor, countMissingCommits, findPrimary, hasCaughtUp, holdsEachCommit } from "./chooseSuccessor.ts";
 import { enterPhase, requestSurvey } from "./phases.ts";
 import type { ReplacementAction, SurveyedInstance } from "./replacementMessages.ts";
@@ -9,6 +9,7 @@
     LIMITED_CATCH_UP_TIMEOUT_MS,
     MAXIMUM_MISSING_COMMITS,
     REPLACEMENT_SURVEY_INTERVAL_MS,
+    STAYING_REPLICA_WAIT_MS,
 } from "./replacementTiming.ts";
 
 const catchUpTimeoutMs = (state: ReplacementState): number => isOrderTimeLimited(state) ? LIMITED_CATCH_UP_TIMEOUT_MS : CATCH_UP_TIMEOUT_MS;
@@ -31,8 +32,8 @@
     // Where a draining replica may hold commits alone, leadership is only handed to one that stays.
     const candidates = isTransfer && state.syncReplicas > 0 ? instances.filter(({ isDraining }) => !isDraining) : instances;
     const successor = chooseSuccessor(candidates, primary?.id, state.syncReplicas);
-    if (successor === undefined) {
-        return abandon(state, nowMs, "replacement of the primary abandoned: no replica answered the survey");
+    if (successor === undefined || isStayingReplicaAwaited(state, successor, instances, nowMs)) {
+        return awaitReplicas(state, nowMs);
     }
     if (isTransfer) {
         return startLeadershipTransfer(state, primary, successor, nowMs);
@@ -40,6 +41,23 @@
     return state.syncReplicas === 0 ? order(state, successor, nowMs) : orderWithEachCommit(state, instances, nowMs);
 };
 
+/** Waits for the next survey: replicas that serve all reads of a failed primary may be too busy to answer one. */
+const awaitReplicas = (state: ReplacementState, nowMs: number): ReplacementAction[] =>
+    isOrderWindowOver(state, nowMs)
+        ? abandon(state, nowMs, "replacement of the primary abandoned: no replica answered the surveys in the time for an order")
+        : [];
+
+/** Whether a draining replica should not be promoted yet, as one that stays may answer the next survey. */
+const isStayingReplicaAwaited = (
+    state: ReplacementState,
+    successor: SurveyedInstance,
+    instances: readonly SurveyedInstance[],
+    nowMs: number,
+): boolean => {
+    const isListed = instances.some(({ id, isDraining, state: each }) => !isDraining && each === undefined && id !== state.lastLeaderId);
+    return successor.isDraining && isListed && state.syncReplicas === 0 && nowMs - state.phaseSinceMs < STAYING_REPLICA_WAIT_MS;
+};
+
 /**
  * Orders the promotion where commits are acknowledged once replicas have received them. The primary may only be out of this
  * VM's reach. So the replicas stop receiving first, and the promotion is ordered when so many have that no commit which one of
@@ -85,7 +103,7 @@
 ): ReplacementAction[] => {
     const successor = chooseSuccessor(instances, undefined, 0);
     if (successor === undefined) {
-        return abandon(state, nowMs, "replacement of the primary abandoned: no replica answered the survey");
+        return awaitReplicas(state, nowMs);
     }
     const leaving = instances.find(({ isDraining, state: each }) => isDraining && each !== undefined);
     const isCatchUpOver = nowMs - state.phaseSinceMs >= catchUpTimeoutMs(state);
--- a/packages/version/replace-primary/src/phases.ts
+++ b/packages/version/replace-primary/src/phases.ts
@@ -9,6 +9,7 @@
 /** Requests a survey of the instances, unless one is in progress. */
 export const requestSurvey = (state: ReplacementState, nowMs: number, intervalMs: number): ReplacementAction[] => {
     if (state.isSurveying) {
+        state.nextSurveyAtMs = Math.min(state.nextSurveyAtMs, nowMs + intervalMs);
         return [];
     }
     state.isSurveying = true;
--- a/packages/version/replace-primary/src/replacementTiming.ts
+++ b/packages/version/replace-primary/src/replacementTiming.ts
@@ -28,6 +28,8 @@
 export const RETRY_DELAY_MS = 400;
 /** Time limit of a phase. */
 export const PHASE_TIMEOUT_MS = 3_000;
+/** Time to wait for an answer of a replica that stays before a draining one is promoted. */
+export const STAYING_REPLICA_WAIT_MS = 600;
 /** Interval of surveys while no leader is known or the leader is down. */
 export const SURVEY_INTERVAL_MS = 250;
 /** Interval of surveys during a replacement. */
--- a/packages/version/replace-primary/src/stepReplacement.test.ts
+++ b/packages/version/replace-primary/src/stepReplacement.test.ts
@@ -1,7 +1,13 @@
 import { PromotionOutcome } from "@pomeloturn/types/Protocols";
 import { describe, expect, it } from "vitest";
 import { createUnheldAuthority } from "./createUnheldAuthority.ts";
-import { type LeaderView, ProbeOutcome, type ReplacementAction, type ReplacementEvent } from "./replacementMessages.ts";
+import {
+    type LeaderView,
+    ProbeOutcome,
+    type ReplacementAction,
+    type ReplacementEvent,
+    type SurveyedInstance,
+} from "./replacementMessages.ts";
 import { createReplacement, ReplacementPhase, type ReplacementState } from "./ReplacementState.ts";
 import { stepReplacement } from "./stepReplacement.ts";
 
@@ -106,6 +112,35 @@
         expect(survey("c", 6_110)).not.toContain("order");
     });
 
+    it("gives up when no replica has answered one survey", () => {
+        const state = createClaimed();
+        const silent = { id: "b", isDraining: false, state: undefined, isPaused: false };
+        stepReplacement(state, { kind: "surveyed", instances: [silent] }, 1_420);
+        expect(kinds(stepReplacement(state, { kind: "tick", view: VIEW }, 1_500))).toEqual(["survey"]);
+        expect(stepReplacement(state, surveyed("b"), 1_510).at(-1)).toMatchObject({ kind: "order", instanceId: "b" });
+    });
+
+    it("promotes a draining replica while one that stays is only too busy to answer", () => {
+        const [draining, staying] = ["b", "c"].map((id): SurveyedInstance => {
+            const state = { isPrimary: false, term: 1, received: { term: 1, position: 7 }, heldTerm: 0 };
+            return { id, isDraining: id === "b", state, isPaused: false };
+        }) as [SurveyedInstance, SurveyedInstance];
+        const failed = { id: "a", isDraining: false, state: undefined, isPaused: false };
+        const survey = (state: ReplacementState, instances: readonly SurveyedInstance[], nowMs: number): ReplacementAction | undefined =>
+            stepReplacement(state, { kind: "surveyed", instances: [failed, ...instances] }, nowMs).at(-1);
+        const answeredLater = createClaimed();
+        expect(survey(answeredLater, [draining, { ...staying, state: undefined }], 1_420)).toBeUndefined();
+        expect(survey(answeredLater, [draining, staying], 1_500)).toMatchObject({ kind: "order", instanceId: "c" });
+        const neverAnswered = createClaimed();
+        expect(survey(neverAnswered, [draining, { ...staying, state: undefined }], 1_420)).toBeUndefined();
+        expect(survey(neverAnswered, [draining, { ...staying, state: undefined }], 2_100)).toMatchObject({
+            kind: "order",
+            instanceId: "b",
+        });
+        // Only the failed primary is missing.
+        expect(survey(createClaimed(), [draining], 1_420)).toMatchObject({ kind: "order", instanceId: "b" });
+    });
+
     it("orders no promotion under an authority that the restored store has lost", () => {
         const state = createClaimed();
         stepReplacement(state, { kind: "authorityChanged", authority: createUnheldAuthority(2) }, 1_415);
