--- a/tests/entry/shutdown.test.ts
+++ b/tests/entry/shutdown.test.ts
@@ -1,24 +1,19 @@
 import { createConfigurationRow } from "@pomeloturn/platform/support/configurationRow";
 import { LineInstance } from "@pomeloturn/platform/support/LineInstance";
 import { RandomCaller, type SentStatement } from "@pomeloturn/platform/support/RandomCaller";
-import { CONFIGURATION_KEY, createSettingsEnvironment, INSTANCE_TABLE, OPERATOR_TABLE } from "@pomeloturn/platform/tables";
-import { findPorts } from "@pomeloturn/standin/findPorts";
-import { type ChildProcess, spawn } from "node:child_process";
-import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
-import { tmpdir } from "node:os";
-import { join } from "node:path";
+import { CONFIGURATION_KEY, INSTANCE_TABLE, OPERATOR_TABLE } from "@pomeloturn/platform/tables";
 import { setTimeout as delay } from "node:timers/promises";
 import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { expect, it } from "vitest";
 import { RestorableStore } from "../support/RestorableStore.ts";
+import { EntryProcess } from "./support/EntryProcess.ts";
 
 /** The environment variables SHUTDOWN_SEEDS and SHUTDOWN_SEED change the number of seeds and the first one. */
 const SEED_COUNT = Number(process.env["SHUTDOWN_SEEDS"] ?? 2);
 const FIRST_SEED = Number(process.env["SHUTDOWN_SEED"] ?? 1);
 
 const SERVICE = "ledger";
-const HOST = "127.0.0.1";
 const TIMEOUT_MS = 800;
 const GRACE_S = 3;
 const CALLER_COUNT = 30;
@@ -28,47 +23,24 @@
 /** Time after a SIGTERM in which the load balancer still sends callers to the VM. */
 const ROTATION_MS = 1_000;
 
+/** A process, and whether the load balancer sends callers to it. */
 interface Vm {
-    readonly callerPort: number;
-    readonly process: ChildProcess;
+    readonly entry: EntryProcess;
     isInRotation: boolean;
 }
 
-const isReady = (port: number): Promise<boolean> =>
-    fetch(`http://${HOST}:${port}/-/ready`).then(({ status }) => status === 200).catch(() => false);
-
-/** Starts the built program of the platform's entry, as deploy/system.toml runs it. */
-const startVm = async (vm: string, folder: string, storeAddress: string): Promise<Vm> => {
-    const ports = await findPorts(4);
-    const [callerAddress, readinessAddress, metricsAddress, relayAddress] = ports.map(port => `${HOST}:${port}`);
-    const file = join(folder, `${vm}.json`);
-    const settings = {
-        ...{ vm, failureDomain: "north-a", regions: { "north-a": "north" }, storeAddress, ordersAddress: `${HOST}:9` },
-        ...{ callerAddress, readinessAddress, metricsAddress, relayAddress },
-        ...{ shutdownGraceS: GRACE_S, contactMs: 5_000, reportIntervalMs: 1_200, isFirstStart: false, areFencesChecked: true },
-    };
-    writeFileSync(file, JSON.stringify(settings));
-    const env = { PATH: process.env["PATH"], ...createSettingsEnvironment(file) };
-    const child = spawn(process.execPath, ["target/entry.cjs"], { env, stdio: ["ignore", "ignore", "inherit"] });
-    while (!await isReady(ports[1]!)) {
-        await delay(50);
-    }
-    return { callerPort: ports[0]!, process: child, isInRotation: true };
-};
-
-const hasExited = ({ exitCode, signalCode }: ChildProcess): boolean => exitCode !== null || signalCode !== null;
-
 /** Sends SIGTERM, among settings that are reloaded, and kills the process after the grace period. @returns when the SIGTERM was sent */
 const terminate = async (vm: Vm): Promise<number> => {
+    const { entry } = vm;
     const terminatedAtMs = performance.now();
-    vm.process.kill("SIGHUP");
-    vm.process.kill("SIGTERM");
-    vm.process.kill("SIGHUP");
+    entry.process.kill("SIGHUP");
+    entry.process.kill("SIGTERM");
+    entry.process.kill("SIGHUP");
     void delay(ROTATION_MS).then(() => vm.isInRotation = false);
-    while (!hasExited(vm.process) && performance.now() - terminatedAtMs < GRACE_S * 1_000) {
+    while (!entry.hasExited && performance.now() - terminatedAtMs < GRACE_S * 1_000) {
         await delay(10);
     }
-    vm.process.kill("SIGKILL");
+    entry.process.kill("SIGKILL");
     return terminatedAtMs;
 };
 
@@ -82,28 +54,28 @@
         const instances = [await LineInstance.start("a", SERVICE, true, workMs), await LineInstance.start("b", SERVICE, false, workMs)];
         ["a", "b"].forEach((id, index) => store.write(INSTANCE_TABLE, id, instances[index]!.entry));
         store.write(OPERATOR_TABLE, CONFIGURATION_KEY, createConfigurationRow(SERVICE, TIMEOUT_MS));
-        const folder = mkdtempSync(join(tmpdir(), "shutdown-"));
         const sent: SentStatement[] = [];
         const vms: Vm[] = [];
         const callers: RandomCaller[] = [];
         try {
             for (let index = 0; index < VM_COUNT; index++) {
-                vms.push(await startVm(`vm-${index}`, folder, store.address));
+                const entry = await EntryProcess.start({ vm: `vm-${index}`, storeAddress: store.address, shutdownGraceS: GRACE_S });
+                vms.push({ entry, isInRotation: true });
             }
             const choosePort = (): number | undefined => {
                 const inRotation = vms.filter(vm => vm.isInRotation);
-                return inRotation[Math.floor(random() * inRotation.length)]?.callerPort;
+                return inRotation[Math.floor(random() * inRotation.length)]?.entry.callerPort;
             };
             for (let index = 0; index < CALLER_COUNT; index++) {
                 callers.push(RandomCaller.start(`c${index}`, random, choosePort, sent));
             }
             await delay(1_000 + 500 * random());
             const firstTerminatedAtMs = await terminate(vms[0]!);
-            expect(vms[0]!.process.exitCode).toBe(0);
+            expect(vms[0]!.entry.process.exitCode).toBe(0);
             // The connections of the second VM go on until it is stopped too.
             await delay(300);
             await terminate(vms[1]!);
-            expect(vms[1]!.process.exitCode).toBe(0);
+            expect(vms[1]!.entry.process.exitCode).toBe(0);
             const arrived = (id: string): boolean => instances.some(({ arrivedAtMs }) => arrivedAtMs.has(id));
             const cut = sent.filter(({ id, sentAtMs, brokenAtMs }) =>
                 brokenAtMs !== undefined && (arrived(id) || brokenAtMs - sentAtMs > CROSSING_MS)
@@ -113,10 +85,9 @@
         }
         finally {
             callers.forEach(caller => caller.stop());
-            vms.forEach(vm => vm.process.kill("SIGKILL"));
+            vms.forEach(({ entry }) => entry.kill());
             instances.forEach(instance => instance.close());
             store.close();
-            rmSync(folder, { recursive: true, force: true });
         }
     },
 );
--- /dev/null
+++ b/tests/entry/support/EntryDeployment.ts
@@ -0,0 +1,77 @@
+import { createConfigurationRow } from "@pomeloturn/platform/support/configurationRow";
+import { LineGroup } from "@pomeloturn/platform/support/LineGroup";
+import { OrderServer } from "@pomeloturn/platform/support/OrderServer";
+import { CONFIGURATION_KEY, INSTANCE_TABLE, OPERATOR_TABLE } from "@pomeloturn/platform/tables";
+import { RestorableStore } from "../../support/RestorableStore.ts";
+import { SilentLink } from "../../support/SilentLink.ts";
+import { EntryProcess, type EntryProcessOptions } from "./EntryProcess.ts";
+
+export const SERVICE = "ledger";
+export const TIMEOUT_MS = 800;
+
+export interface EntryDeploymentOptions {
+    readonly instanceIds?: readonly string[];
+    readonly syncReplicas?: number;
+    readonly areFencesChecked?: boolean;
+    readonly timeoutMs?: number;
+}
+
+/** A store, an interface for orders and a database group, for processes of the platform's entry. Each process has a link to the store of its own. */
+export class EntryDeployment {
+    readonly vms: EntryProcess[] = [];
+    /** Links of the VMs to the store, in the order of `vms`. */
+    readonly storeLinks: SilentLink[] = [];
+    private readonly links: SilentLink[] = [];
+
+    private constructor(
+        readonly store: RestorableStore,
+        readonly group: LineGroup,
+        readonly orders: OrderServer,
+        private readonly areFencesChecked: boolean,
+    ) {}
+
+    static async create(
+        { instanceIds = ["a", "b", "c"], syncReplicas = 0, areFencesChecked = true, timeoutMs = TIMEOUT_MS }: EntryDeploymentOptions = {},
+    ): Promise<EntryDeployment> {
+        const store = await RestorableStore.start();
+        const report = (id: string, row: object | undefined): void =>
+            row === undefined ? store.delete(INSTANCE_TABLE, id) : store.write(INSTANCE_TABLE, id, row);
+        const group = new LineGroup(SERVICE, syncReplicas, report);
+        const orders = await OrderServer.start(areFencesChecked, ({ id }) => void group.promote(id));
+        for (const id of instanceIds) {
+            await group.add(id);
+        }
+        store.write(OPERATOR_TABLE, CONFIGURATION_KEY, createConfigurationRow(SERVICE, timeoutMs, { syncReplicas }));
+        return new EntryDeployment(store, group, orders, areFencesChecked);
+    }
+
+    /** Starts a VM and waits until it is ready. */
+    async startVm(options: Partial<EntryProcessOptions> = {}): Promise<EntryProcess> {
+        const storeLink = await this.openLink(this.store.address);
+        const vm = await EntryProcess.start({
+            vm: `vm-${this.vms.length}`,
+            storeAddress: storeLink.address,
+            ordersAddress: this.orders.address,
+            areFencesChecked: this.areFencesChecked,
+            ...options,
+        });
+        this.vms.push(vm);
+        this.storeLinks.push(storeLink);
+        return vm;
+    }
+
+    /** Opens a link to a server, which is closed with the deployment. @param address "host:port" */
+    async openLink(address: string): Promise<SilentLink> {
+        const link = await SilentLink.start(address);
+        this.links.push(link);
+        return link;
+    }
+
+    close(): void {
+        this.vms.forEach(vm => vm.kill());
+        this.links.forEach(link => link.close());
+        this.orders.close();
+        this.group.close();
+        this.store.close();
+    }
+}
--- /dev/null
+++ b/tests/entry/support/EntryProcess.ts
@@ -0,0 +1,80 @@
+import { createSettingsEnvironment } from "@pomeloturn/platform/tables";
+import { findPorts } from "@pomeloturn/standin/findPorts";
+import { type ChildProcess, spawn } from "node:child_process";
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { setTimeout as delay } from "node:timers/promises";
+
+const HOST = "127.0.0.1";
+const READY_POLL_MS = 50;
+
+/** Settings of a process that differ between tests; see `PlatformSettings`. */
+export interface EntryProcessOptions {
+    readonly vm: string;
+    readonly storeAddress: string;
+    readonly ordersAddress?: string;
+    readonly contactMs?: number;
+    readonly shutdownGraceS?: number;
+    readonly areFencesChecked?: boolean;
+    readonly isFirstStart?: boolean;
+}
+
+const isReady = (port: number): Promise<boolean> =>
+    fetch(`http://${HOST}:${port}/-/ready`).then(({ status }) => status === 200).catch(() => false);
+
+/** The built program of the platform's entry in a process of its own, as deploy/system.toml runs it. */
+export class EntryProcess {
+    private constructor(
+        readonly vm: string,
+        readonly callerPort: number,
+        readonly relayAddress: string,
+        readonly process: ChildProcess,
+        private readonly readinessPort: number,
+        private readonly folder: string,
+    ) {}
+
+    static async spawn(
+        { vm, storeAddress, ordersAddress = `${HOST}:9`, contactMs = 5_000, shutdownGraceS = 3, ...flags }: EntryProcessOptions,
+    ): Promise<EntryProcess> {
+        const { areFencesChecked = true, isFirstStart = false } = flags;
+        const ports = await findPorts(4);
+        const [callerAddress, readinessAddress, metricsAddress, relayAddress] = ports.map(port => `${HOST}:${port}`);
+        const folder = mkdtempSync(join(tmpdir(), "entry-"));
+        const file = join(folder, `${vm}.json`);
+        const settings = {
+            ...{ vm, failureDomain: "north-a", regions: { "north-a": "north" }, storeAddress, ordersAddress },
+            ...{ callerAddress, readinessAddress, metricsAddress, relayAddress },
+            ...{ shutdownGraceS, contactMs, reportIntervalMs: 1_200, isFirstStart, areFencesChecked },
+        };
+        writeFileSync(file, JSON.stringify(settings));
+        const env = { PATH: process.env["PATH"], ...createSettingsEnvironment(file) };
+        const child = spawn(process.execPath, ["target/entry.cjs"], { env, stdio: ["ignore", logTarget(), "inherit"] });
+        return new EntryProcess(vm, ports[0]!, relayAddress!, child, ports[1]!, folder);
+    }
+
+    /** Starts a process and waits until it is ready. */
+    static async start(options: EntryProcessOptions): Promise<EntryProcess> {
+        const entry = await EntryProcess.spawn(options);
+        await entry.waitUntilReady();
+        return entry;
+    }
+
+    async waitUntilReady(): Promise<void> {
+        while (!await isReady(this.readinessPort)) {
+            await delay(READY_POLL_MS);
+        }
+    }
+
+    get hasExited(): boolean {
+        return this.process.exitCode !== null || this.process.signalCode !== null;
+    }
+
+    kill(): void {
+        this.process.kill("SIGKILL");
+        rmSync(this.folder, { recursive: true, force: true });
+    }
+}
+
+/** The logs of the processes are shown when the environment variable ENTRY_LOGS is set. */
+const logTarget = (): "inherit" | "ignore" => process.env["ENTRY_LOGS"] === undefined ? "ignore" : "inherit";
