Derive all waits for changes of the store from the contact time

Callers would see a change used too late when a connection to the store has gone silent and contact_ms is short: 2,076 ms for 2,000 and 1,629 ms for 1,000 (tests/entry/silentStore.test.ts on, real processes).

--- a/packages/process/table-relay/src/RelayClient.ts
+++ b/packages/process/table-relay/src/RelayClient.ts
@@ -11,8 +11,6 @@
 }
 
 const CONNECT_TIMEOUT_MS = 300;
-/** Time beyond the requested wait after which the relay counts as silent. */
-const REPLY_MARGIN_MS = 500;
 
 /** Connection to the relay server of another VM. Calls reject with `StoreUnavailable` once it has failed. */
 export class RelayClient {
@@ -21,7 +19,7 @@
     private lastId = 0;
     private hasFailed = false;
 
-    private constructor(private readonly socket: Socket) {
+    private constructor(private readonly socket: Socket, private readonly replyMarginMs: number) {
         const connectTimer = setTimeout(() => this.fail("no connection in time"), CONNECT_TIMEOUT_MS);
         socket.setNoDelay(true);
         socket.on("connect", () => clearTimeout(connectTimer));
@@ -33,10 +31,13 @@
         socket.on("data", (bytes: Buffer) => this.receive(bytes));
     }
 
-    /** @param address "host:port" */
-    static create(address: string): RelayClient {
+    /**
+     * @param address "host:port"
+     * @param replyMarginMs time beyond the requested wait after which the relay counts as silent
+     */
+    static create(address: string, replyMarginMs: number): RelayClient {
         const colon = address.lastIndexOf(":");
-        return new RelayClient(connect({ host: address.slice(0, colon), port: Number(address.slice(colon + 1)) }));
+        return new RelayClient(connect({ host: address.slice(0, colon), port: Number(address.slice(colon + 1)) }), replyMarginMs);
     }
 
     /** Whether no further call can succeed. */
@@ -52,7 +53,7 @@
                 return;
             }
             const id = ++this.lastId;
-            const timer = setTimeout(() => this.fail("no answer in time"), waitMs + REPLY_MARGIN_MS);
+            const timer = setTimeout(() => this.fail("no answer in time"), waitMs + this.replyMarginMs);
             const finish = <Value>(settle: (value: Value) => void) => (value: Value): void => {
                 clearTimeout(timer);
                 settle(value);
--- a/packages/process/table-relay/src/RelayedTableReader.test.ts
+++ b/packages/process/table-relay/src/RelayedTableReader.test.ts
@@ -13,6 +13,7 @@
 const TABLE = "t";
 const HOST = "127.0.0.1";
 const RELAYING_WAIT_MS = 150;
+const FEED_MARGIN_MS = 800;
 const logger = createLogger("test", "vm-0");
 
 /** Store in memory with one table, whose calls can be made to fail. */
@@ -87,7 +88,8 @@
                 store: store.readerOf(name),
                 vm: name,
                 failureDomain: DOMAIN,
-                relayingWaitMs: () => RELAYING_WAIT_MS,
+                storeTimes: () => ({ waitMs: RELAYING_WAIT_MS, marginMs: FEED_MARGIN_MS }),
+                relayTimes: { waitMs: 1_000, marginMs: 500 },
                 nowMs: () => performance.now(),
                 logger,
             });
@@ -183,7 +185,8 @@
                 store: store.readerOf(self),
                 vm: self,
                 failureDomain: DOMAIN,
-                relayingWaitMs: () => RELAYING_WAIT_MS,
+                storeTimes: () => ({ waitMs: RELAYING_WAIT_MS, marginMs: FEED_MARGIN_MS }),
+                relayTimes: { waitMs: 1_000, marginMs: 500 },
                 nowMs: () => performance.now(),
                 logger,
             });
--- a/packages/process/table-relay/src/RelayedTableReader.ts
+++ b/packages/process/table-relay/src/RelayedTableReader.ts
@@ -1,4 +1,5 @@
 import { ChangeSignal } from "@pomeloturn/clock/ChangeSignal";
+import type { ReadTimes } from "@pomeloturn/follow-table/chooseReadTimes";
 import type { ProcessLogger } from "@pomeloturn/logger/createLogger";
 import { isAtOrAfterPoint } from "@pomeloturn/store-point/isAtOrAfterPoint";
 import type { RowsAnswer, StorePoint, TableReader } from "@pomeloturn/types/StoreRow";
@@ -13,15 +14,15 @@
     readonly store: TableReader;
     readonly vm: string;
     readonly failureDomain: string;
-    /** Longest wait of a call to the store while this VM relays a table; it bounds how old the relayed table may be. */
-    readonly relayingWaitMs: (table: string) => number;
+    /** Time limits of calls to the store while this VM relays a table; they bound how old the relayed table may be. */
+    readonly storeTimes: (table: string) => ReadTimes;
+    /** Time limits of calls to a relay. */
+    readonly relayTimes: ReadTimes;
     /** Monotonic time in milliseconds. */
     readonly nowMs: () => number;
     readonly logger: ProcessLogger;
 }
 
-/** Longest wait of a call to a relay. A relay that is silent for this time and a margin is not used. */
-const RELAY_WAIT_MS = 1_000;
 /** Time for which a relay that failed is not asked. Doubles with each further failure, as the VM may be gone for good. */
 const FAILED_RELAY_MS = 4_000;
 const LONGEST_FAILED_RELAY_MS = 64_000;
@@ -31,8 +32,6 @@
 const UNDECIDED_WAIT_MS = 1_000;
 /** Point before all points at which a table can be read. */
 const BEFORE_FIRST_READ: StorePoint = { era: 0, version: 0 };
-/** Time beyond the wait of a call after which an answer of the store is overdue. */
-const STORE_MARGIN_MS = 800;
 
 /** Reads tables of the store through the relay of this VM's failure domain, or at the store. Serves as the source of this VM's own relay. */
 export class RelayedTableReader implements TableReader, RelaySource {
@@ -61,14 +60,14 @@
     }
 
     async readTable(table: string): Promise<RowsAnswer> {
-        const relayed = await this.readRelay(table, undefined, RELAY_WAIT_MS) ?? undefined;
+        const relayed = await this.readRelay(table, undefined, this.options.relayTimes.waitMs) ?? undefined;
         // A relay that lags behind would bring back rows whose deletion this VM has already seen.
         const isRecent = relayed !== undefined && isAtOrAfterPoint(relayed, this.newestPoint(table));
         return this.recordPoint(table, isRecent ? relayed : await this.readTableAtStore(table));
     }
 
     async readChanges(table: string, after: StorePoint, waitMs: number): Promise<RowsAnswer | undefined> {
-        const relayed = await this.readRelay(table, after, Math.min(waitMs, RELAY_WAIT_MS));
+        const relayed = await this.readRelay(table, after, Math.min(waitMs, this.options.relayTimes.waitMs));
         const answer = relayed === undefined ? await this.readChangesAtStore(table, after, waitMs) : relayed ?? undefined;
         return answer === undefined ? undefined : this.recordPoint(table, answer);
     }
@@ -144,7 +143,7 @@
     private connectTo(member: RelayMember): RelayClient {
         if (this.relay?.member.relayAddress !== member.relayAddress || this.relay?.client.isClosed !== false) {
             this.relay?.client.fail("another relay is used");
-            this.relay = { member, client: RelayClient.create(member.relayAddress!) };
+            this.relay = { member, client: RelayClient.create(member.relayAddress!, this.options.relayTimes.marginMs) };
         }
         return this.relay.client;
     }
@@ -152,7 +151,8 @@
     private async readTableAtStore(table: string): Promise<RowsAnswer> {
         const askedAtMs = this.options.nowMs();
         const answer = await this.options.store.readTable(table);
-        const cache = new TableCache(this.options.relayingWaitMs(table) + STORE_MARGIN_MS);
+        const { waitMs, marginMs } = this.options.storeTimes(table);
+        const cache = new TableCache(waitMs + marginMs);
         cache.applyTable(answer, askedAtMs);
         this.caches.set(table, cache);
         this.changes.notify();
@@ -163,7 +163,7 @@
         const isRelaying = this.source().kind === "relaying";
         const limitMs = Math.min(
             waitMs,
-            this.ordered.length === 0 ? UNDECIDED_WAIT_MS : isRelaying ? this.options.relayingWaitMs(table) : Infinity,
+            this.ordered.length === 0 ? UNDECIDED_WAIT_MS : isRelaying ? this.options.storeTimes(table).waitMs : Infinity,
         );
         const cache = this.caches.get(table);
         const knownFrom = cache?.knownPoint;
--- a/programs/entry/src/DirectoryFeeds.ts
+++ b/programs/entry/src/DirectoryFeeds.ts
@@ -16,8 +16,8 @@
 const INSTANCE_BATCH_DELAY_MS = 400;
 const COORDINATION_BATCH_DELAY_MS = 400;
 
-/** Shortest time between two reconnects to the store. */
-const RECONNECT_INTERVAL_MS = 1_000;
+/** Shortest time between two failures after which all calls are aborted. */
+const ABORT_INTERVAL_MS = 1_000;
 
 /** Delay before the listing of a restored store is read again when it could not be read, or when more instances are due. */
 const SETTLING_RETRY_DELAY_MS = 1_000;
@@ -52,7 +52,7 @@
     /** Era of the last full read of the instances. */
     private listingEra = 0;
     private nextSettlingAtMs = -Infinity;
-    private reconnectedAtMs = -Infinity;
+    private abortedAtMs = -Infinity;
     /** Instances in use whose row another writer has overwritten, and the monotonic time until which they have to write it again. */
     private readonly overwrittenUntilMs = new Map<string, number>();
     private readonly coordination: CoordinationTable;
@@ -177,8 +177,8 @@
     /** The calls that are aborted fail too; they do not count. */
     private recordFailure(): void {
         const { nowMs, onFeedFailed } = this.options;
-        if (nowMs() - this.reconnectedAtMs >= RECONNECT_INTERVAL_MS) {
-            this.reconnectedAtMs = nowMs();
+        if (nowMs() - this.abortedAtMs >= ABORT_INTERVAL_MS) {
+            this.abortedAtMs = nowMs();
             onFeedFailed();
         }
     }
--- a/programs/entry/src/Entry.ts
+++ b/programs/entry/src/Entry.ts
@@ -2,6 +2,7 @@
 import { SuspensionDetector } from "@pomeloturn/clock/SuspensionDetector";
 import { AfterError, createErrorHistory, decideAfterError } from "@pomeloturn/drain/decideAfterError";
 import { StatementDecision } from "@pomeloturn/drain/decideStatement";
+import { chooseReadTimes, type ReadTimes } from "@pomeloturn/follow-table/chooseReadTimes";
 import { InstanceConnection } from "@pomeloturn/instance-connection/InstanceConnection";
 import { InstancePool } from "@pomeloturn/instance-pool/InstancePool";
 import type { ProcessLogger } from "@pomeloturn/logger/createLogger";
@@ -18,6 +19,7 @@
 import { probeInstance } from "@pomeloturn/replacement-runner/inspectInstance";
 import { ServiceDirectory } from "@pomeloturn/service-directory/ServiceDirectory";
 import type { RunnerPorts } from "@pomeloturn/statement-runner/RunnerPorts";
+import { chooseRelayTimes } from "@pomeloturn/table-relay/chooseRelayTimes";
 import { RelayedTableReader } from "@pomeloturn/table-relay/RelayedTableReader";
 import { RelayServer, type RelaySource } from "@pomeloturn/table-relay/RelayServer";
 import type { InstanceEntry } from "@pomeloturn/types/ServiceEntries";
@@ -37,11 +39,6 @@
 const TICK_MS = 200;
 /** Interval of ticks while a primary is suspected, missing or being replaced. */
 const ACTIVE_TICK_MS = 40;
-/** Part of `contactMs` that remains to detect that a call is overdue, and to connect and read again. */
-const RECONNECT_MARGIN_MS = 1_500;
-/** Share of `contactMs` that one call of a feed may wait at least. */
-const MINIMUM_WAIT_SHARE = 0.5;
-
 /**
  * Longest waits of calls to the store while this VM relays its tables. Changes of the configuration have to be in force
  * within seconds, also when the relay loses the store.
@@ -55,6 +52,7 @@
     private readonly suspensionDetector = SuspensionDetector.create(differenceMs => this.discardSamples(differenceMs));
     private readonly directory = ServiceDirectory.create(entry => this.createPool(entry));
     private readonly metrics = EntryMetrics.create();
+    private readonly readTimes: ReadTimes;
     private readonly store: StoreClient;
     private readonly tables: RelayedTableReader;
     private readonly registration: Registration;
@@ -67,14 +65,19 @@
     private entryDrain: EntryDrain | undefined;
 
     private constructor(private settings: PlatformSettings, private readonly logger: ProcessLogger) {
-        this.store = StoreClient.create(settings.storeAddress);
+        this.readTimes = chooseReadTimes(settings.contactMs);
+        this.store = StoreClient.create(settings.storeAddress, this.readTimes.marginMs);
         this.registration = Registration.create(settings, this.store, logger);
         this.ports = this.createPorts();
         this.tables = RelayedTableReader.create({
             store: this.store,
             vm: settings.vm,
             failureDomain: settings.failureDomain,
-            relayingWaitMs: table => table === OPERATOR_TABLE ? RELAYED_CONFIGURATION_WAIT_MS : RELAYED_LISTING_WAIT_MS,
+            storeTimes: table => ({
+                waitMs: Math.min(this.readTimes.waitMs, table === OPERATOR_TABLE ? RELAYED_CONFIGURATION_WAIT_MS : RELAYED_LISTING_WAIT_MS),
+                marginMs: this.readTimes.marginMs,
+            }),
+            relayTimes: chooseRelayTimes(settings.contactMs),
             nowMs: this.ports.nowMs,
             logger,
         });
@@ -115,7 +118,7 @@
             logger,
             counters: this.metrics.counters,
             signal: this.abortController.signal,
-            feedWaitMs: Math.max(settings.contactMs * MINIMUM_WAIT_SHARE, settings.contactMs - RECONNECT_MARGIN_MS),
+            feedWaitMs: this.readTimes.waitMs,
             reportIntervalMs: settings.reportIntervalMs,
             nowMs: this.ports.nowMs,
             onUnexpectedError: this.ports.onUnexpectedError,
--- a/tests/claimsAfterRestore.test.ts
+++ b/tests/claimsAfterRestore.test.ts
@@ -6,13 +6,14 @@
 import { afterEach, beforeEach, expect, it } from "vitest";
 import { RestorableStore } from "./support/RestorableStore.ts";
 
+const FEED_MARGIN_MS = 800;
 const SERVICE = "ledger";
 
 let store: RestorableStore;
 let authorities: PlatformAuthorityStore;
 
 const connect = (): void => {
-    authorities = PlatformAuthorityStore.create(StoreClient.create(store.address));
+    authorities = PlatformAuthorityStore.create(StoreClient.create(store.address, FEED_MARGIN_MS));
 };
 
 /** Restores the store, which resets all connections to it. */
--- /dev/null
+++ b/tests/entry/silentStore.test.ts
@@ -0,0 +1,104 @@
+import { createConfigurationRow } from "@pomeloturn/platform/support/configurationRow";
+import { LineCaller } from "@pomeloturn/platform/support/LineCaller";
+import { LineGroup } from "@pomeloturn/platform/support/LineGroup";
+import { CONFIGURATION_KEY, INSTANCE_TABLE, OPERATOR_TABLE } from "@pomeloturn/platform/tables";
+import { setTimeout as delay } from "node:timers/promises";
+import { afterEach, expect, it } from "vitest";
+import { LostDirection, type SilentLink } from "../support/SilentLink.ts";
+import { EntryDeployment, SERVICE, TIMEOUT_MS } from "./support/EntryDeployment.ts";
+
+const OTHER_SERVICE = "archive";
+const POLL_MS = 20;
+
+const cleanups: (() => void)[] = [];
+afterEach(() => cleanups.splice(0).forEach(cleanup => cleanup()));
+
+/** Waits until a write to the database succeeds at the VM. @returns the time that it took, in milliseconds */
+const waitForService = async (callerPort: number, database: string, limitMs: number): Promise<number> => {
+    const startedAtMs = performance.now();
+    for (let count = 0; performance.now() - startedAtMs < limitMs; count++) {
+        const caller = await LineCaller.open(callerPort, database);
+        const answer = await caller?.run(`${database}-${count}`, "WRITE 1a4 x");
+        caller?.close();
+        if (answer?.kind === "complete") {
+            break;
+        }
+        await delay(POLL_MS);
+    }
+    return performance.now() - startedAtMs;
+};
+
+const startDeployment = async (): Promise<EntryDeployment> => {
+    const deployment = await EntryDeployment.create();
+    cleanups.push(() => deployment.close());
+    const { store } = deployment;
+    store.write(
+        OPERATOR_TABLE,
+        CONFIGURATION_KEY,
+        createConfigurationRow(SERVICE, TIMEOUT_MS, { version: 2, databases: { old: OTHER_SERVICE } }),
+    );
+    return deployment;
+};
+
+/** Changes in the store: the call of the feed that reads each one, and the database that can be written once a VM has read it. */
+const changes = {
+    /** The operator adds a route. */
+    configuration: {
+        feed: /rows-feed\?table=op&/,
+        apply: ({ store }: EntryDeployment): Promise<string> => {
+            const databases = { old: OTHER_SERVICE, added: SERVICE };
+            store.write(OPERATOR_TABLE, CONFIGURATION_KEY, createConfigurationRow(SERVICE, TIMEOUT_MS, { version: 3, databases }));
+            return Promise.resolve("added");
+        },
+    },
+    /** The first instance of a service reports. */
+    instances: {
+        feed: /rows-feed\?table=servers&/,
+        apply: async ({ store }: EntryDeployment): Promise<string> => {
+            const group = new LineGroup(OTHER_SERVICE, 0, (id, row) => store.write(INSTANCE_TABLE, id, row!));
+            cleanups.push(() => group.close());
+            await group.add("z");
+            return "old";
+        },
+    },
+} as const;
+
+const { Both, ToClient, ToServer } = LostDirection;
+const ALL = /(?:)/;
+
+/** Makes connections silent right after a call of a feed: this takes longest to notice. */
+const silenceAfterCall = async (link: SilentLink, feed: RegExp, lost: LostDirection, pattern: RegExp): Promise<void> => {
+    do {
+        await link.waitForMessage(feed);
+    }
+    while (link.silence(lost, pattern) === 0);
+};
+
+it.each(
+    [
+        ["configuration", 5_000, Both, 1, "its own"],
+        ["configuration", 5_000, Both, 2, "all"],
+        ["instances", 5_000, Both, 1, "its own"],
+        ["instances", 5_000, ToClient, 1, "all"],
+        ["instances", 5_000, ToServer, 2, "its own"],
+        ["configuration", 2_000, ToServer, 2, "its own"],
+        ["instances", 2_000, ToClient, 1, "its own"],
+        ["instances", 2_000, Both, 1, "all"],
+        ["configuration", 1_000, ToServer, 1, "its own"],
+    ] as const,
+)(
+    "a change in the store's table of %s is read later than %i ms after connections to the store went silent (%s, %i times, %s feed)",
+    async (change, contactMs, lost, count, which) => {
+        const deployment = await startDeployment();
+        const { callerPort } = await deployment.startVm({ contactMs });
+        const { feed, apply } = changes[change];
+        const [link] = deployment.storeLinks;
+        await delay(2_000);
+        for (let index = 0; index < count; index++) {
+            await silenceAfterCall(link!, feed, lost, which === "all" ? ALL : feed);
+        }
+        const database = await apply(deployment);
+        const durationMs = await waitForService(callerPort, database, contactMs + 10_000);
+        expect(durationMs).toBeLessThan(contactMs);
+    },
+);
--- a/tests/restoredStore.test.ts
+++ b/tests/restoredStore.test.ts
@@ -6,6 +6,7 @@
 import { RestorableStore } from "./support/RestorableStore.ts";
 import { StoreFollower } from "./support/StoreFollower.ts";
 
+const FEED_MARGIN_MS = 800;
 const CONFIGURATION = { routes: [], services: [{ name: "ledger", max_conns: 8 }], limits: {} };
 const INSTANCE = createInstanceRow({ service: "ledger", address: "127.0.0.1:9" });
 const LONG_ENOUGH_MS = 3_000;
@@ -65,7 +66,7 @@
     });
 
     it("has a feed of the former era wait on after another call has shown the new one", async () => {
-        const client = StoreClient.create(store.address);
+        const client = StoreClient.create(store.address, FEED_MARGIN_MS);
         const copy = store.newestVersion;
         writeOthers(1);
         const { era, version } = await client.readTable("servers");
--- a/tests/restores/support/FleetVm.ts
+++ b/tests/restores/support/FleetVm.ts
@@ -15,6 +15,7 @@
 const FAILURE_DOMAIN = "north-a";
 const CONFIGURATION_WAIT_MS = 1_500;
 const RELAYING_WAIT_MS = 500;
+const FEED_MARGIN_MS = 800;
 const TICK_MS = 100;
 
 export interface FleetVmOptions {
@@ -42,13 +43,14 @@
     private constructor({ name, storeAddress, relayPort, reportIntervalMs }: FleetVmOptions) {
         const logger = createLogger("test", name);
         const nowMs = (): number => performance.now();
-        this.store = StoreClient.create(storeAddress);
+        this.store = StoreClient.create(storeAddress, FEED_MARGIN_MS);
         const reader = this.createReader();
         const tables = RelayedTableReader.create({
             store: reader,
             vm: name,
             failureDomain: FAILURE_DOMAIN,
-            relayingWaitMs: () => RELAYING_WAIT_MS,
+            storeTimes: () => ({ waitMs: RELAYING_WAIT_MS, marginMs: FEED_MARGIN_MS }),
+            relayTimes: { waitMs: 1_000, marginMs: 500 },
             nowMs,
             logger,
         });
--- a/tests/support/StoreFollower.ts
+++ b/tests/support/StoreFollower.ts
@@ -6,6 +6,7 @@
 import { createUnusedPool } from "./createUnusedPool.ts";
 import { listInstances } from "./listInstances.ts";
 
+const FEED_MARGIN_MS = 800;
 const CONFIGURATION_WAIT_MS = 4_000;
 const REPORT_INTERVAL_MS = 1_000;
 
@@ -43,7 +44,7 @@
 
     /** @param address "host:port" of the store */
     static start(address: string, logger: ProcessLogger): StoreFollower {
-        const follower = new StoreFollower(StoreClient.create(address), logger);
+        const follower = new StoreFollower(StoreClient.create(address, FEED_MARGIN_MS), logger);
         follower.feeds.start();
         return follower;
     }
