Use a connection of its own for each call to the store

A connection that loses only what the VM sends still delivers the answer to the call that waits; the next call on it was lost too. A configuration accepted after that answer was in force 8.1 s after the connection had gone silent (bound 5 s) and 5.1 s after its acceptance (bound 3 s).

Each call now opens a connection, and the backoff of a repeated call counts from the start of the failed one, so that a call after a time limit follows at once.

--- a/packages/process/follow-table/src/followTable.ts
+++ b/packages/process/follow-table/src/followTable.ts
@@ -4,10 +4,12 @@
 /** Options of `followTable`. */
 export interface FollowOptions {
     readonly table: string;
-    /** Longest wait of one call for changes; also the time until a dead connection is detected. */
+    /** Longest wait of one call for changes. */
     readonly waitMs: number;
     /** Delay after rows have arrived, so that changes in quick succession are read together. */
     readonly batchDelayMs: number;
+    /** Monotonic time in milliseconds. */
+    readonly nowMs: () => number;
     /** Ends `followTable` when it is aborted. */
     readonly signal: AbortSignal;
     /**
@@ -31,6 +33,9 @@
 
 const backoffMs = (failureCount: number): number => Math.min(MAXIMUM_BACKOFF_MS, INITIAL_BACKOFF_MS * 2 ** (failureCount - 1));
 
+/** Delay before the next call. The backoff counts from the start of the failed call, which may have run into its time limit. */
+const retryDelayMs = (failureCount: number, callMs: number): number => Math.max(0, backoffMs(failureCount) - callMs);
+
 /** Hands rows over. An error is not one of the store, and must neither end the following nor have the changes read again. */
 const applyRows = (options: FollowOptions, apply: () => void): void => {
     try {
@@ -43,11 +48,12 @@
 
 /** Reads a table and then its changes until the signal is aborted. Retries with backoff while the store cannot be read. */
 export const followTable = async (reader: TableReader, options: FollowOptions): Promise<void> => {
-    const { table, waitMs, batchDelayMs, signal } = options;
+    const { table, waitMs, batchDelayMs, signal, nowMs } = options;
     let point: StorePoint | undefined;
     let last: StorePoint | undefined;
     let failureCount = 0;
     while (!signal.aborted) {
+        const calledAtMs = nowMs();
         try {
             const answer: Awaited<ReturnType<TableReader["readChanges"]>> = point === undefined
                 ? await reader.readTable(table)
@@ -70,7 +76,7 @@
             if (failureCount === 1) {
                 options.onReachabilityChange(false, (error as Error).message);
             }
-            await delay(backoffMs(failureCount), undefined, { ref: false });
+            await delay(retryDelayMs(failureCount, nowMs() - calledAtMs), undefined, { ref: false });
         }
     }
 };
--- a/programs/entry/src/DirectoryFeeds.ts
+++ b/programs/entry/src/DirectoryFeeds.ts
@@ -147,7 +147,7 @@
         onSnapshot: (rows: readonly StoreRow[], point: StorePoint, last: StorePoint | undefined) => void,
         onChanges: (rows: readonly StoreRow[], point: StorePoint) => void,
     ): void {
-        const { reader, logger, counters, signal, onUnexpectedError } = this.options;
+        const { reader, logger, counters, signal, nowMs, onUnexpectedError } = this.options;
         const onReachabilityChange = (isReachable: boolean, reason: string): void => {
             counters.add(isReachable ? "store_regained" : "store_lost");
             if (!isReachable) {
@@ -166,6 +166,7 @@
             table,
             waitMs,
             batchDelayMs,
+            nowMs,
             signal,
             onSnapshot: onRead,
             onChanges,
--- a/programs/entry/src/Entry.ts
+++ b/programs/entry/src/Entry.ts
@@ -122,7 +122,7 @@
             reportIntervalMs: settings.reportIntervalMs,
             nowMs: this.ports.nowMs,
             onUnexpectedError: this.ports.onUnexpectedError,
-            onFeedFailed: () => this.store.reconnect(),
+            onFeedFailed: () => this.store.abortCalls(),
             onMembersChanged: (listing, point) => {
                 const { members } = listing;
                 directory.setVmCount(Math.max(1, members.size));
--- a/tests/entry/silentStore.test.ts
+++ b/tests/entry/silentStore.test.ts
@@ -9,6 +9,8 @@
 
 const OTHER_SERVICE = "archive";
 const POLL_MS = 20;
+/** Time after which an accepted configuration has to be in force at a VM that is in contact with the store. */
+const CONFIGURATION_APPLY_MS = 3_000;
 
 const cleanups: (() => void)[] = [];
 afterEach(() => cleanups.splice(0).forEach(cleanup => cleanup()));
@@ -85,6 +87,7 @@
         ["instances", 2_000, ToClient, 1, "its own"],
         ["instances", 2_000, Both, 1, "all"],
         ["configuration", 1_000, ToServer, 1, "its own"],
+        ["instances", 1_000, Both, 2, "all"],
     ] as const,
 )(
     "a change in the store's table of %s is read later than %i ms after connections to the store went silent (%s, %i times, %s feed)",
@@ -102,3 +105,21 @@
         expect(durationMs).toBeLessThan(contactMs);
     },
 );
+
+it("a connection that loses only what the VM sends hides a change that follows the answer to the last call", async () => {
+    const contactMs = 5_000;
+    const deployment = await startDeployment();
+    const { callerPort } = await deployment.startVm({ contactMs });
+    const { feed, apply } = changes.configuration;
+    const [link] = deployment.storeLinks;
+    await delay(2_000);
+    await silenceAfterCall(link!, feed, ToServer, feed);
+    const silencedAtMs = performance.now();
+    // The store answers the call at the end of its wait.
+    await link!.waitForAnswer(feed);
+    await delay(100);
+    const changedAtMs = performance.now();
+    const database = await apply(deployment);
+    await waitForService(callerPort, database, contactMs + 10_000);
+    expect(performance.now()).toBeLessThan(Math.max(silencedAtMs + contactMs, changedAtMs + CONFIGURATION_APPLY_MS));
+});
--- a/tests/restoredStore.test.ts
+++ b/tests/restoredStore.test.ts
@@ -71,7 +71,7 @@
         writeOthers(1);
         const { era, version } = await client.readTable("servers");
         store.restore(copy);
-        client.reconnect();
+        client.abortCalls();
         store.write("op", "config", { ...CONFIGURATION, version: 2 });
         const feed = client.readChanges("servers", { era, version }, 2 * LONG_ENOUGH_MS);
         await client.readTable("op");
--- a/tests/restores/support/FleetVm.ts
+++ b/tests/restores/support/FleetVm.ts
@@ -75,7 +75,7 @@
             onUnexpectedError: error => {
                 throw error;
             },
-            onFeedFailed: () => this.store.reconnect(),
+            onFeedFailed: () => this.store.abortCalls(),
             onMembersChanged: (listing, point) => {
                 this.members = [...listing.members.keys()].sort();
                 tables.setMembers(listing.members.values());
@@ -110,7 +110,7 @@
         this.isStopping = true;
         this.abortController.abort();
         this.relayServer.close();
-        this.store.reconnect();
+        this.store.abortCalls();
     }
 
     private createReader(): TableReader {
--- a/tests/support/StoreFollower.ts
+++ b/tests/support/StoreFollower.ts
@@ -33,7 +33,7 @@
             onUnexpectedError: error => {
                 throw error;
             },
-            onFeedFailed: () => store.reconnect(),
+            onFeedFailed: () => store.abortCalls(),
             onMembersChanged: ({ members }) => {
                 this.members = [...members.keys()];
             },
@@ -61,6 +61,6 @@
 
     stop(): void {
         this.abortController.abort();
-        this.store.reconnect();
+        this.store.abortCalls();
     }
 }
