Probe idle connections of callers and of PostgreSQL backend servers

A caller that is gone without closing its connection (a lost VM, a firewall that has forgotten the connection) kept its session, and in the PostgreSQL deployment the backend connection of its open transaction, for good: only connections to instances of the platform had keep-alive probes.

--- a/packages/connection/backend-connection/src/BackendConnection.ts
+++ b/packages/connection/backend-connection/src/BackendConnection.ts
@@ -1,5 +1,6 @@
 import { PomeloturnError } from "@pomeloturn/errors/PomeloturnError";
 import { ResultCode } from "@pomeloturn/errors/ResultCode";
+import { KEEP_ALIVE_OPTIONS } from "@pomeloturn/types/keepAlive";
 import { MessageFramer } from "@pomeloturn/wire-messages/MessageFramer";
 import { BackendType, HEADER_SIZE_BYTES } from "@pomeloturn/wire-messages/messageTypes";
 import { createConnection, type Socket } from "node:net";
@@ -60,7 +61,7 @@
     /** Connects and authenticates. @throws PomeloturnError with `BackendUnreachable` */
     static open(options: BackendConnectionOptions): Promise<BackendConnection> {
         return new Promise((resolve, reject) => {
-            const socket = createConnection({ host: options.host, port: options.port, noDelay: true });
+            const socket = createConnection({ host: options.host, port: options.port, noDelay: true, ...KEEP_ALIVE_OPTIONS });
             const connection = new BackendConnection(socket);
             const fail = (cause?: Error): void => {
                 socket.destroy();
--- a/programs/entry/src/CallerListener.ts
+++ b/programs/entry/src/CallerListener.ts
@@ -1,6 +1,7 @@
 import { listenUntilBound } from "@pomeloturn/bind-server/listenUntilBound";
 import type { HostPort } from "@pomeloturn/platform/PlatformSettings";
 import type { RunnerPorts } from "@pomeloturn/statement-runner/RunnerPorts";
+import { KEEP_ALIVE_OPTIONS } from "@pomeloturn/types/keepAlive";
 import type { CallerProtocol } from "@pomeloturn/types/Protocols";
 import { once } from "node:events";
 import { type AddressInfo, createServer, type Server } from "node:net";
@@ -14,7 +15,7 @@
     private readonly server: Server;
 
     private constructor(protocol: CallerProtocol, ports: RunnerPorts, gate: StatementGate) {
-        this.server = createServer({ allowHalfOpen: true }, socket => {
+        this.server = createServer({ allowHalfOpen: true, ...KEEP_ALIVE_OPTIONS }, socket => {
             this.sessions.add(CallerSession.create(socket, protocol, ports, gate, session => this.sessions.delete(session)));
         });
     }
--- a/programs/proxy/src/CallerListener.ts
+++ b/programs/proxy/src/CallerListener.ts
@@ -8,6 +8,7 @@
 import { createSession } from "@pomeloturn/session/SessionState";
 import type { ServiceConfiguration } from "@pomeloturn/types/Configuration";
 import type { ControlView } from "@pomeloturn/types/ControlView";
+import { KEEP_ALIVE_OPTIONS } from "@pomeloturn/types/keepAlive";
 import { buildErrorResponse, Severity } from "@pomeloturn/wire-messages/buildMessage";
 import { randomInt } from "node:crypto";
 import { createServer, type Server, type Socket } from "node:net";
@@ -45,7 +46,7 @@
     private nextProcessId = 1;
 
     private constructor(private readonly options: CallerListenerOptions) {
-        this.server = createServer(socket => this.accept(socket));
+        this.server = createServer(KEEP_ALIVE_OPTIONS, socket => this.accept(socket));
     }
 
     static create(options: CallerListenerOptions): CallerListener {
--- a/tests/entry/silentInstances.test.ts
+++ b/tests/entry/silentInstances.test.ts
@@ -20,7 +20,13 @@
 }
 
 /** Sends statements one after the other on one session until the test ends, which is opened again if it breaks. */
-const sendStatements = async (port: number, database: string, name: string, texts: readonly string[], outcomes: Outcome[]): Promise<void> => {
+const sendStatements = async (
+    port: number,
+    database: string,
+    name: string,
+    texts: readonly string[],
+    outcomes: Outcome[],
+): Promise<void> => {
     let isOver = false;
     cleanups.push(() => isOver = true);
     let caller: LineCaller | undefined;
