--- a/tests/entry/silentStore.test.ts
+++ b/tests/entry/silentStore.test.ts
@@ -1,35 +1,20 @@
 import { createConfigurationRow } from "@pomeloturn/platform/support/configurationRow";
-import { LineCaller } from "@pomeloturn/platform/support/LineCaller";
 import { LineGroup } from "@pomeloturn/platform/support/LineGroup";
 import { CONFIGURATION_KEY, INSTANCE_TABLE, OPERATOR_TABLE } from "@pomeloturn/platform/tables";
 import { setTimeout as delay } from "node:timers/promises";
 import { afterEach, expect, it } from "vitest";
-import { LostDirection, type SilentLink } from "../support/SilentLink.ts";
+import { LostDirection } from "../support/SilentLink.ts";
 import { EntryDeployment, SERVICE, TIMEOUT_MS } from "./support/EntryDeployment.ts";
+import { silenceAfterCall } from "./support/silenceAfterCall.ts";
+import { waitForService } from "./support/waitForService.ts";
 
 const OTHER_SERVICE = "archive";
-const POLL_MS = 20;
 /** Time after which an accepted configuration has to be in force at a VM that is in contact with the store. */
 const CONFIGURATION_APPLY_MS = 3_000;
 
 const cleanups: (() => void)[] = [];
 afterEach(() => cleanups.splice(0).forEach(cleanup => cleanup()));
 
-/** Waits until a write to the database succeeds at the VM. @returns the time that it took, in milliseconds */
-const waitForService = async (callerPort: number, database: string, limitMs: number): Promise<number> => {
-    const startedAtMs = performance.now();
-    for (let count = 0; performance.now() - startedAtMs < limitMs; count++) {
-        const caller = await LineCaller.open(callerPort, database);
-        const answer = await caller?.run(`${database}-${count}`, "WRITE 1a4 x");
-        caller?.close();
-        if (answer?.kind === "complete") {
-            break;
-        }
-        await delay(POLL_MS);
-    }
-    return performance.now() - startedAtMs;
-};
-
 const startDeployment = async (): Promise<EntryDeployment> => {
     const deployment = await EntryDeployment.create();
     cleanups.push(() => deployment.close());
@@ -68,14 +53,6 @@
 const { Both, ToClient, ToServer } = LostDirection;
 const ALL = /(?:)/;
 
-/** Makes connections silent right after a call of a feed: this takes longest to notice. */
-const silenceAfterCall = async (link: SilentLink, feed: RegExp, lost: LostDirection, pattern: RegExp): Promise<void> => {
-    do {
-        await link.waitForMessage(feed);
-    }
-    while (link.silence(lost, pattern) === 0);
-};
-
 it.each(
     [
         ["configuration", 5_000, Both, 1, "its own"],
--- a/tests/entry/support/EntryDeployment.ts
+++ b/tests/entry/support/EntryDeployment.ts
@@ -22,6 +22,7 @@
     /** Links of the VMs to the store, in the order of `vms`. */
     readonly storeLinks: SilentLink[] = [];
     private readonly links: SilentLink[] = [];
+    private startedCount = 0;
 
     private constructor(
         readonly store: RestorableStore,
@@ -47,16 +48,17 @@
 
     /** Starts a VM and waits until it is ready. */
     async startVm(options: Partial<EntryProcessOptions> = {}): Promise<EntryProcess> {
+        const index = this.startedCount++;
         const storeLink = await this.openLink(this.store.address);
         const vm = await EntryProcess.start({
-            vm: `vm-${this.vms.length}`,
+            vm: `vm-${index}`,
             storeAddress: storeLink.address,
             ordersAddress: this.orders.address,
             areFencesChecked: this.areFencesChecked,
             ...options,
         });
-        this.vms.push(vm);
-        this.storeLinks.push(storeLink);
+        this.vms[index] = vm;
+        this.storeLinks[index] = storeLink;
         return vm;
     }
 
