Close idle PostgreSQL connections that may have gone silent with another one

After the connections from a proxy to an instance had gone silent, statements failed for two time limits: those that ran, and those that followed on connections that had been idle. A probe or statement without an answer now closes the idle connections that have not answered since, and a connection that was idle for 2 s is checked before it is used. The controllers' connections to instances get keep-alive probes too.

--- a/packages/connection/connection-pool/src/stepPool.ts
+++ b/packages/connection/connection-pool/src/stepPool.ts
@@ -10,6 +10,8 @@
     OpenFailed: "openFailed",
     Released: "released",
     Closed: "closed",
+    /** A connection did not answer in time what was sent at `sentAtMs`. */
+    AnswerOverdue: "answerOverdue",
     LimitChanged: "limitChanged",
     Tick: "tick",
 } as const;
@@ -25,6 +27,7 @@
     | { readonly kind: typeof PoolEventKind.Released; readonly connectionId: number; }
     /** The connection was closed. */
     | { readonly kind: typeof PoolEventKind.Closed; readonly connectionId: number; }
+    | { readonly kind: typeof PoolEventKind.AnswerOverdue; readonly sentAtMs: number; }
     | { readonly kind: typeof PoolEventKind.LimitChanged; readonly connectionLimit: number; }
     | { readonly kind: typeof PoolEventKind.Tick; };
 
@@ -40,7 +43,13 @@
 export type PoolAction =
     | { readonly kind: typeof PoolActionKind.Open; readonly connectionId: number; }
     | { readonly kind: typeof PoolActionKind.Close; readonly connectionId: number; }
-    | { readonly kind: typeof PoolActionKind.Assign; readonly requestId: number; readonly connectionId: number; }
+    | {
+        readonly kind: typeof PoolActionKind.Assign;
+        readonly requestId: number;
+        readonly connectionId: number;
+        /** Time for which the connection was idle, in milliseconds. */
+        readonly idleMs: number;
+    }
     | { readonly kind: typeof PoolActionKind.Fail; readonly requestId: number; readonly code: ResultCode; };
 
 const IDLE_TIMEOUT_MS = 60_000;
@@ -84,6 +93,8 @@
         removeIdle(state, connectionId);
         return [];
     },
+    // Connections that have not answered since then may have gone silent with the overdue one.
+    answerOverdue: (state, { sentAtMs }) => closeIdleWhile(state, ({ idleSinceMs }) => idleSinceMs < sentAtMs),
     limitChanged: (state, { connectionLimit }) => {
         state.connectionLimit = connectionLimit;
         return closeIdleWhile(state, () => countConnections(state) > connectionLimit);
@@ -106,7 +117,7 @@
 export const stepPool = (state: PoolState, event: PoolEvent, nowMs: number, random: () => number): PoolAction[] => {
     const handler = handlers[event.kind] as (...values: [PoolState, PoolEvent, number, () => number]) => PoolAction[];
     const actions = handler(state, event, nowMs, random);
-    return [...actions, ...assignIdle(state), ...openMissing(state, nowMs)];
+    return [...actions, ...assignIdle(state, nowMs), ...openMissing(state, nowMs)];
 };
 
 const requestConnection = (state: PoolState, request: ConnectionRequest): PoolAction[] => {
@@ -155,13 +166,13 @@
     return actions;
 };
 
-const assignIdle = (state: PoolState): PoolAction[] => {
+const assignIdle = (state: PoolState, nowMs: number): PoolAction[] => {
     const actions: PoolAction[] = [];
     while (state.waiting.length > 0 && state.idle.length > 0) {
         const request = state.waiting.shift()!;
-        const { connectionId } = state.idle.pop()!;
+        const { connectionId, idleSinceMs } = state.idle.pop()!;
         state.inUse.set(connectionId, request);
-        actions.push({ kind: PoolActionKind.Assign, requestId: request.requestId, connectionId });
+        actions.push({ kind: PoolActionKind.Assign, requestId: request.requestId, connectionId, idleMs: nowMs - idleSinceMs });
     }
     return actions;
 };
--- a/packages/process/instance-holder/src/HolderConnections.ts
+++ b/packages/process/instance-holder/src/HolderConnections.ts
@@ -4,11 +4,14 @@
 import { type PoolAction, type PoolEvent, PoolEventKind, stepPool } from "@pomeloturn/connection-pool/stepPool";
 import type { ResultCode } from "@pomeloturn/errors/ResultCode";
 import type { InstanceEnvironment } from "./InstanceEnvironment.ts";
-import { resetConnection } from "./resetConnection.ts";
+import { resetConnection, verifyConnection } from "./resetConnection.ts";
 import { sendCancel } from "./sendCancel.ts";
 
 const CONNECT_TIMEOUT_MS = 3_000;
 const RESET_TIMEOUT_MS = 1_000;
+/** A connection that was idle for this long is checked before a request is sent on it, as it may have gone silent. */
+const VERIFY_IDLE_MS = 2_000;
+const VERIFY_TIMEOUT_MS = 500;
 /** Idle connections beyond one for each slot. */
 const SPARE_CONNECTIONS = 1;
 
@@ -47,7 +50,7 @@
         this.handlers = {
             open: ({ connectionId }) => void this.open(connectionId),
             close: ({ connectionId }) => this.discard(connectionId),
-            assign: ({ requestId, connectionId }) => options.onAssigned(requestId, connectionId),
+            assign: ({ requestId, connectionId, idleMs }) => this.assign(requestId, connectionId, idleMs),
             fail: ({ requestId, code }) => options.onFailed(requestId, code),
         };
     }
@@ -100,6 +103,11 @@
         }
     }
 
+    /** Closes the idle connections that have not answered since a request was sent whose answer is overdue. */
+    handleOverdueAnswer(sentAtMs: number): void {
+        this.step({ kind: PoolEventKind.AnswerOverdue, sentAtMs });
+    }
+
     /** Opens idle connections up to the minimum and closes surplus ones. Opens none when this VM does not hold the instance. */
     tick(isHolder: boolean): void {
         const connectionLimit = isHolder
@@ -126,6 +134,24 @@
         return BackendConnection.open({ host, port, user, password, database, connectTimeoutMs: CONNECT_TIMEOUT_MS, applicationName: vm });
     }
 
+    private assign(requestId: number, connectionId: number, idleMs: number): void {
+        const connection = this.connections.get(connectionId);
+        if (idleMs < VERIFY_IDLE_MS || connection === undefined) {
+            this.options.onAssigned(requestId, connectionId);
+            return;
+        }
+        const isTransaction = this.pool.inUse.get(connectionId)!.isTransaction;
+        verifyConnection(connection, VERIFY_TIMEOUT_MS, isAlive => {
+            if (isAlive) {
+                this.options.onAssigned(requestId, connectionId);
+            }
+            else {
+                this.discard(connectionId);
+                this.acquire(requestId, isTransaction);
+            }
+        });
+    }
+
     private async open(connectionId: number): Promise<void> {
         try {
             const connection = await this.openConnection();
--- a/packages/process/instance-holder/src/InstanceHolder.ts
+++ b/packages/process/instance-holder/src/InstanceHolder.ts
@@ -55,6 +55,7 @@
             isPrimary: () => environment.groupView()?.primary === environment.instance,
             nowMs: () => environment.nowMs(),
             onHealth: isReachable => environment.onHealth(isReachable),
+            onUnanswered: sentAtMs => this.connections.handleOverdueAnswer(sentAtMs),
         });
         this.timer = setInterval(() => this.tick(), TICK_INTERVAL_MS);
         this.timer.unref();
@@ -187,6 +188,7 @@
             return;
         }
         entry.connectionId = connectionId;
+        entry.startedAtMs = this.environment.nowMs();
         const onPart = (part: AnswerPart): void => {
             entry.isAnswerBegun ||= part.messages.length > 0;
             entry.onPart(entry.isExpired ? toDeadlineExceeded(part) : part);
@@ -241,6 +243,9 @@
             if (overdueMs >= CANCEL_GRACE_MS) {
                 entry.isExpired = true;
                 this.connections.get(entry.connectionId!)?.close();
+                if (entry.isAnswerBegun !== true) {
+                    this.connections.handleOverdueAnswer(entry.startedAtMs ?? nowMs);
+                }
             }
             else if (overdueMs >= 0 && !entry.isCanceled) {
                 entry.isCanceled = true;
--- a/packages/process/instance-holder/src/InstanceProber.ts
+++ b/packages/process/instance-holder/src/InstanceProber.ts
@@ -22,6 +22,8 @@
     nowMs(): number;
     /** Called after each probe that shows the instance to be reachable or unreachable. */
     onHealth(isReachable: boolean): void;
+    /** Called when a probe that was sent at `sentAtMs` has got no answer. */
+    onUnanswered(sentAtMs: number): void;
 }
 
 /** Probes an instance over a dedicated connection, every second and whenever a fresh sample is requested. */
@@ -78,9 +80,10 @@
     }
 
     private async run(): Promise<void> {
+        let sentAtMs: number | undefined;
         try {
             const connection = this.connection ??= await this.open();
-            const sentAtMs = this.environment.nowMs();
+            sentAtMs = this.environment.nowMs();
             const role = await queryRole(connection, this.environment.isPrimary(), PROBE_TIMEOUT_MS);
             this.last = { ...role, sentAtMs };
             this.failureCount = 0;
@@ -89,6 +92,9 @@
             this.connection?.close();
             this.connection = undefined;
             this.failureCount++;
+            if (sentAtMs !== undefined) {
+                this.environment.onUnanswered(sentAtMs);
+            }
         }
         this.reportHealth();
     }
--- a/packages/process/instance-holder/src/PendingRequests.ts
+++ b/packages/process/instance-holder/src/PendingRequests.ts
@@ -12,6 +12,8 @@
     connectionId: number | undefined;
     /** Whether a part of the answer was sent to the sender. */
     isAnswerBegun?: boolean;
+    /** Monotonic time at which the request was sent to the instance, in milliseconds; undefined while it is queued. */
+    startedAtMs?: number;
     /** Whether the backend server was asked to cancel the request after its deadline. */
     isCanceled?: boolean;
     /** Whether the connection was closed because the request ran past its deadline. */
--- a/programs/controller/src/DatabaseClient.ts
+++ b/programs/controller/src/DatabaseClient.ts
@@ -2,6 +2,7 @@
 import { ResultCode } from "@pomeloturn/errors/ResultCode";
 import type { Configuration, GroupConfiguration, InstanceConfiguration } from "@pomeloturn/types/Configuration";
 import { instanceKey } from "@pomeloturn/types/InstanceStatus";
+import { KEEP_ALIVE_OPTIONS } from "@pomeloturn/types/keepAlive";
 import type { DatabaseControl, InstanceProbe } from "@pomeloturn/types/Leadership";
 import { parseLogSequenceNumber } from "@pomeloturn/wire-messages/logSequenceNumber";
 import pg from "pg";
@@ -120,6 +121,8 @@
             application_name: this.vm,
             connectionTimeoutMillis: CONNECT_TIMEOUT_MS,
             query_timeout: QUERY_TIMEOUT_MS,
+            keepAlive: KEEP_ALIVE_OPTIONS.keepAlive,
+            keepAliveInitialDelayMillis: KEEP_ALIVE_OPTIONS.keepAliveInitialDelay,
         });
         client.on("error", () => this.closeConnection(instanceKey(group, instance)));
         await client.connect();
--- a/tests/support/ControlledDeployment.ts
+++ b/tests/support/ControlledDeployment.ts
@@ -34,7 +34,12 @@
     ) {}
 
     static async create(vmCount: number): Promise<ControlledDeployment> {
-        const small = await createSmallDeployment(vmCount, { expiresAtMs: 0 });
+        return ControlledDeployment.start(await createSmallDeployment(vmCount, { expiresAtMs: 0 }));
+    }
+
+    /** Starts the processes of a deployment. */
+    static async start(small: SmallDeployment): Promise<ControlledDeployment> {
+        const vmCount = small.proxies.length;
         const ports = await findPorts(vmCount * 2);
         const deployment = new ControlledDeployment(small, ports.slice(0, vmCount), ports.slice(vmCount));
         await deployment.startStandin();
