--- a/packages/process/table-relay/src/RelayedTableReader.test.ts
+++ b/packages/process/table-relay/src/RelayedTableReader.test.ts
@@ -4,6 +4,7 @@
 import type { RowsAnswer, StorePoint, StoreRow, TableReader } from "@pomeloturn/types/StoreRow";
 import { connect, createServer, type Server } from "node:net";
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
+import { LostDirection, SilentLink } from "../../../../tests/support/SilentLink.ts";
 import { orderRelays } from "./chooseRelay.ts";
 import { RelayedTableReader } from "./RelayedTableReader.ts";
 import type { RelayMember } from "./RelayMember.ts";
@@ -165,6 +166,32 @@
         await vi.waitFor(() => expect(seen.slice(1).every(keys => keys.has("a"))).toBe(true), { timeout: 2_000 });
     });
 
+    it.each(
+        [
+            [LostDirection.Both, 1],
+            [LostDirection.ToClient, 2],
+            [LostDirection.ToServer, 1],
+            [LostDirection.ToServer, 2],
+        ] as const,
+    )("misses a change after the connections to the relay went silent (%s, %i times)", async (lost, count) => {
+        await start(5);
+        const links = await Promise.all(vms.map(({ server }) => SilentLink.start(`${HOST}:${server.port}`)));
+        const members = vms.map(({ name }, index) => ({ vm: name, failureDomain: DOMAIN, relayAddress: links[index]!.address }));
+        vms.forEach(({ reader }) => reader.setMembers(members));
+        const seen = vms.map(follow);
+        await new Promise(resolve => setTimeout(resolve, 600));
+        for (let index = 0; index < count; index++) {
+            await links[0]!.waitForMessage(/"table":"t"/);
+            expect(links[0]!.silence(lost)).toBeGreaterThan(0);
+            await new Promise(resolve => setTimeout(resolve, index < count - 1 ? 5_000 : 0));
+        }
+        // With `ToServer`, the relay still answers the calls that wait.
+        await new Promise(resolve => setTimeout(resolve, 1_100));
+        store.write("a");
+        await vi.waitFor(() => expect(seen.every(keys => keys.has("a"))).toBe(true), { timeout: 2_500 });
+        links.forEach(link => link.close());
+    });
+
     it("reads the store at once when no relay listens, and when one is silent, sends nonsense or answers another request", async () => {
         const replies = [undefined, () => "nonsense\n", () => `${JSON.stringify({ id: 99, status: "rows", rows: [], version: 9 })}\n`];
         for (const reply of replies) {
