--- a/tests/entry/support/EntryDeployment.ts
+++ b/tests/entry/support/EntryDeployment.ts
@@ -22,6 +22,7 @@
     /** Links of the VMs to the store, in the order of `vms`. */
     readonly storeLinks: SilentLink[] = [];
     private readonly links: SilentLink[] = [];
+    private readonly options: EntryProcessOptions[] = [];
     private startedCount = 0;
 
     private constructor(
@@ -50,15 +51,22 @@
     async startVm(options: Partial<EntryProcessOptions> = {}): Promise<EntryProcess> {
         const index = this.startedCount++;
         const storeLink = await this.openLink(this.store.address);
-        const vm = await EntryProcess.start({
+        this.storeLinks[index] = storeLink;
+        this.options[index] = {
             vm: `vm-${index}`,
             storeAddress: storeLink.address,
             ordersAddress: this.orders.address,
             areFencesChecked: this.areFencesChecked,
             ...options,
-        });
+        };
+        return this.restartVm(index);
+    }
+
+    /** Starts a VM again whose process has ended, and waits until it is ready. */
+    async restartVm(index: number): Promise<EntryProcess> {
+        const vm = await EntryProcess.spawn(this.options[index]!);
         this.vms[index] = vm;
-        this.storeLinks[index] = storeLink;
+        await vm.waitUntilReady();
         return vm;
     }
 
--- a/tests/entry/support/waitForService.ts
+++ b/tests/entry/support/waitForService.ts
@@ -8,7 +8,7 @@
     const startedAtMs = performance.now();
     for (let count = 0; performance.now() - startedAtMs < limitMs; count++) {
         const caller = await LineCaller.open(callerPort, database);
-        const answer = await caller?.run(`${database}-${count}`, "WRITE 1a4 x");
+        const answer = await caller?.run(`${database}-${callerPort}-${count}`, "WRITE 1a4 x");
         caller?.close();
         if (answer?.kind === "complete") {
             break;
