Answer a request whose connection is checked while the holder closes

A request that waited for the check of an idle connection was never answered when the holder closed meanwhile. It ends as not run now: nothing was sent for it. tests/holder.test.ts, new row: waited without an end before (stopped after 60 s), passes after.

--- a/packages/process/instance-holder/src/HolderConnections.ts
+++ b/packages/process/instance-holder/src/HolderConnections.ts
@@ -2,7 +2,7 @@
 import { computeHolderConnectionLimit } from "@pomeloturn/connection-pool/computeHolderConnectionLimit";
 import { createPool, type PoolState } from "@pomeloturn/connection-pool/PoolState";
 import { type PoolAction, type PoolEvent, PoolEventKind, stepPool } from "@pomeloturn/connection-pool/stepPool";
-import type { ResultCode } from "@pomeloturn/errors/ResultCode";
+import { ResultCode } from "@pomeloturn/errors/ResultCode";
 import type { InstanceEnvironment } from "./InstanceEnvironment.ts";
 import { resetConnection, verifyConnection } from "./resetConnection.ts";
 import { sendCancel } from "./sendCancel.ts";
@@ -145,6 +145,9 @@
             if (isAlive) {
                 this.options.onAssigned(requestId, connectionId);
             }
+            else if (this.isClosed) {
+                this.options.onFailed(requestId, ResultCode.BackendUnreachable);
+            }
             else {
                 this.discard(connectionId);
                 this.acquire(requestId, isTransaction);
--- a/tests/holder.test.ts
+++ b/tests/holder.test.ts
@@ -2,15 +2,19 @@
 import { ResultCode } from "@pomeloturn/errors/ResultCode";
 import type { ControlView } from "@pomeloturn/types/ControlView";
 import { type AnswerPart, type ForwardRequest, RequestMode, TransactionStatus } from "@pomeloturn/types/Request";
+import { setTimeout as delay } from "node:timers/promises";
 import { serialize } from "pg-protocol";
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
 import { LocalHolders } from "../programs/proxy/src/LocalHolders.ts";
 import { Standin } from "../programs/standin/src/Standin.ts";
 import type { StandinSettings } from "../programs/standin/src/StandinSettings.ts";
+import { SilentLink } from "./support/SilentLink.ts";
 import { createSmallDeployment } from "./support/smallDeployment.ts";
 
 const NO_EXPIRY_MS = 1e15;
 const SLOTS = 2;
+/** A connection that is idle for longer is checked before it is used. */
+const IDLE_UNTIL_CHECKED_MS = 2_200;
 
 describe("the holder of a primary", () => {
     let standin: Standin;
@@ -90,6 +94,22 @@
         expect((await Promise.all(blocked)).map(({ resultCode }) => resultCode)).toEqual([ResultCode.Ok, ResultCode.Ok]);
     });
 
+    it("answers a request that waits for the check of an idle connection while the holder closes", async () => {
+        const { host, port } = view.configuration.groups["log-1"]!.instances["one"]!;
+        const link = await SilentLink.start(`${host}:${port}`);
+        const group = view.configuration.groups["log-1"]!;
+        const instances = { ...group.instances, one: { ...group.instances["one"]!, port: Number(link.address.split(":")[1]) } };
+        view = { ...view, configuration: { ...view.configuration, groups: { "log-1": { ...group, instances } } } };
+        await run("SELECT 1");
+        await delay(IDLE_UNTIL_CHECKED_MS);
+        link.silence();
+        const waiting = run("SELECT 1");
+        await delay(50);
+        holders.close();
+        expect((await waiting).resultCode).toBe(ResultCode.BackendUnreachable);
+        link.close();
+    });
+
     it("reports an instance that cannot be reached", async () => {
         const unreachableInstance = new Promise<string>(resolve => {
             holders.onInstanceHealth = (group, instance, isReachable) => isReachable ? undefined : resolve(`${group}/${instance}`);
