--- a/tests/entry/support/EntryProcess.ts
+++ b/tests/entry/support/EntryProcess.ts
@@ -8,6 +8,8 @@
 
 const HOST = "127.0.0.1";
 const READY_POLL_MS = 50;
+/** Interval of the instances' reports in the settings. */
+export const REPORT_INTERVAL_MS = 1_200;
 
 /** Settings of a process that differ between tests; see `PlatformSettings`. */
 export interface EntryProcessOptions {
@@ -45,7 +47,7 @@
         const settings = {
             ...{ vm, failureDomain: "north-a", regions: { "north-a": "north" }, storeAddress, ordersAddress },
             ...{ callerAddress, readinessAddress, metricsAddress, relayAddress },
-            ...{ shutdownGraceS, contactMs, reportIntervalMs: 1_200, isFirstStart, areFencesChecked },
+            ...{ shutdownGraceS, contactMs, reportIntervalMs: REPORT_INTERVAL_MS, isFirstStart, areFencesChecked },
         };
         writeFileSync(file, JSON.stringify(settings));
         const env = { PATH: process.env["PATH"], ...createSettingsEnvironment(file) };
--- a/tests/entry/wiring.test.ts
+++ b/tests/entry/wiring.test.ts
@@ -1,8 +1,10 @@
 import { LineCaller } from "@pomeloturn/platform/support/LineCaller";
-import { authorityKey, COORDINATION_TABLE } from "@pomeloturn/platform/tables";
+import { authorityKey, COORDINATION_TABLE, INSTANCE_TABLE } from "@pomeloturn/platform/tables";
 import { setTimeout as delay } from "node:timers/promises";
 import { afterEach, expect, it } from "vitest";
 import { EntryDeployment, type EntryDeploymentOptions, SERVICE } from "./support/EntryDeployment.ts";
+import { REPORT_INTERVAL_MS } from "./support/EntryProcess.ts";
+import { waitForService } from "./support/waitForService.ts";
 
 const WRITE_INTERVAL_MS = 10;
 const STORE_ERA = 1;
@@ -71,3 +73,24 @@
         expect(orders.orders.map(({ fence }) => fence)).toEqual(mayOrder ? [7] : []);
     },
 );
+
+it("an instance whose row stays overwritten is used for long because the program does not pass on the interval of the reports", async () => {
+    const deployment = await createDeployment({ instanceIds: ["a"] });
+    const vm = await deployment.startVm();
+    expect(await waitForService(vm.callerPort, "writes", REPLACEMENT_MS)).toBeLessThan(REPLACEMENT_MS);
+    deployment.store.write(INSTANCE_TABLE, "a", { state: "unknown" });
+    const overwrittenAtMs = performance.now();
+    const isServing = async (): Promise<boolean> => {
+        const caller = await LineCaller.open(vm.callerPort, "writes");
+        const answer = await caller?.run(`w-${performance.now()}`, "WRITE 1a4 x");
+        caller?.close();
+        return answer?.kind === "complete";
+    };
+    while (await isServing() && performance.now() - overwrittenAtMs < 2 * REPLACEMENT_MS) {
+        await delay(100);
+    }
+    const usedMs = performance.now() - overwrittenAtMs;
+    // The instance has three intervals to write its row again.
+    expect(usedMs).toBeGreaterThan(3 * REPORT_INTERVAL_MS);
+    expect(usedMs).toBeLessThan(5 * REPORT_INTERVAL_MS);
+});
