--- a/programs/entry/src/Entry.ts
+++ b/programs/entry/src/Entry.ts
@@ -13,7 +13,6 @@
 import { type PlatformSettings, splitAddress } from "@pomeloturn/platform/PlatformSettings";
 import { ReadinessServer } from "@pomeloturn/platform/ReadinessServer";
 import { StoreClient } from "@pomeloturn/platform/StoreClient";
-import { OPERATOR_TABLE } from "@pomeloturn/platform/tables";
 import { clearSamples } from "@pomeloturn/position-samples/PositionSamples";
 import { Distance } from "@pomeloturn/rank-candidates/rankCandidates";
 import { probeInstance } from "@pomeloturn/replacement-runner/inspectInstance";
@@ -26,6 +25,7 @@
 import { start } from "nact";
 import { CallerListener } from "./CallerListener.ts";
 import type { StatementGate } from "./CallerSession.ts";
+import { chooseRelayedReadTimes } from "./chooseRelayedReadTimes.ts";
 import { DirectoryFeeds } from "./DirectoryFeeds.ts";
 import { EntryDrain } from "./EntryDrain.ts";
 import { EntryMetrics } from "./EntryMetrics.ts";
@@ -39,13 +39,6 @@
 const TICK_MS = 200;
 /** Interval of ticks while a primary is suspected, missing or being replaced. */
 const ACTIVE_TICK_MS = 40;
-/**
- * Longest waits of calls to the store while this VM relays its tables. Changes of the configuration have to be in force
- * within seconds, also when the relay loses the store.
- */
-const RELAYED_CONFIGURATION_WAIT_MS = 1_500;
-const RELAYED_LISTING_WAIT_MS = 3_000;
-
 /** The proxy process of one VM: wires the listeners, the directory, the store and the replacements of primaries together. */
 export class Entry {
     private readonly abortController = new AbortController();
@@ -73,10 +66,7 @@
             store: this.store,
             vm: settings.vm,
             failureDomain: settings.failureDomain,
-            storeTimes: table => ({
-                waitMs: Math.min(this.readTimes.waitMs, table === OPERATOR_TABLE ? RELAYED_CONFIGURATION_WAIT_MS : RELAYED_LISTING_WAIT_MS),
-                marginMs: this.readTimes.marginMs,
-            }),
+            storeTimes: table => chooseRelayedReadTimes(table, this.readTimes),
             relayTimes: chooseRelayTimes(settings.contactMs),
             nowMs: this.ports.nowMs,
             logger,
--- a/tests/entry/silentRelay.test.ts
+++ b/tests/entry/silentRelay.test.ts
@@ -1,4 +1,5 @@
 import { createConfigurationRow } from "@pomeloturn/platform/support/configurationRow";
+import { feedCallOf } from "@pomeloturn/platform/support/feedCallOf";
 import { CONFIGURATION_KEY, OPERATOR_TABLE } from "@pomeloturn/platform/tables";
 import { orderRelays } from "@pomeloturn/table-relay/chooseRelay";
 import { setTimeout as delay } from "node:timers/promises";
@@ -15,7 +16,7 @@
 /** Time after which an accepted configuration has to be in force at a VM that is in contact with the store. */
 const CONFIGURATION_APPLY_MS = 3_000;
 const LIMIT_MS = 15_000;
-const FEED = /rows-feed\?table=op&/;
+const FEED = feedCallOf(OPERATOR_TABLE);
 const ALL = /(?:)/;
 
 let deployment: EntryDeployment;
--- a/tests/entry/silentStore.test.ts
+++ b/tests/entry/silentStore.test.ts
@@ -1,4 +1,5 @@
 import { createConfigurationRow } from "@pomeloturn/platform/support/configurationRow";
+import { feedCallOf } from "@pomeloturn/platform/support/feedCallOf";
 import { LineGroup } from "@pomeloturn/platform/support/LineGroup";
 import { CONFIGURATION_KEY, INSTANCE_TABLE, OPERATOR_TABLE } from "@pomeloturn/platform/tables";
 import { setTimeout as delay } from "node:timers/promises";
@@ -31,7 +32,7 @@
 const changes = {
     /** The operator adds a route. */
     configuration: {
-        feed: /rows-feed\?table=op&/,
+        feed: feedCallOf(OPERATOR_TABLE),
         apply: ({ store }: EntryDeployment): Promise<string> => {
             const databases = { old: OTHER_SERVICE, added: SERVICE };
             store.write(OPERATOR_TABLE, CONFIGURATION_KEY, createConfigurationRow(SERVICE, TIMEOUT_MS, { version: 3, databases }));
@@ -40,7 +41,7 @@
     },
     /** The first instance of a service reports. */
     instances: {
-        feed: /rows-feed\?table=servers&/,
+        feed: feedCallOf(INSTANCE_TABLE),
         apply: async ({ store }: EntryDeployment): Promise<string> => {
             const group = new LineGroup(OTHER_SERVICE, 0, (id, row) => store.write(INSTANCE_TABLE, id, row!));
             cleanups.push(() => group.close());
