Tell instances the team of the caller, and refuse unknown keys

The key of the first line is looked up at the start of each operation, an unknown one gets NOAUTH, and an instance's connection is opened under the team's name and serves only that team. Deployments without teams have a single identity, so their pools behave as before. Idle sessions of a removed key are closed; an open transaction may go on for 2 s.

--- a/packages/connection/instance-pool/src/InstancePool.ts
+++ b/packages/connection/instance-pool/src/InstancePool.ts
@@ -8,11 +8,12 @@
 import { ConnectionLease } from "./ConnectionLease.ts";
 import {
     countFree,
-    countToOpen,
     countUsable,
     createPoolState,
     isAssignable,
+    isFull,
     isIdleTooLong,
+    isOpeningAllowed,
     type PoolState,
     recordExhausted,
     recordOpened,
@@ -20,15 +21,20 @@
     restoreLimits,
     updateLimits,
 } from "./PoolState.ts";
+import { type WaitingRequest, WaitingRequests } from "./WaitingRequests.ts";
 
 /** Time limit for connecting to an instance and receiving its reply to the start-up message. */
 const OPEN_TIMEOUT_MS = 450;
 
+/** Identity of connections that are opened in advance and of requests that belong to no team. */
+export const NO_IDENTITY = "";
+
 /** Clock, connection factory and callbacks of a pool. */
 export interface PoolPorts {
     /** Monotonic time in milliseconds. */
     readonly nowMs: () => number;
-    readonly open: (onClosed: (reason: string, isRemote: boolean) => void) => CommandChannel;
+    /** Opens a connection under a caller identity. */
+    readonly open: (onClosed: (reason: string, isRemote: boolean) => void, identity: string) => CommandChannel;
     /** Called for each connection that could not be opened, except when the instance has no connections left. */
     readonly onOpenFailed: (reply: InstanceReply) => void;
     /** Called for each open connection that the instance or the network closed. */
@@ -38,6 +44,8 @@
 interface PooledConnection {
     readonly connection: CommandChannel;
     readonly connectionState: ConnectionState;
+    /** Identity that the instance was told at start-up. Only requests of this identity use the connection. */
+    readonly identity: string;
     lastUsedAtMs: number;
     leasedAtMs: number;
     /** Rank of the request that uses the connection. */
@@ -45,19 +53,15 @@
     isBusy: boolean;
 }
 
-interface Waiter {
-    readonly rank: number;
-    readonly resolve: (lease: ConnectionLease | undefined) => void;
-}
-
 /** Pool of the connections from this VM to one instance. */
 export class InstancePool {
     private readonly state: PoolState = createPoolState();
     private readonly use: ConnectionUse = createConnectionUse();
     private readonly idle: PooledConnection[] = [];
     private readonly all = new Set<PooledConnection>();
-    /** Most urgent rank first, then oldest first. */
-    private readonly waiters: Waiter[] = [];
+    private readonly waiting = WaitingRequests.create();
+    /** Identities of the connections that are being opened. */
+    private readonly openingIdentities: string[] = [];
     private isClosed = false;
 
     private constructor(private readonly ports: PoolPorts) {}
@@ -68,7 +72,7 @@
 
     /** Number of requests that wait for a connection or use one. */
     get requestCount(): number {
-        return this.state.busyCount + this.waiters.length;
+        return this.state.busyCount + this.waiting.count;
     }
 
     /** Number of open connections. */
@@ -84,7 +88,7 @@
     /** Returns the expected wait of a request of this rank for a connection, in milliseconds; see `estimateWaitMs`. */
     estimateWaitMs(rank: number): number {
         const { state, use } = this;
-        const aheadCount = this.waiters.filter(waiter => waiter.rank <= rank).length;
+        const aheadCount = this.waiting.countUpTo(rank);
         const queue = { use, aheadCount, connectionCount: countUsable(state, rank), freeCount: countFree(state, rank) };
         return estimateWaitMs(queue, rank, this.ports.nowMs());
     }
@@ -99,26 +103,28 @@
      *
      * @param rank 0 for the most urgent; lower ranks are served first
      * @param waitMs maximum time to wait
+     * @param identity identity that the connection must have been opened under
      * @returns undefined if the pool is closed, the instance is unreachable, or no connection became available in time
      */
-    acquire(rank: number, waitMs: number): Promise<ConnectionLease | undefined> {
+    acquire(rank: number, waitMs: number, identity: string = NO_IDENTITY): Promise<ConnectionLease | undefined> {
         if (this.isClosed || (this.openCount === 0 && this.ports.nowMs() < this.state.backoffUntilMs)) {
             return Promise.resolve(undefined);
         }
-        const idleConnection = isAssignable(this.state, rank) ? this.idle.pop() : undefined;
+        const idleConnection = isAssignable(this.state, rank) ? this.takeIdle(identity) : undefined;
         if (idleConnection !== undefined) {
             return Promise.resolve(this.createLease(idleConnection, rank));
         }
         return new Promise(resolve => {
             const timer = setTimeout(() => this.cancelWaiter(waiter), waitMs);
-            const waiter = {
+            const waiter: WaitingRequest = {
                 rank,
+                identity,
                 resolve: (lease: ConnectionLease | undefined): void => {
                     clearTimeout(timer);
                     resolve(lease);
                 },
             };
-            this.enqueue(waiter);
+            this.waiting.add(waiter);
             this.openNeeded();
         });
     }
@@ -126,7 +132,7 @@
     /** Opens a first connection in advance, so that the first request does not have to wait for it. */
     warmUp(): void {
         if (this.state.coreConnectionCount > 0 && this.openCount + this.state.openingCount === 0 && !this.isClosed) {
-            this.openConnection();
+            this.openConnection(NO_IDENTITY);
         }
     }
 
@@ -158,39 +164,55 @@
         [...this.idle].forEach(({ connection }) => connection.close(reason));
     }
 
-    private enqueue(waiter: Waiter): void {
-        const index = this.waiters.findIndex(({ rank }) => rank > waiter.rank);
-        this.waiters.splice(index < 0 ? this.waiters.length : index, 0, waiter);
-        this.state.waitingCount = this.waiters.length;
-    }
-
-    private cancelWaiter(waiter: Waiter): void {
-        const index = this.waiters.indexOf(waiter);
-        if (index >= 0) {
-            this.waiters.splice(index, 1);
-            this.state.waitingCount = this.waiters.length;
+    private cancelWaiter(waiter: WaitingRequest): void {
+        if (this.waiting.remove(waiter)) {
             waiter.resolve(undefined);
         }
     }
 
     private failWaiters(): void {
-        this.state.waitingCount = 0;
-        this.waiters.splice(0).forEach(({ resolve }) => resolve(undefined));
+        this.waiting.removeAll().forEach(({ resolve }) => resolve(undefined));
+    }
+
+    private takeIdle(identity: string): PooledConnection | undefined {
+        const index = this.idle.findLastIndex(each => each.identity === identity);
+        return index < 0 ? undefined : this.idle.splice(index, 1)[0];
     }
 
     private openNeeded(): void {
-        for (let count = this.isClosed ? 0 : countToOpen(this.state, this.ports.nowMs()); count > 0; count--) {
-            this.openConnection();
+        if (this.isClosed || this.waiting.count === 0) {
+            return;
+        }
+        for (const identity of this.waiting.listUnmetIdentities(this.openingIdentities)) {
+            if (!isOpeningAllowed(this.state, this.ports.nowMs()) || (isFull(this.state) && !this.closeIdleOfOthers(identity))) {
+                return;
+            }
+            this.openConnection(identity);
+        }
+    }
+
+    /** Closes the connection of another identity that has been idle longest. @returns whether there was one */
+    private closeIdleOfOthers(identity: string): boolean {
+        const index = this.idle.findIndex(each => each.identity !== identity);
+        const other = this.idle.splice(index, index < 0 ? 0 : 1)[0];
+        if (other === undefined) {
+            return false;
         }
+        this.all.delete(other);
+        this.state.idleCount = this.idle.length;
+        other.connection.close("a request of another identity needs a connection");
+        return true;
     }
 
-    private openConnection(): void {
+    private openConnection(identity: string): void {
         const startedAtMs = this.ports.nowMs();
         this.state.openingCount++;
-        const connection = this.ports.open((reason, isRemote) => this.handleClosed(pooled, reason, isRemote));
+        this.openingIdentities.push(identity);
+        const connection = this.ports.open((reason, isRemote) => this.handleClosed(pooled, reason, isRemote), identity);
         const pooled: PooledConnection = {
             connection,
             connectionState: createConnectionState(),
+            identity,
             lastUsedAtMs: startedAtMs,
             leasedAtMs: startedAtMs,
             rank: 0,
@@ -203,6 +225,7 @@
         void connection.startupReply.then(reply => {
             clearTimeout(timer);
             this.state.openingCount--;
+            this.openingIdentities.splice(this.openingIdentities.indexOf(identity), 1);
             if (reply.code === ResultCode.Ok) {
                 this.addOpened(pooled);
             }
@@ -238,15 +261,14 @@
             pooled.connection.close("the connection pool of the instance is closed");
             return;
         }
-        const next = this.waiters[0];
-        if (next !== undefined && isAssignable(this.state, next.rank)) {
-            this.waiters.shift();
-            this.state.waitingCount = this.waiters.length;
+        const next = this.waiting.takeNext(pooled.identity, rank => isAssignable(this.state, rank));
+        if (next !== undefined) {
             next.resolve(this.createLease(pooled, next.rank));
             return;
         }
         this.idle.push(pooled);
         this.state.idleCount = this.idle.length;
+        this.openNeeded();
     }
 
     private createLease(pooled: PooledConnection, rank: number): ConnectionLease {
--- a/packages/connection/instance-pool/src/PoolState.test.ts
+++ b/packages/connection/instance-pool/src/PoolState.test.ts
@@ -1,9 +1,10 @@
 import { describe, expect, it } from "vitest";
 import {
-    countToOpen,
     createPoolState,
     isAssignable,
+    isFull,
     isIdleTooLong,
+    isOpeningAllowed,
     type PoolState,
     recordExhausted,
     recordOpenFailure,
@@ -27,18 +28,20 @@
         expect(createState(connectionLimit, vmCount)).toMatchObject({ limit, coreConnectionCount });
     });
 
-    it("opens connections for waiting requests, within the limits", () => {
-        expect(countToOpen(createState(16, 8, { waitingCount: 5 }), 0)).toBe(2);
-        expect(countToOpen(createState(16, 8, { waitingCount: 5, busyCount: 3 }), 0)).toBe(1);
-        expect(countToOpen(createState(16, 8, { waitingCount: 1, openingCount: 1 }), 0)).toBe(0);
+    it("opens connections within the limits", () => {
+        expect([0, 1, 2].map(openingCount => isOpeningAllowed(createState(16, 8, { openingCount }), 0))).toEqual([true, true, false]);
+        expect(isFull(createState(16, 8, { busyCount: 3 }))).toBe(false);
+        expect(isFull(createState(16, 8, { busyCount: 3, openingCount: 1 }))).toBe(true);
+        expect(isFull(createState(16, 8, { busyCount: 3, idleCount: 1 }))).toBe(true);
     });
 
     it("backs off exponentially after failures", () => {
-        const state = createState(16, 8, { waitingCount: 1 });
+        const state = createState(16, 8);
         recordOpenFailure(state, 0);
-        expect([countToOpen(state, 99), countToOpen(state, 100)]).toEqual([0, 1]);
+        expect([isOpeningAllowed(state, 99), isOpeningAllowed(state, 100)]).toEqual([false, true]);
+        expect(isOpeningAllowed({ ...state, openingCount: 1 }, 100)).toBe(false);
         recordOpenFailure(state, 100);
-        expect([countToOpen(state, 299), countToOpen(state, 300)]).toEqual([0, 1]);
+        expect([isOpeningAllowed(state, 299), isOpeningAllowed(state, 300)]).toEqual([false, true]);
     });
 
     it("lowers the limit when the instance has no connections left, and raises it step by step", () => {
--- a/packages/connection/instance-pool/src/PoolState.ts
+++ b/packages/connection/instance-pool/src/PoolState.ts
@@ -3,7 +3,6 @@
     idleCount: number;
     busyCount: number;
     openingCount: number;
-    waitingCount: number;
     /** Maximum number of connections that are open or being opened; lowered while the instance has none left. */
     limit: number;
     /** Value of `limit` by the configuration, to which it returns step by step after a refusal. */
@@ -45,7 +44,6 @@
     idleCount: 0,
     busyCount: 0,
     openingCount: 0,
-    waitingCount: 0,
     limit: 1,
     configuredLimit: 1,
     coreConnectionCount: 1,
@@ -73,15 +71,12 @@
 
 const countConnections = ({ idleCount, busyCount, openingCount }: PoolState): number => idleCount + busyCount + openingCount;
 
-/** Returns the number of connections to open now. */
-export const countToOpen = (state: PoolState, nowMs: number): number => {
-    if (nowMs < state.backoffUntilMs) {
-        return 0;
-    }
-    const openingLimit = state.failureCount > 0 ? 1 : MAXIMUM_OPENING_CONNECTIONS;
-    const wanted = state.waitingCount - state.openingCount;
-    return Math.max(0, Math.min(wanted, openingLimit - state.openingCount, state.limit - countConnections(state)));
-};
+/** Whether a further connection may be opened now, as far as the number of open ones allows it. */
+export const isOpeningAllowed = (state: PoolState, nowMs: number): boolean =>
+    nowMs >= state.backoffUntilMs && state.openingCount < (state.failureCount > 0 ? 1 : MAXIMUM_OPENING_CONNECTIONS);
+
+/** Whether the pool has as many connections as it may have. */
+export const isFull = (state: PoolState): boolean => countConnections(state) >= state.limit;
 
 /** Whether a request of this rank may use an idle connection; one is reserved for rank 0. */
 export const isAssignable = (state: PoolState, rank: number): boolean =>
--- a/packages/process/service-directory/src/ServiceDirectory.ts
+++ b/packages/process/service-directory/src/ServiceDirectory.ts
@@ -286,7 +286,10 @@
             const limit = this.routeTable?.services.get(service.name)?.connectionLimit ?? DEFAULT_CONNECTION_LIMIT;
             for (const { pool } of service.instances.values()) {
                 pool.setLimit(limit, this.vmCount);
-                pool.warmUp();
+                if (this.routeTable?.teams === undefined) {
+                    // A connection serves one team, which is not known in advance.
+                    pool.warmUp();
+                }
             }
         }
     }
--- a/packages/process/statement-runner/src/Operation.ts
+++ b/packages/process/statement-runner/src/Operation.ts
@@ -11,6 +11,8 @@
     readonly prepared: PreparedStatement | undefined;
     readonly route: RouteEntry;
     readonly service: ServiceRuntime;
+    /** Team of the caller, or `NO_TEAM`. Only connections that were opened under it are used. */
+    readonly identity: string;
     readonly startedAtMs: number;
     /** Monotonic time until which the statement may wait before it is first sent. */
     sendDeadlineAtMs: number;
@@ -35,6 +37,7 @@
     statement: Statement,
     route: RouteEntry,
     service: ServiceRuntime,
+    identity: string,
     nowMs: number,
 ): Operation => ({
     session,
@@ -42,6 +45,7 @@
     prepared: session.preparedStatements.get(statement.name),
     route,
     service,
+    identity,
     startedAtMs: nowMs,
     sendDeadlineAtMs: nowMs + route.timeoutMs * SEND_WAIT_SHARE,
     deadlineAtMs: nowMs + route.timeoutMs - ANSWER_MARGIN_MS,
--- a/packages/process/statement-runner/src/RunnerPorts.ts
+++ b/packages/process/statement-runner/src/RunnerPorts.ts
@@ -28,6 +28,12 @@
 } as const;
 export type AttemptFailure = typeof AttemptFailure[keyof typeof AttemptFailure];
 
+/** Whether a team may run another operation now. */
+export type AllowanceDecision =
+    | { readonly isGranted: true; }
+    /** `retryAfterMs`: time after which the team is expected to have room, in milliseconds. */
+    | { readonly isGranted: false; readonly retryAfterMs: number; };
+
 /** What the runner needs from the process that hosts it. */
 export interface RunnerPorts {
     readonly directory: ServiceDirectory;
@@ -41,6 +47,8 @@
      */
     readonly detectSuspensions: () => number;
     readonly distanceTo: (failureDomain: string) => Distance;
+    /** Asks for one operation of a team's allowance. Undefined where teams have none. */
+    readonly takeAllowance?: ((team: string) => Promise<AllowanceDecision>) | undefined;
     readonly onInstanceSuspected: (service: string, instanceId: string, failure: AttemptFailure) => void;
     readonly onStatement: (record: StatementRecord) => void;
     /** Receives an error that no statement should cause. The session ends, and the outcome of its statement is unknown. */
--- a/packages/process/statement-runner/src/SessionRunner.ts
+++ b/packages/process/statement-runner/src/SessionRunner.ts
@@ -1,3 +1,4 @@
+import { identifyCaller, NO_TEAM } from "@pomeloturn/authenticate-caller/identifyCaller";
 import { ResultCode } from "@pomeloturn/errors/ResultCode";
 import { newestSampleAgeMs } from "@pomeloturn/position-samples/PositionSamples";
 import type { ServiceRuntime } from "@pomeloturn/service-directory/ServiceRuntime";
@@ -37,13 +38,40 @@
     private operation: Operation | undefined;
     private idleTimer: NodeJS.Timeout | undefined;
     private isClosed = false;
+    /** Whether the open transaction fails once its running statement has ended. */
+    private isExpiring = false;
 
-    private constructor(database: string, private readonly ports: RunnerPorts) {
+    private constructor(database: string, private readonly key: string, private readonly ports: RunnerPorts) {
         this.state = createSession(database);
     }
 
-    static create(database: string, ports: RunnerPorts): SessionRunner {
-        return new SessionRunner(database, ports);
+    /** @param key key that the caller sent at start-up; empty when it sent none */
+    static create(database: string, key: string, ports: RunnerPorts): SessionRunner {
+        return new SessionRunner(database, key, ports);
+    }
+
+    /**
+     * Whether the caller's key still belongs to the team of the open transaction or, outside a transaction, to any team. True when
+     * the database has no route.
+     */
+    get isAuthenticated(): boolean {
+        const { routes } = this.ports.directory;
+        const route = this.transaction?.routeEntry ?? routes?.routes.get(this.state.database);
+        if (routes === undefined || route === undefined) {
+            return true;
+        }
+        const identity = identifyCaller(routes, route, this.key);
+        return identity !== undefined && (this.transaction === undefined || identity === this.transaction.identity);
+    }
+
+    /** Rolls back the open transaction after the caller's key was removed. Its next statement fails. */
+    expireTransaction(): void {
+        if (this.transaction !== undefined && this.operation?.isDone !== false) {
+            this.failIdleTransaction();
+        }
+        else {
+            this.isExpiring = this.transaction !== undefined;
+        }
     }
 
     /** Whether no transaction is open. */
@@ -124,8 +152,12 @@
         if (route === undefined) {
             return createErrorReply(ResultCode.UnknownService, this.state.database, this.state.status);
         }
+        const identity = this.transaction?.identity ?? this.identify(route);
+        if (identity === undefined) {
+            return createErrorReply(ResultCode.AuthenticationFailed, "the key is not valid any more", this.state.status);
+        }
         if (statement.kind === StatementKind.Begin || statement.kind === StatementKind.BeginRead) {
-            this.transaction = Transaction.create(route, statement.kind === StatementKind.BeginRead, this.ports);
+            this.transaction = Transaction.create(route, identity, statement.kind === StatementKind.BeginRead, this.ports);
             this.begunAtMs = this.ports.nowMs();
             this.state.status = TransactionStatus.Open;
             return createSuccessReply(TransactionStatus.Open);
@@ -136,12 +168,40 @@
                 createErrorReply(ResultCode.NoInstance, route.service, this.state.status, NO_INSTANCE_RETRY_AFTER_MS),
             );
         }
-        return this.runAtInstance(statement, route, service);
+        return this.runAtInstance(statement, route, service, identity);
+    }
+
+    private identify(route: RouteEntry): string | undefined {
+        const { routes } = this.ports.directory;
+        return routes === undefined ? undefined : identifyCaller(routes, route, this.key);
     }
 
-    private async runAtInstance(statement: Statement, route: RouteEntry, service: ServiceRuntime): Promise<CallerReply> {
-        const operation = createOperation(this.state, statement, route, service, this.ports.nowMs());
+    /** Asks for one operation of the team's allowance, unless the operation has begun. @returns the refusal, if any */
+    private async refuseBeyondAllowance(operation: Operation): Promise<CallerReply | undefined> {
+        const { takeAllowance } = this.ports;
+        if (takeAllowance === undefined || operation.identity === NO_TEAM || this.transaction?.hasBegun === true) {
+            return undefined;
+        }
+        const decision = await takeAllowance(operation.identity);
+        return decision.isGranted
+            ? undefined
+            : createErrorReply(ResultCode.AllowanceExhausted, operation.identity, this.state.status, decision.retryAfterMs);
+    }
+
+    private async runAtInstance(
+        statement: Statement,
+        route: RouteEntry,
+        service: ServiceRuntime,
+        identity: string,
+    ): Promise<CallerReply> {
+        const operation = createOperation(this.state, statement, route, service, identity, this.ports.nowMs());
         this.operation = operation;
+        const refusal = await this.refuseBeyondAllowance(operation);
+        if (refusal !== undefined) {
+            operation.isDone = true;
+            this.reportOutcome(operation, refusal);
+            return this.failTransaction(refusal);
+        }
         const isWrite = statement.kind === StatementKind.Write || operation.prepared?.isWrite === true;
         const outcome = this.transaction !== undefined
             ? await this.transaction.run(operation)
@@ -149,7 +209,10 @@
         operation.isDone = true;
         const reply = "detail" in outcome ? outcome : this.toCallerReply(outcome, statement, isWrite, operation);
         this.reportOutcome(operation, reply);
-        return this.transaction === undefined ? reply : this.updateTransaction(statement, reply);
+        const result = this.transaction === undefined ? reply : this.updateTransaction(statement, reply);
+        const mustFail = this.isExpiring && this.transaction !== undefined;
+        this.isExpiring = false;
+        return mustFail ? this.failTransaction(result) : result;
     }
 
     /** Converts an instance's reply into the caller's reply. */
--- a/packages/process/statement-runner/src/Transaction.ts
+++ b/packages/process/statement-runner/src/Transaction.ts
@@ -36,10 +36,20 @@
     private hasWritten = false;
     private isEnded = false;
 
-    private constructor(private readonly route: RouteEntry, private readonly isReadOnly: boolean, private readonly ports: RunnerPorts) {}
+    private constructor(
+        private readonly route: RouteEntry,
+        readonly identity: string,
+        private readonly isReadOnly: boolean,
+        private readonly ports: RunnerPorts,
+    ) {}
+
+    static create(route: RouteEntry, identity: string, isReadOnly: boolean, ports: RunnerPorts): Transaction {
+        return new Transaction(route, identity, isReadOnly, ports);
+    }
 
-    static create(route: RouteEntry, isReadOnly: boolean, ports: RunnerPorts): Transaction {
-        return new Transaction(route, isReadOnly, ports);
+    /** Whether the transaction has begun at an instance. */
+    get hasBegun(): boolean {
+        return this.begun !== undefined;
     }
 
     get routeEntry(): RouteEntry {
@@ -105,7 +115,7 @@
         const waitMs = sendTimeLeftMs(operation, this.ports.nowMs());
         const synchronize = (lease: ConnectionLease): ReturnType<typeof planSynchronization>["commands"] =>
             planSynchronization(lease, operation).commands;
-        return beginAtLeader(operation.service, operation.route.rank, waitMs, synchronize, this.ports);
+        return beginAtLeader(operation.service, operation.route.rank, waitMs, operation.identity, synchronize, this.ports);
     }
 
     private async beginAtAny(operation: Operation, excluded: Set<string>): Promise<BegunTransaction | undefined> {
@@ -118,7 +128,7 @@
         excluded.add(instance.entry.id);
         const isAllowed = await waitForTurn(instance, operation, operation.sendDeadlineAtMs, this.ports);
         const waitMs = sendTimeLeftMs(operation, this.ports.nowMs());
-        const lease = isAllowed ? await instance.pool.acquire(operation.route.rank, waitMs) : undefined;
+        const lease = isAllowed ? await instance.pool.acquire(operation.route.rank, waitMs, operation.identity) : undefined;
         if (lease === undefined) {
             return undefined;
         }
--- a/packages/process/statement-runner/src/attemptRead.ts
+++ b/packages/process/statement-runner/src/attemptRead.ts
@@ -74,7 +74,7 @@
     ports: RunnerPorts,
 ): Promise<InstanceReply | undefined> => {
     const lease = await waitForTurn(instance, operation, ports.nowMs() + waitMs, ports)
-        ? await instance.pool.acquire(operation.route.rank, waitMs)
+        ? await instance.pool.acquire(operation.route.rank, waitMs, operation.identity)
         : undefined;
     if (lease === undefined) {
         return undefined;
@@ -109,7 +109,8 @@
         return plan.commands;
     };
     const isAllowed = await waitForLeaderTurn(operation, ports.nowMs() + waitMs, ports);
-    const begun = isAllowed ? await beginAtLeader(operation.service, operation.route.rank, waitMs, synchronize, ports) : undefined;
+    const { service, route, identity } = operation;
+    const begun = isAllowed ? await beginAtLeader(service, route.rank, waitMs, identity, synchronize, ports) : undefined;
     if (begun === undefined) {
         return undefined;
     }
--- a/packages/process/statement-runner/src/beginAtLeader.ts
+++ b/packages/process/statement-runner/src/beginAtLeader.ts
@@ -20,6 +20,7 @@
  * pipelined behind the BEGIN: if it is refused, the statement would run outside any transaction.
  *
  * @param waitMs time to wait for a connection
+ * @param identity identity that the connection must have been opened under
  * @param synchronization commands that bring the connection to the session's state, or a function that returns them
  * @returns undefined when the primary could not be used; the failure is reported and recorded
  */
@@ -27,11 +28,12 @@
     service: ServiceRuntime,
     rank: number,
     waitMs: number,
+    identity: string,
     synchronization: readonly InstanceCommand[] | ((lease: ConnectionLease) => readonly InstanceCommand[]),
     ports: RunnerPorts,
 ): Promise<BegunTransaction | undefined> => {
     const instance = service.leader;
-    const lease = await instance?.pool.acquire(rank, waitMs);
+    const lease = await instance?.pool.acquire(rank, waitMs, identity);
     if (instance === undefined || lease === undefined) {
         return undefined;
     }
--- a/packages/process/statement-runner/src/callerDisconnect.test.ts
+++ b/packages/process/statement-runner/src/callerDisconnect.test.ts
@@ -53,7 +53,7 @@
 it.each([0, 3, 8, 14])(
     "sends nothing after the rollback when the caller disconnects %i ms after a statement was refused as overloaded",
     async waitMs => {
-        const runner = SessionRunner.create(TEST_DATABASE, createTestPorts(openConnection, TIMEOUT_MS));
+        const runner = SessionRunner.create(TEST_DATABASE, "", createTestPorts(openConnection, TIMEOUT_MS));
         await runner.run(createStatement("begin", StatementKind.Begin));
         void runner.run(createStatement("shed", StatementKind.Read));
         while (!sent.includes("shed")) {
--- a/packages/process/statement-runner/src/hedging.test.ts
+++ b/packages/process/statement-runner/src/hedging.test.ts
@@ -55,9 +55,9 @@
 
 it("sends nothing for a caller that disconnected while its statement waited", async () => {
     const ports = createTestPorts(openConnection, TIMEOUT_MS);
-    const pendingReads = ["a", "b", "c"].map(name => SessionRunner.create(TEST_DATABASE, ports).run(createRead(name)));
+    const pendingReads = ["a", "b", "c"].map(name => SessionRunner.create(TEST_DATABASE, "", ports).run(createRead(name)));
     const disconnected = ["READ", "WRITE"].map(word => {
-        const runner = SessionRunner.create(TEST_DATABASE, ports);
+        const runner = SessionRunner.create(TEST_DATABASE, "", ports);
         void runner.run({ ...createRead("gone"), kind: word === "READ" ? StatementKind.Read : StatementKind.Write });
         return runner;
     });
@@ -71,10 +71,10 @@
 
 it("retries a read whose answer was lost while other reads keep waiting for a connection", async () => {
     const ports = createTestPorts(openConnection, TIMEOUT_MS);
-    const reply = SessionRunner.create(TEST_DATABASE, ports).run(createRead("lost"));
+    const reply = SessionRunner.create(TEST_DATABASE, "", ports).run(createRead("lost"));
     await vi.advanceTimersByTimeAsync(10);
     const keepReading = async (name: string): Promise<void> => {
-        const runner = SessionRunner.create(TEST_DATABASE, ports);
+        const runner = SessionRunner.create(TEST_DATABASE, "", ports);
         while (performance.now() < TIMEOUT_MS) {
             await runner.run(createRead(name));
         }
--- a/packages/process/statement-runner/src/rollBack.test.ts
+++ b/packages/process/statement-runner/src/rollBack.test.ts
@@ -1,3 +1,4 @@
+import { NO_TEAM } from "@pomeloturn/authenticate-caller/identifyCaller";
 import type { CommandChannel } from "@pomeloturn/instance-connection/CommandChannel";
 import type { ConnectionLease } from "@pomeloturn/instance-pool/ConnectionLease";
 import { CommandKind } from "@pomeloturn/types/InstanceCommand";
@@ -32,7 +33,7 @@
     const service = ports.directory.services.get("ledger")!;
     let sampleCount = 0;
     const sample = (): Promise<void> =>
-        sampleLeader(service, ports).then(() => {
+        sampleLeader(service, NO_TEAM, ports).then(() => {
             sampleCount++;
         });
     void sample();
--- a/packages/process/statement-runner/src/runRead.ts
+++ b/packages/process/statement-runner/src/runRead.ts
@@ -84,14 +84,14 @@
     excluded: ReadonlySet<string>,
     ports: RunnerPorts,
 ): Promise<{ readonly instance: InstanceRuntime; readonly requirement: PositionRequirement; } | undefined> => {
-    const { route, service } = operation;
+    const { route, service, identity } = operation;
     if (route.maximumAgeMs !== undefined) {
         ports.detectSuspensions();
-        renewSamples(service, route.maximumAgeMs, ports);
+        renewSamples(service, route.maximumAgeMs, identity, ports);
     }
     let requirement = findPositionRequirement(operation, ports.nowMs());
     if (requirement === undefined) {
-        await sampleLeader(service, ports);
+        await sampleLeader(service, identity, ports);
         requirement = findPositionRequirement(operation, ports.nowMs());
     }
     if (requirement === undefined) {
--- a/packages/process/statement-runner/src/runWrite.ts
+++ b/packages/process/statement-runner/src/runWrite.ts
@@ -47,7 +47,7 @@
 
 /** Acquires a verified connection to the primary. @returns undefined when none is available now */
 const acquireLeaderConnection = async (operation: Operation, ports: RunnerPorts): Promise<ConnectionLease | undefined> => {
-    const { service, route } = operation;
+    const { service, route, identity } = operation;
     const { leader } = service;
     if (leader === undefined || leader.pool.isUnreachable) {
         await service.waitForChange(Math.min(2 * RETRY_PAUSE_MS, sendTimeLeftMs(operation, ports.nowMs())));
@@ -56,7 +56,7 @@
     if (!await waitForTurn(leader, operation, operation.sendDeadlineAtMs, ports)) {
         return undefined;
     }
-    const lease = await leader.pool.acquire(route.rank, sendTimeLeftMs(operation, ports.nowMs()));
+    const lease = await leader.pool.acquire(route.rank, sendTimeLeftMs(operation, ports.nowMs()), identity);
     if (lease === undefined) {
         await sleep(RETRY_PAUSE_MS);
         return undefined;
--- a/packages/shared/errors/src/ResultCode.ts
+++ b/packages/shared/errors/src/ResultCode.ts
@@ -49,6 +49,7 @@
     RetryBudgetExhausted: 306,
     TooManyCallers: 307,
     CanceledBeforeRun: 308,
+    AllowanceExhausted: 309,
     OutcomeUnknown: 401,
     LeaseLapsed: 402,
     BackendLost: 403,
--- a/packages/shared/errors/src/resultTable.ts
+++ b/packages/shared/errors/src/resultTable.ts
@@ -53,6 +53,7 @@
     [ResultCode.RetryBudgetExhausted, "RetryBudgetExhausted", "57P03", Effect.NotRun, "too many retries are under way"],
     [ResultCode.TooManyCallers, "TooManyCallers", "53300", Effect.NotRun, "too many callers are connected"],
     [ResultCode.CanceledBeforeRun, "CanceledBeforeRun", "57014", Effect.NotRun, "the request was canceled while it waited"],
+    [ResultCode.AllowanceExhausted, "AllowanceExhausted", "53400", Effect.NotRun, "the allowance of the caller's team is used up"],
     [ResultCode.OutcomeUnknown, "OutcomeUnknown", "40003", Effect.OutcomeUnknown, "it is not known whether the request ran"],
     [ResultCode.LeaseLapsed, "LeaseLapsed", "40003", Effect.OutcomeUnknown, "the lease lapsed before the answer could be acknowledged"],
     [ResultCode.BackendLost, "BackendLost", "40003", Effect.OutcomeUnknown, "the connection to the backend server was lost"],
--- a/packages/shared/types/src/CallerMessage.ts
+++ b/packages/shared/types/src/CallerMessage.ts
@@ -13,7 +13,7 @@
 
 /** One message of a caller. */
 export type CallerMessage =
-    | { readonly kind: typeof CallerMessageKind.Startup; readonly database: string; }
+    | { readonly kind: typeof CallerMessageKind.Startup; readonly database: string; readonly key: string; }
     | { readonly kind: typeof CallerMessageKind.Statement; readonly statement: Statement; }
     | { readonly kind: typeof CallerMessageKind.Terminate; }
     | { readonly kind: typeof CallerMessageKind.Malformed; };
--- a/packages/shared/types/src/ServiceEntries.ts
+++ b/packages/shared/types/src/ServiceEntries.ts
@@ -1,6 +1,7 @@
 /** Services, instances and routes, as the platform's store lists them. */
 
 import type { StorePoint } from "./StoreRow.ts";
+import type { TeamTable } from "./Teams.ts";
 
 /** Constants for `RouteEntry.freshness`. */
 export const Freshness = {
@@ -26,6 +27,8 @@
     readonly targetLatencyMs: number;
     /** 0 is the most urgent. */
     readonly rank: number;
+    /** Whether callers need no key although the configuration lists teams. */
+    readonly isPublic?: boolean;
 }
 
 /** Limits of a service's instances. */
@@ -44,6 +47,8 @@
     readonly services: ReadonlyMap<string, ServiceEntry>;
     /** Idle time after which an open transaction may be rolled back. */
     readonly transactionIdleMs: number;
+    /** Undefined when callers need no key. */
+    readonly teams?: TeamTable | undefined;
 }
 
 /** An instance, as it registers itself. */
--- a/programs/bench/src/statementCost.ts
+++ b/programs/bench/src/statementCost.ts
@@ -103,7 +103,7 @@
 
 /** @returns processor time per statement, in microseconds */
 const measureStatement = async (database: string, text: string, ports: RunnerPorts): Promise<number> => {
-    const runner = SessionRunner.create(database, ports);
+    const runner = SessionRunner.create(database, "", ports);
     const decoder = lineCallerProtocol.createDecoder();
     const line = Buffer.from(`QUERY 5c0e7a21d94b36f8 ${text}\r\n`, "latin1");
     const run = async (count: number): Promise<void> => {
@@ -128,7 +128,7 @@
     globalThis.gc?.();
     const heapBeforeBytes = process.memoryUsage().heapUsed;
     for (let index = 0; index < SESSION_COUNT; index++) {
-        sessions.push([SessionRunner.create(DATABASE, ports), lineCallerProtocol.createDecoder()]);
+        sessions.push([SessionRunner.create(DATABASE, "", ports), lineCallerProtocol.createDecoder()]);
     }
     globalThis.gc?.();
     return (process.memoryUsage().heapUsed - heapBeforeBytes) / sessions.length;
--- a/programs/entry/src/CallerSession.ts
+++ b/programs/entry/src/CallerSession.ts
@@ -10,6 +10,9 @@
 /** Time after the end of a session at which its connection is closed although its caller has not closed it. */
 const LINGER_MS = 5_000;
 
+/** Time after the removal of a key for which an open transaction of its caller may go on. */
+const REMOVED_KEY_TRANSACTION_MS = 2_000;
+
 /** Number and size of waiting messages above which the session stops reading from its caller. */
 const MAXIMUM_WAITING_MESSAGES = 64;
 const MAXIMUM_WAITING_BYTES = 262_144;
@@ -43,6 +46,7 @@
     private isAnswering = false;
     private isEnded = false;
     private lingerTimer: NodeJS.Timeout | undefined;
+    private expiryTimer: NodeJS.Timeout | undefined;
     /** When the last message was received or answered, in monotonic milliseconds. */
     private lastUsedAtMs: number;
     /** Whether the caller has closed its sending side. What it sent before is still answered. */
@@ -55,7 +59,7 @@
     private readonly drainShare: number;
 
     private readonly handlers: Readonly<Record<CallerMessage["kind"], MessageHandler>> = {
-        startup: message => this.start((message as Extract<CallerMessage, { kind: "startup"; }>).database),
+        startup: message => this.start(message as Extract<CallerMessage, { kind: "startup"; }>),
         statement: message => this.answer(message as Extract<CallerMessage, { kind: "statement"; }>),
         terminate: () => this.end(),
         malformed: () => this.closeWithError(ResultCode.MalformedMessage, "the message is not a message of the protocol"),
@@ -144,6 +148,28 @@
         });
     }
 
+    /**
+     * Ends the session if its caller's key was removed. An open transaction may go on for `REMOVED_KEY_TRANSACTION_MS`, so that a
+     * removal does not break off work that was allowed when it began.
+     */
+    applyKeyChanges(): void {
+        const { runner } = this;
+        if (runner === undefined || this.isEnded || runner.isAuthenticated) {
+            return;
+        }
+        if (this.activity === SessionActivity.Idle) {
+            this.endIfIdle();
+        }
+        else {
+            this.expiryTimer ??= setTimeout(() => {
+                this.expiryTimer = undefined;
+                if (!runner.isAuthenticated) {
+                    runner.expireTransaction();
+                }
+            }, REMOVED_KEY_TRANSACTION_MS).unref();
+        }
+    }
+
     /** Answers what has been received, without running it, and ends the session. */
     abandon(): void {
         const { runner } = this;
@@ -229,7 +255,7 @@
         });
     }
 
-    private start(database: string): void {
+    private start({ database, key }: Extract<CallerMessage, { kind: "startup"; }>): void {
         if (this.runner !== undefined) {
             this.closeWithError(ResultCode.MalformedStartup, "the session has already started");
         }
@@ -243,7 +269,12 @@
             this.closeWithError(ResultCode.UnknownService, database);
         }
         else {
-            this.runner = SessionRunner.create(database, this.ports);
+            const runner = SessionRunner.create(database, key, this.ports);
+            if (!runner.isAuthenticated) {
+                this.closeWithError(ResultCode.AuthenticationFailed, database);
+                return;
+            }
+            this.runner = runner;
             this.socket.write(this.protocol.encodeGreeting(), "latin1");
         }
     }
@@ -283,6 +314,7 @@
     private handleClose(): void {
         this.isEnded = true;
         clearTimeout(this.lingerTimer);
+        clearTimeout(this.expiryTimer);
         this.runner?.close();
         this.onClosed(this);
     }
--- a/programs/entry/src/DirectoryFeeds.ts
+++ b/programs/entry/src/DirectoryFeeds.ts
@@ -41,6 +41,8 @@
     readonly signal: AbortSignal;
     /** Time between two reports of an instance. */
     readonly reportIntervalMs: number;
+    /** Called after a newer configuration has become active. */
+    readonly onRoutesApplied?: (table: RouteTable) => void;
     /** Called with errors that were thrown while rows were applied. */
     readonly onUnexpectedError: (error: Error) => void;
     /** Called when a feed fails. Aborts the calls that are in progress, because their connections may be dead too. */
@@ -206,7 +208,12 @@
         const row = rows.findLast(({ key, isDeleted }) => key === CONFIGURATION_KEY && !isDeleted);
         const table = row === undefined ? undefined : this.decodeConfiguration(row);
         if (table !== undefined && directory.applyRoutes(table)) {
-            logger.info("a new configuration is active", { version: table.version, routes: table.routes.size });
+            logger.info("a new configuration is active", {
+                version: table.version,
+                routes: table.routes.size,
+                teams: table.teams?.teams.size,
+            });
+            this.options.onRoutesApplied?.(table);
         }
     }
 
--- a/programs/entry/src/Entry.ts
+++ b/programs/entry/src/Entry.ts
@@ -1,3 +1,4 @@
+import { NO_TEAM } from "@pomeloturn/authenticate-caller/identifyCaller";
 import { startLoop } from "@pomeloturn/clock/startLoop";
 import { SuspensionDetector } from "@pomeloturn/clock/SuspensionDetector";
 import { AfterError, createErrorHistory, decideAfterError } from "@pomeloturn/drain/decideAfterError";
@@ -113,6 +114,7 @@
             nowMs: this.ports.nowMs,
             onUnexpectedError: this.ports.onUnexpectedError,
             onFeedFailed: () => this.store.abortCalls(),
+            onRoutesApplied: () => this.listener?.sessions.forEach(session => session.applyKeyChanges()),
             onMembersChanged: (listing, point) => {
                 const { members } = listing;
                 directory.setVmCount(Math.max(1, members.size));
@@ -245,9 +247,10 @@
         }
     }
 
-    private connect(entry: InstanceEntry, onClosed: (reason: string, isRemote: boolean) => void): InstanceConnection {
+    /** @param identity team that the connection is opened for, or `NO_TEAM` */
+    private connect(entry: InstanceEntry, onClosed: (reason: string, isRemote: boolean) => void, identity = NO_TEAM): InstanceConnection {
         const { host, port, service, id: instanceId } = entry;
-        const target = { host, port, service, instanceId, caller: this.settings.vm };
+        const target = { host, port, service, instanceId, caller: identity === NO_TEAM ? this.settings.vm : identity };
         const connection = InstanceConnection.create(target, lineInstanceProtocol, onClosed);
         void connection.startupReply.then(({ code }) => this.recordStartup(entry, code));
         return connection;
@@ -265,7 +268,7 @@
         const suspect = (): void => this.replacements.suspect(entry.service, entry.id);
         return InstancePool.create({
             nowMs: this.ports.nowMs,
-            open: onClosed => this.connect(entry, onClosed),
+            open: (onClosed, identity) => this.connect(entry, onClosed, identity),
             onOpenFailed: suspect,
             onLost: suspect,
         });
--- a/tests/promises/support/PromiseSimulation.ts
+++ b/tests/promises/support/PromiseSimulation.ts
@@ -102,7 +102,7 @@
 
     private createSession(index: number): SimulatedSession {
         const route = ROUTES[index % ROUTES.length]!;
-        const runner = SessionRunner.create(route.database, this.createPorts(this.directories[index % 2]!));
+        const runner = SessionRunner.create(route.database, "", this.createPorts(this.directories[index % 2]!));
         return {
             key: this.nextKey++,
             runner,
