Limit the operations of teams to their allowances over all VMs

Each team has four seats, held by VMs that rendezvous hashing chooses among the registered ones. Every seat has a token bucket with a quarter of what the bounds accept in a window, so no seat has to know of the others, and a dead holder costs its quarter. A VM asks one seat by a datagram before an operation is sent to an instance. The bounds come with the settings; where they are absent, nothing is asked.

--- /dev/null
+++ b/packages/process/allowance-link/src/AllowanceMember.ts
@@ -0,0 +1,7 @@
+/** A registered VM with which this VM exchanges messages about allowances. */
+export interface AllowanceMember {
+    readonly vm: string;
+    readonly region: string;
+    /** Address of its datagrams, "host:port"; undefined for a VM of a version without allowances. */
+    readonly address: string | undefined;
+}
--- a/programs/entry/src/Entry.ts
+++ b/programs/entry/src/Entry.ts
@@ -34,6 +34,7 @@
 import { Registration } from "./Registration.ts";
 import { ReplacementActors } from "./ReplacementActors.ts";
 import { StatementLog } from "./StatementLog.ts";
+import { TeamAllowances } from "./TeamAllowances.ts";
 
 const MS_PER_S = 1_000;
 
@@ -53,6 +54,7 @@
     private readonly replacements: ReplacementActors;
     private readonly ports: RunnerPorts;
     private readonly errorHistory = createErrorHistory();
+    private readonly allowances: TeamAllowances | undefined;
     private feeds: DirectoryFeeds | undefined;
     private listener: CallerListener | undefined;
     private isDraining = false;
@@ -62,6 +64,7 @@
         this.readTimes = chooseReadTimes(settings.contactMs);
         this.store = StoreClient.create(settings.storeAddress, this.readTimes.marginMs);
         this.registration = Registration.create(settings, this.store, logger);
+        this.allowances = this.createAllowances();
         this.ports = this.createPorts();
         this.tables = RelayedTableReader.create({
             store: this.store,
@@ -114,12 +117,16 @@
             nowMs: this.ports.nowMs,
             onUnexpectedError: this.ports.onUnexpectedError,
             onFeedFailed: () => this.store.abortCalls(),
-            onRoutesApplied: () => this.listener?.sessions.forEach(session => session.applyKeyChanges()),
+            onRoutesApplied: ({ teams }) => {
+                this.allowances?.setTeams(teams);
+                this.listener?.sessions.forEach(session => session.applyKeyChanges());
+            },
             onMembersChanged: (listing, point) => {
                 const { members } = listing;
                 directory.setVmCount(Math.max(1, members.size));
                 replacements.setMembers(members.keys());
                 this.tables.setMembers(members.values());
+                this.allowances?.setMembers(members.values(), this.settings.regions);
                 this.registration.applyListing(listing, point);
             },
             onEraRead: era => replacements.setEra(era),
@@ -164,6 +171,7 @@
         const stopAccepting = (): void => this.listener?.stopAccepting();
         this.entryDrain = EntryDrain.create({ sessions, stopAccepting, nowMs: this.ports.nowMs, onDone: finish }, graceMs);
         this.registration.shutDown();
+        this.allowances?.stop();
     }
 
     /** Starts the servers of this process. */
@@ -187,9 +195,24 @@
         MetricsServer.create(splitAddress(settings.metricsAddress), this.metrics, onListenError("metrics"));
     }
 
+    private createAllowances(): TeamAllowances | undefined {
+        const { settings, logger } = this;
+        const { counters } = this.metrics;
+        return settings.allowance === undefined ? undefined : TeamAllowances.create({
+            settings,
+            bounds: settings.allowance,
+            nowMs: () => performance.now(),
+            random: Math.random,
+            counters,
+            logger,
+        });
+    }
+
     private createPorts(): RunnerPorts {
         const statements = StatementLog.create(this.logger, this.metrics);
+        const { allowances } = this;
         return {
+            takeAllowance: allowances === undefined ? undefined : team => allowances.take(team),
             directory: this.directory,
             nowMs: () => performance.now(),
             random: Math.random,
@@ -234,6 +257,7 @@
         this.countDroppedLines();
         this.feeds?.tick(this.ports.nowMs());
         this.directory.tick();
+        this.allowances?.tick();
         this.directory.takeDueChecks(this.ports.nowMs()).forEach(entry => void probeInstance(this.connect(entry, () => {})));
         return this.replacements.tick(this.directory.services.values()) ? ACTIVE_TICK_MS : TICK_MS;
     }
--- /dev/null
+++ b/programs/entry/src/TeamAllowances.ts
@@ -0,0 +1,88 @@
+import { AllowanceEvent, AllowanceExchange, type AllowanceOutcome } from "@pomeloturn/allowance-link/AllowanceExchange";
+import { AllowanceSocket } from "@pomeloturn/allowance-link/AllowanceSocket";
+import type { Counters } from "@pomeloturn/logger/Counters";
+import type { ProcessLogger } from "@pomeloturn/logger/createLogger";
+import type { MemberRow } from "@pomeloturn/platform/decodeMember";
+import { type AllowanceSettings, type PlatformSettings, splitAddress } from "@pomeloturn/platform/PlatformSettings";
+import type { TeamTable } from "@pomeloturn/types/Teams";
+
+/** Clock, random source and outputs of `TeamAllowances`. */
+export interface TeamAllowancesOptions {
+    readonly settings: PlatformSettings;
+    readonly bounds: AllowanceSettings;
+    readonly nowMs: () => number;
+    readonly random: () => number;
+    readonly counters: Counters;
+    readonly logger: ProcessLogger;
+}
+
+/** Limits the operations of teams to their allowances, together with the other VMs. Its datagrams use the relay's port. */
+export class TeamAllowances {
+    private readonly exchange: AllowanceExchange;
+    private readonly socket: AllowanceSocket;
+
+    private readonly recorders: Readonly<Record<AllowanceEvent, (team: string) => void>>;
+
+    private constructor({ settings, bounds, nowMs, random, counters, logger }: TeamAllowancesOptions) {
+        this.recorders = {
+            [AllowanceEvent.Granted]: () => {
+                counters.add("allowance_granted");
+            },
+            [AllowanceEvent.Refused]: team => {
+                counters.add(`allowance_refused_${team}`);
+            },
+            [AllowanceEvent.Unanswered]: () => {
+                counters.add("allowance_unanswered");
+            },
+            [AllowanceEvent.SeatGranted]: team => {
+                counters.add(`allowance_seat_granted_${team}`);
+            },
+            [AllowanceEvent.SeatRefused]: team => {
+                counters.add(`allowance_seat_refused_${team}`);
+            },
+        };
+        this.exchange = AllowanceExchange.create({
+            vm: settings.vm,
+            region: settings.regions[settings.failureDomain] ?? "",
+            bounds,
+            contactMs: settings.contactMs,
+            nowMs,
+            random,
+            send: (address, text) => this.socket.send(address, text),
+            onEvent: (event, team) => this.recorders[event](team),
+        });
+        const receive = (text: string, source: string): void => this.exchange.receive(text, source);
+        this.socket = AllowanceSocket.create(splitAddress(settings.relayAddress), receive, logger);
+    }
+
+    static create(options: TeamAllowancesOptions): TeamAllowances {
+        return new TeamAllowances(options);
+    }
+
+    take(team: string): Promise<AllowanceOutcome> {
+        return this.exchange.take(team);
+    }
+
+    setTeams(teams: TeamTable | undefined): void {
+        this.exchange.setTeams(teams);
+    }
+
+    setMembers(members: Iterable<MemberRow>, regions: Readonly<Record<string, string>>): void {
+        this.exchange.setMembers(
+            [...members].map(({ vm, failureDomain, relayAddress }) => ({
+                vm,
+                region: regions[failureDomain] ?? "",
+                address: relayAddress,
+            })),
+        );
+    }
+
+    tick(): void {
+        this.exchange.tick();
+    }
+
+    /** Grants nothing more, because the process shuts down. */
+    stop(): void {
+        this.exchange.stop();
+    }
+}
