Let an operation wait for its team's turn instead of being refused

A seat now grants tokens in advance, up to the time that the operation may wait (0.3 of the statement's limit, half of the target latency). The operation is sent when its token comes, so the bound of a window holds as before; the property test covers it.

--- a/packages/process/allowance-link/src/AllowanceExchange.ts
+++ b/packages/process/allowance-link/src/AllowanceExchange.ts
@@ -39,7 +39,8 @@
 
 /** Whether a team may run another operation. */
 export type AllowanceOutcome =
-    | { readonly isGranted: true; }
+    /** `waitMs`: time until the operation may be sent, in milliseconds. */
+    | { readonly isGranted: true; readonly waitMs: number; }
     /** `retryAfterMs`: time after which the team is expected to have room, in milliseconds. */
     | { readonly isGranted: false; readonly retryAfterMs: number; };
 
@@ -58,11 +59,21 @@
     readonly onEvent: (event: AllowanceEvent, team: string) => void;
 }
 
+/** A seat whose bucket was empty. */
+interface SeatRefusal {
+    readonly candidate: SeatCandidate;
+    readonly retryAfterMs: number;
+}
+
 interface PendingRequest {
     readonly resolve: (answer: AllowanceMessage | undefined) => void;
     readonly timer: NodeJS.Timeout;
 }
 
+type RequestFields =
+    | Omit<Extract<AllowanceMessage, { kind: "ask"; }>, "number">
+    | Omit<Extract<AllowanceMessage, { kind: "takeover"; }>, "number">;
+
 type Handler = (message: AllowanceMessage, sourceAddress: string) => void;
 
 /** Asks the holders of a team's seats for operations, and answers for the seats that this VM holds. Knows no sockets. */
@@ -131,28 +142,38 @@
         this.held.clear();
     }
 
-    /** Takes one operation of a team's allowance. */
-    async take(team: string): Promise<AllowanceOutcome> {
+    /**
+     * Takes one operation of a team's allowance.
+     *
+     * @param maximumWaitMs longest time for which the operation may wait for its turn, in milliseconds
+     */
+    async take(team: string, maximumWaitMs: number): Promise<AllowanceOutcome> {
         const candidates = orderCandidates(this.listCandidates(team), this.memory, this.ports.random(), this.ports.nowMs());
-        let retryAfterMs: number | undefined;
+        const refusals: SeatRefusal[] = [];
         for (const candidate of candidates) {
             const nowMs = this.ports.nowMs();
             const leftMs = refusalLeftMs(this.memory, team, candidate.seat, nowMs);
-            if (leftMs === 0 && retryAfterMs !== undefined && isSilent(this.memory, candidate.vm, nowMs)) {
+            if (leftMs === 0 && refusals.length > 0 && isSilent(this.memory, candidate.vm, nowMs)) {
                 // Another seat has answered: the team has no room, which is no reason to wait for a silent holder.
                 break;
             }
-            const answer = leftMs > 0 ? { kind: "refused" as const, retryAfterMs: leftMs } : await this.ask(candidate, team);
+            const answer = leftMs > 0 ? { kind: "refused" as const, retryAfterMs: leftMs } : await this.ask(candidate, team, 0);
             if (answer?.kind === "granted") {
-                this.ports.onEvent(AllowanceEvent.Granted, team);
-                return { isGranted: true };
+                return this.grant(team, answer.waitMs);
             }
             if (answer?.kind === "refused") {
-                retryAfterMs = Math.min(retryAfterMs ?? Infinity, answer.retryAfterMs);
+                refusals.push({ candidate, retryAfterMs: answer.retryAfterMs });
+            }
+        }
+        const first = refusals.sort((one, other) => one.retryAfterMs - other.retryAfterMs)[0];
+        if (first !== undefined && first.retryAfterMs <= maximumWaitMs) {
+            const answer = await this.ask(first.candidate, team, maximumWaitMs);
+            if (answer?.kind === "granted") {
+                return this.grant(team, answer.waitMs);
             }
         }
-        this.ports.onEvent(retryAfterMs === undefined ? AllowanceEvent.Unanswered : AllowanceEvent.Refused, team);
-        return { isGranted: false, retryAfterMs: (retryAfterMs ?? NO_ANSWER_RETRY_MS) * (1 + this.ports.random()) };
+        this.ports.onEvent(first === undefined ? AllowanceEvent.Unanswered : AllowanceEvent.Refused, team);
+        return { isGranted: false, retryAfterMs: (first?.retryAfterMs ?? NO_ANSWER_RETRY_MS) * (1 + this.ports.random()) };
     }
 
     /** Handles a datagram. */
@@ -163,6 +184,11 @@
         }
     }
 
+    private grant(team: string, waitMs: number): AllowanceOutcome {
+        this.ports.onEvent(AllowanceEvent.Granted, team);
+        return { isGranted: true, waitMs };
+    }
+
     private findHolders(team: string): readonly SeatHolder[] {
         const known = this.holders.get(team);
         if (known !== undefined) {
@@ -192,11 +218,12 @@
     }
 
     /** @returns undefined without an answer in time */
-    private async ask({ seat, vm, isNear }: SeatCandidate, team: string): Promise<SeatAnswer | undefined> {
+    private async ask({ seat, vm, isNear }: SeatCandidate, team: string, maximumWaitMs: number): Promise<SeatAnswer | undefined> {
         if (vm === this.ports.vm) {
-            return this.takeHeld(team, seat);
+            return this.takeHeld(team, seat, maximumWaitMs);
         }
-        const answer = await this.request(vm, { kind: AllowanceMessageKind.Ask, seat, team }, isNear ? NEAR_TIMEOUT_MS : FAR_TIMEOUT_MS);
+        const message = { kind: AllowanceMessageKind.Ask, seat, team, maximumWaitMs } as const;
+        const answer = await this.request(vm, message, isNear ? NEAR_TIMEOUT_MS : FAR_TIMEOUT_MS);
         const nowMs = this.ports.nowMs();
         if (answer === undefined) {
             recordNoAnswer(this.memory, vm, nowMs);
@@ -207,19 +234,19 @@
             recordRefusal(this.memory, team, seat, answer.retryAfterMs, nowMs);
             return { kind: "refused", retryAfterMs: answer.retryAfterMs };
         }
-        if (answer.kind === AllowanceMessageKind.NotHolder) {
-            recordRefusal(this.memory, team, seat, NOT_HOLDER_PAUSE_MS, nowMs);
-            return { kind: "not-holder" };
+        if (answer.kind === AllowanceMessageKind.Granted) {
+            return { kind: "granted", waitMs: answer.waitMs };
         }
-        return { kind: "granted" };
+        recordRefusal(this.memory, team, seat, NOT_HOLDER_PAUSE_MS, nowMs);
+        return { kind: "not-holder" };
     }
 
-    private takeHeld(team: string, seat: number): SeatAnswer {
+    private takeHeld(team: string, seat: number, maximumWaitMs: number): SeatAnswer {
         const entry: TeamEntry | undefined = this.teams?.teams.get(team);
         if (entry === undefined) {
             return { kind: "not-holder" };
         }
-        const answer = this.held.take(team, seat, computeSeatLimits(entry, this.ports.bounds, seat), this.ports.nowMs());
+        const answer = this.held.take(team, seat, computeSeatLimits(entry, this.ports.bounds, seat), maximumWaitMs, this.ports.nowMs());
         if (answer.kind !== "not-holder") {
             this.ports.onEvent(answer.kind === "granted" ? AllowanceEvent.SeatGranted : AllowanceEvent.SeatRefused, team);
         }
@@ -228,7 +255,8 @@
 
     private answerAsk(message: AllowanceMessage, source: string): void {
         if (message.kind === AllowanceMessageKind.Ask) {
-            this.ports.send(source, encodeAllowanceMessage({ ...this.takeHeld(message.team, message.seat), number: message.number }));
+            const answer = this.takeHeld(message.team, message.seat, message.maximumWaitMs);
+            this.ports.send(source, encodeAllowanceMessage({ ...answer, number: message.number }));
         }
     }
 
@@ -240,7 +268,11 @@
     }
 
     private async takeOver({ team, seat, former }: HeldSeat): Promise<void> {
-        const answer = await this.request(former!, { kind: AllowanceMessageKind.Takeover, seat, team }, FAR_TIMEOUT_MS);
+        const answer = await this.request(
+            former!,
+            { kind: AllowanceMessageKind.Takeover, seat, team, sender: this.ports.vm },
+            FAR_TIMEOUT_MS,
+        );
         if (answer?.kind === AllowanceMessageKind.Yielded) {
             this.held.confirm(team, seat);
         }
@@ -248,7 +280,7 @@
 
     private request(
         vm: string,
-        message: { readonly kind: "ask" | "takeover"; readonly seat: number; readonly team: string; },
+        message: RequestFields,
         timeoutMs: number,
     ): Promise<AllowanceMessage | undefined> {
         const address = this.addresses.get(vm);
@@ -259,7 +291,7 @@
         return new Promise(resolve => {
             const timer = setTimeout(() => this.finish(number, undefined), timeoutMs);
             this.pending.set(number, { resolve, timer });
-            this.ports.send(address, encodeAllowanceMessage({ ...message, number, sender: this.ports.vm }));
+            this.ports.send(address, encodeAllowanceMessage({ ...message, number }));
         });
     }
 
--- a/packages/process/allowance-link/src/HeldSeats.ts
+++ b/packages/process/allowance-link/src/HeldSeats.ts
@@ -22,7 +22,7 @@
 
 /** Answer to the request for one operation of a seat. */
 export type SeatAnswer =
-    | { readonly kind: "granted"; }
+    | { readonly kind: "granted"; readonly waitMs: number; }
     | { readonly kind: "refused"; readonly retryAfterMs: number; }
     | { readonly kind: "not-holder"; };
 
@@ -97,8 +97,13 @@
         }
     }
 
-    /** Takes one operation from a seat. @param limits limits of the seat's bucket in the active configuration */
-    take(team: string, seat: number, limits: SeatLimits, nowMs: number): SeatAnswer {
+    /**
+     * Takes one operation from a seat.
+     *
+     * @param limits limits of the seat's bucket in the active configuration
+     * @param maximumWaitMs longest time for which the operation may wait, in milliseconds
+     */
+    take(team: string, seat: number, limits: SeatLimits, maximumWaitMs: number, nowMs: number): SeatAnswer {
         const key = createKey(team, seat);
         const state = this.seats.get(key);
         const takeover = this.takenOver.get(key);
@@ -108,7 +113,7 @@
         if (!state.isConfirmed && nowMs < state.confirmedAtMs) {
             return NOT_HOLDER;
         }
-        const decision = takeToken(state.bucket, limits, nowMs);
-        return decision.isGranted ? { kind: "granted" } : { kind: "refused", retryAfterMs: decision.retryAfterMs };
+        const decision = takeToken(state.bucket, limits, maximumWaitMs, nowMs);
+        return decision.isGranted ? { kind: "granted", waitMs: decision.waitMs } : { kind: "refused", retryAfterMs: decision.retryAfterMs };
     }
 }
--- a/packages/process/allowance-link/src/allowanceMessages.test.ts
+++ b/packages/process/allowance-link/src/allowanceMessages.test.ts
@@ -3,9 +3,9 @@
 import { type AllowanceMessage, decodeAllowanceMessage, encodeAllowanceMessage } from "./allowanceMessages.ts";
 
 const MESSAGES: readonly AllowanceMessage[] = [
-    { kind: "ask", number: 7, seat: 3, team: "gozi510", sender: "vm-1" },
+    { kind: "ask", number: 7, seat: 3, team: "gozi510", maximumWaitMs: 200 },
     { kind: "takeover", number: 8, seat: 0, team: "gozi510", sender: "vm-2" },
-    { kind: "granted", number: 9 },
+    { kind: "granted", number: 9, waitMs: 0 },
     { kind: "not-holder", number: 10 },
     { kind: "yielded", number: 11 },
     { kind: "refused", number: 12, retryAfterMs: 40 },
--- a/packages/process/allowance-link/src/allowanceMessages.ts
+++ b/packages/process/allowance-link/src/allowanceMessages.ts
@@ -19,13 +19,27 @@
 /** One message. `number` pairs an answer with its request, in the requesting process. */
 export type AllowanceMessage =
     | {
-        readonly kind: typeof AllowanceMessageKind.Ask | typeof AllowanceMessageKind.Takeover;
+        readonly kind: typeof AllowanceMessageKind.Ask;
+        readonly number: number;
+        readonly seat: number;
+        readonly team: string;
+        /** Longest time for which the operation may wait for its token. */
+        readonly maximumWaitMs: number;
+    }
+    | {
+        readonly kind: typeof AllowanceMessageKind.Takeover;
         readonly number: number;
         readonly seat: number;
         readonly team: string;
         /** Name of the VM that sends the message. */
         readonly sender: string;
     }
+    | {
+        readonly kind: typeof AllowanceMessageKind.Granted;
+        readonly number: number;
+        /** Time until the operation may be sent. */
+        readonly waitMs: number;
+    }
     | {
         readonly kind: typeof AllowanceMessageKind.Refused;
         readonly number: number;
@@ -33,10 +47,7 @@
         readonly retryAfterMs: number;
     }
     | {
-        readonly kind:
-            | typeof AllowanceMessageKind.Granted
-            | typeof AllowanceMessageKind.NotHolder
-            | typeof AllowanceMessageKind.Yielded;
+        readonly kind: typeof AllowanceMessageKind.NotHolder | typeof AllowanceMessageKind.Yielded;
         readonly number: number;
     };
 
@@ -46,44 +57,68 @@
 
 const isCount = (value: number, maximum: number): boolean => Number.isSafeInteger(value) && value >= 0 && value <= maximum;
 
-const createSeatDecoder = (kind: typeof AllowanceMessageKind.Ask | typeof AllowanceMessageKind.Takeover): MessageDecoder =>
-(
-    number,
-    [seatText = "", team = "", sender = ""],
-) => {
-    const seat = Number(seatText);
-    const isValid = seatText !== "" && isCount(seat, MAXIMUM_SEAT) && team !== "" && sender !== "";
-    return isValid ? { kind, number, seat, team, sender } : undefined;
+/** Decodes a whole number of milliseconds. @returns undefined if the field is none */
+const decodeTime = (text: string | undefined): number | undefined =>
+    text !== undefined && text !== "" && isCount(Number(text), Number.MAX_SAFE_INTEGER) ? Number(text) : undefined;
+
+const decodeSeat = (text: string | undefined): number | undefined => {
+    const seat = decodeTime(text);
+    return seat === undefined || seat > MAXIMUM_SEAT ? undefined : seat;
+};
+
+const decodeAsk: MessageDecoder = (number, [seatText, team = "", waitText]) => {
+    const seat = decodeSeat(seatText);
+    const maximumWaitMs = decodeTime(waitText);
+    return seat === undefined || team === "" || maximumWaitMs === undefined
+        ? undefined
+        : { kind: AllowanceMessageKind.Ask, number, seat, team, maximumWaitMs };
 };
 
-const createPlainDecoder = (
-    kind: typeof AllowanceMessageKind.Granted | typeof AllowanceMessageKind.NotHolder | typeof AllowanceMessageKind.Yielded,
-): MessageDecoder =>
-number => ({ kind, number });
+const decodeTakeover: MessageDecoder = (number, [seatText, team = "", sender = ""]) => {
+    const seat = decodeSeat(seatText);
+    return seat === undefined || team === "" || sender === ""
+        ? undefined
+        : { kind: AllowanceMessageKind.Takeover, number, seat, team, sender };
+};
 
-const decodeRefused: MessageDecoder = (number, [text = ""]) => {
-    const retryAfterMs = Number(text);
-    return text !== "" && isCount(retryAfterMs, Number.MAX_SAFE_INTEGER)
-        ? { kind: AllowanceMessageKind.Refused, number, retryAfterMs }
-        : undefined;
+const decodeGranted: MessageDecoder = (number, [text]) => {
+    const waitMs = decodeTime(text);
+    return waitMs === undefined ? undefined : { kind: AllowanceMessageKind.Granted, number, waitMs };
+};
+
+const decodeRefused: MessageDecoder = (number, [text]) => {
+    const retryAfterMs = decodeTime(text);
+    return retryAfterMs === undefined ? undefined : { kind: AllowanceMessageKind.Refused, number, retryAfterMs };
 };
 
 const decoders: ReadonlyMap<string, MessageDecoder> = new Map([
-    [AllowanceMessageKind.Ask, createSeatDecoder(AllowanceMessageKind.Ask)],
-    [AllowanceMessageKind.Takeover, createSeatDecoder(AllowanceMessageKind.Takeover)],
-    [AllowanceMessageKind.Granted, createPlainDecoder(AllowanceMessageKind.Granted)],
-    [AllowanceMessageKind.NotHolder, createPlainDecoder(AllowanceMessageKind.NotHolder)],
-    [AllowanceMessageKind.Yielded, createPlainDecoder(AllowanceMessageKind.Yielded)],
+    [AllowanceMessageKind.Ask, decodeAsk],
+    [AllowanceMessageKind.Takeover, decodeTakeover],
+    [AllowanceMessageKind.Granted, decodeGranted],
+    [AllowanceMessageKind.NotHolder, number => ({ kind: AllowanceMessageKind.NotHolder, number })],
+    [AllowanceMessageKind.Yielded, number => ({ kind: AllowanceMessageKind.Yielded, number })],
     [AllowanceMessageKind.Refused, decodeRefused],
 ]);
 
+const encodeTime = (timeMs: number): string => String(Math.min(Number.MAX_SAFE_INTEGER, Math.ceil(timeMs)));
+
+type FieldEncoders = {
+    readonly [Kind in AllowanceMessageKind]: (message: Extract<AllowanceMessage, { kind: Kind; }>) => readonly (string | number)[];
+};
+
+const fieldEncoders: FieldEncoders = {
+    [AllowanceMessageKind.Ask]: ({ seat, team, maximumWaitMs }) => [seat, team, encodeTime(maximumWaitMs)],
+    [AllowanceMessageKind.Takeover]: ({ seat, team, sender }) => [seat, team, sender],
+    [AllowanceMessageKind.Granted]: ({ waitMs }) => [encodeTime(waitMs)],
+    [AllowanceMessageKind.Refused]: ({ retryAfterMs }) => [encodeTime(retryAfterMs)],
+    [AllowanceMessageKind.NotHolder]: () => [],
+    [AllowanceMessageKind.Yielded]: () => [],
+};
+
 /** Encodes a message. Times are rounded up to whole milliseconds. */
 export const encodeAllowanceMessage = (message: AllowanceMessage): string => {
-    const head = `${message.kind} ${message.number}`;
-    if ("team" in message) {
-        return `${head} ${message.seat} ${message.team} ${message.sender}`;
-    }
-    return "retryAfterMs" in message ? `${head} ${Math.min(Number.MAX_SAFE_INTEGER, Math.ceil(message.retryAfterMs))}` : head;
+    const encodeFields = fieldEncoders[message.kind] as (value: AllowanceMessage) => readonly (string | number)[];
+    return [message.kind, message.number, ...encodeFields(message)].join(" ");
 };
 
 /** Decodes a datagram. @returns undefined if it is not a message */
--- a/packages/process/statement-runner/src/Operation.ts
+++ b/packages/process/statement-runner/src/Operation.ts
@@ -28,6 +28,8 @@
 
 /** Share of a statement's time limit for which it may wait before it is first sent. */
 const SEND_WAIT_SHARE = 0.4;
+/** Share of the time limit after which a statement is not sent any more, so that an answer can arrive in time. */
+const LAST_SEND_SHARE = 0.7;
 
 /** Part of the route's time limit that is reserved for returning the answer to the caller. */
 const ANSWER_MARGIN_MS = 10;
@@ -55,5 +57,11 @@
     isDone: false,
 });
 
+/** Gives a statement that has waited for its team's allowance the time to wait for an instance, within its time limit. */
+export const extendSendDeadline = (operation: Operation, nowMs: number): void => {
+    const lastAtMs = operation.startedAtMs + operation.route.timeoutMs * LAST_SEND_SHARE;
+    operation.sendDeadlineAtMs = Math.min(lastAtMs, nowMs + operation.route.timeoutMs * SEND_WAIT_SHARE);
+};
+
 /** Time in milliseconds for which the statement may still wait before it is first sent, at least 1. */
 export const sendTimeLeftMs = ({ sendDeadlineAtMs }: Operation, nowMs: number): number => Math.max(1, sendDeadlineAtMs - nowMs);
--- a/packages/process/statement-runner/src/RunnerPorts.ts
+++ b/packages/process/statement-runner/src/RunnerPorts.ts
@@ -30,7 +30,8 @@
 
 /** Whether a team may run another operation now. */
 export type AllowanceDecision =
-    | { readonly isGranted: true; }
+    /** `waitMs`: time until it may be sent, in milliseconds. */
+    | { readonly isGranted: true; readonly waitMs: number; }
     /** `retryAfterMs`: time after which the team is expected to have room, in milliseconds. */
     | { readonly isGranted: false; readonly retryAfterMs: number; };
 
@@ -47,8 +48,11 @@
      */
     readonly detectSuspensions: () => number;
     readonly distanceTo: (failureDomain: string) => Distance;
-    /** Asks for one operation of a team's allowance. Undefined where teams have none. */
-    readonly takeAllowance?: ((team: string) => Promise<AllowanceDecision>) | undefined;
+    /**
+     * Asks for one operation of a team's allowance, which may wait for its turn for `maximumWaitMs` milliseconds. Undefined where
+     * teams have none.
+     */
+    readonly takeAllowance?: ((team: string, maximumWaitMs: number) => Promise<AllowanceDecision>) | undefined;
     readonly onInstanceSuspected: (service: string, instanceId: string, failure: AttemptFailure) => void;
     readonly onStatement: (record: StatementRecord) => void;
     /** Receives an error that no statement should cause. The session ends, and the outcome of its statement is unknown. */
--- a/packages/process/statement-runner/src/SessionRunner.ts
+++ b/packages/process/statement-runner/src/SessionRunner.ts
@@ -10,15 +10,20 @@
 import type { RouteEntry } from "@pomeloturn/types/ServiceEntries";
 import { type Statement, StatementKind } from "@pomeloturn/types/Statement";
 import { toWriteResultCode } from "./decideRetry.ts";
-import { createOperation, type Operation } from "./Operation.ts";
+import { createOperation, extendSendDeadline, type Operation } from "./Operation.ts";
 import type { RunnerPorts } from "./RunnerPorts.ts";
 import { runRead } from "./runRead.ts";
 import { runWrite } from "./runWrite.ts";
+import { sleep } from "./timing.ts";
 import { Transaction } from "./Transaction.ts";
 
 const NO_INSTANCE_RETRY_AFTER_MS = 500;
 const DEFAULT_TRANSACTION_IDLE_MS = 3_000;
 
+/** Longest wait for a team's allowance, as shares of the statement's time limit and of the operation's target latency. */
+const ALLOWANCE_WAIT_SHARE = 0.3;
+const ALLOWANCE_WAIT_TARGET_SHARE = 0.5;
+
 const SHUTDOWN_DETAIL = "the proxy is shutting down";
 
 /** Statements that need no instance in any state of a session. */
@@ -182,10 +187,17 @@
         if (takeAllowance === undefined || operation.identity === NO_TEAM || this.transaction?.hasBegun === true) {
             return undefined;
         }
-        const decision = await takeAllowance(operation.identity);
-        return decision.isGranted
-            ? undefined
-            : createErrorReply(ResultCode.AllowanceExhausted, operation.identity, this.state.status, decision.retryAfterMs);
+        const { timeoutMs, targetLatencyMs } = operation.route;
+        const maximumWaitMs = Math.min(ALLOWANCE_WAIT_SHARE * timeoutMs, ALLOWANCE_WAIT_TARGET_SHARE * targetLatencyMs);
+        const decision = await takeAllowance(operation.identity, maximumWaitMs);
+        if (!decision.isGranted) {
+            return createErrorReply(ResultCode.AllowanceExhausted, operation.identity, this.state.status, decision.retryAfterMs);
+        }
+        if (decision.waitMs > 0) {
+            await sleep(decision.waitMs);
+        }
+        extendSendDeadline(operation, this.ports.nowMs());
+        return undefined;
     }
 
     private async runAtInstance(
--- a/packages/request/team-allowance/src/teamAllowance.test.ts
+++ b/packages/request/team-allowance/src/teamAllowance.test.ts
@@ -18,7 +18,7 @@
 /** Takes as many tokens as there are. @returns their number */
 const takeAll = (bucket: AllowanceBucket, limits: SeatLimits, nowMs: number): number => {
     let count = 0;
-    while (takeToken(bucket, limits, nowMs).isGranted) {
+    while (takeToken(bucket, limits, 0, nowMs).isGranted) {
         count++;
     }
     return count;
@@ -53,13 +53,25 @@
         const limits = { operationsPerS: 10, capacityOperations: 3 };
         const bucket = createBucket(3, 0);
         expect(takeAll(bucket, limits, 0)).toBe(3);
-        expect(takeToken(bucket, limits, 50)).toEqual({ isGranted: false, retryAfterMs: 50 });
+        expect(takeToken(bucket, limits, 0, 50)).toEqual({ isGranted: false, retryAfterMs: 50 });
         expect(takeAll(bucket, limits, 1_050)).toBe(3);
     });
 
+    it("would fail if an operation that may wait were refused although its token comes in time, or ran before it", () => {
+        const limits = { operationsPerS: 10, capacityOperations: 3 };
+        const bucket = createBucket(1, 0);
+        const decisions = [0, 1, 2].map(() => takeToken(bucket, limits, 150, 0));
+        expect(decisions).toEqual([
+            { isGranted: true, waitMs: 0 },
+            { isGranted: true, waitMs: 100 },
+            { isGranted: false, retryAfterMs: 200 },
+        ]);
+        expect(takeToken(bucket, limits, 0, 200)).toEqual({ isGranted: true, waitMs: 0 });
+    });
+
     it("would fail if tokens of a raised limit outlasted its reduction", () => {
         const bucket = createBucket(0, 0);
-        takeToken(bucket, { operationsPerS: 100, capacityOperations: 50 }, 1_000);
+        takeToken(bucket, { operationsPerS: 100, capacityOperations: 50 }, 0, 1_000);
         expect(takeAll(bucket, { operationsPerS: 1, capacityOperations: 2 }, 1_000)).toBe(2);
     });
 
@@ -71,7 +83,8 @@
                 fc.array(fc.tuple(fc.integer({ min: 0, max: 3 }), fc.integer({ min: 0, max: 700 }), fc.integer({ min: 1, max: 90 })), {
                     maxLength: 120,
                 }),
-                (operationsPerS, burstOperations, asks) => {
+                fc.integer({ min: 0, max: 500 }),
+                (operationsPerS, burstOperations, asks, maximumWaitMs) => {
                     const team = createTeam(operationsPerS, burstOperations);
                     const limits = SEATS.map(seat => computeSeatLimits(team, BOUNDS, seat));
                     const buckets = limits.map(each => createBucket(each.capacityOperations, 0));
@@ -80,14 +93,15 @@
                     for (const [seat, pauseMs, count] of asks) {
                         nowMs += pauseMs;
                         for (let index = 0; index < count; index++) {
-                            if (takeToken(buckets[seat]!, limits[seat]!, nowMs).isGranted) {
-                                grants.push(nowMs);
+                            const decision = takeToken(buckets[seat]!, limits[seat]!, maximumWaitMs, nowMs);
+                            if (decision.isGranted) {
+                                grants.push(nowMs + decision.waitMs);
                             }
                         }
                     }
                     const allowed = (operationsPerS * 5 + burstOperations) * 1.1 + 20;
                     let first = 0;
-                    grants.forEach((atMs, index) => {
+                    grants.sort((one, other) => one - other).forEach((atMs, index) => {
                         while (atMs - grants[first]! > BOUNDS.windowS * MS_PER_S) {
                             first++;
                         }
--- a/programs/entry/src/Entry.ts
+++ b/programs/entry/src/Entry.ts
@@ -212,7 +212,7 @@
         const statements = StatementLog.create(this.logger, this.metrics);
         const { allowances } = this;
         return {
-            takeAllowance: allowances === undefined ? undefined : team => allowances.take(team),
+            takeAllowance: allowances === undefined ? undefined : (team, maximumWaitMs) => allowances.take(team, maximumWaitMs),
             directory: this.directory,
             nowMs: () => performance.now(),
             random: Math.random,
--- a/programs/entry/src/TeamAllowances.ts
+++ b/programs/entry/src/TeamAllowances.ts
@@ -59,8 +59,8 @@
         return new TeamAllowances(options);
     }
 
-    take(team: string): Promise<AllowanceOutcome> {
-        return this.exchange.take(team);
+    take(team: string, maximumWaitMs: number): Promise<AllowanceOutcome> {
+        return this.exchange.take(team, maximumWaitMs);
     }
 
     setTeams(teams: TeamTable | undefined): void {
