Test team keys with processes, and close sessions that were busy at a removal

Callers whose session ran a statement while their key was removed kept their connection for as long as they liked (each further statement got NOAUTH): a removal closed only sessions that were idle at that moment.

A session that is not idle is now looked at again every 2 s until it is, and is then closed. A key that is added again ends the period of an open transaction.

--- a/programs/entry/src/CallerSession.ts
+++ b/programs/entry/src/CallerSession.ts
@@ -150,14 +150,15 @@
 
     /**
      * Ends the session if its caller's key was removed. An open transaction may go on for `REMOVED_KEY_TRANSACTION_MS`, so that a
-     * removal does not break off work that was allowed when it began.
+     * removal does not break off work that was allowed when it began. A session that is still busy then is looked at again.
      */
     applyKeyChanges(): void {
         const { runner } = this;
         if (runner === undefined || this.isEnded || runner.isAuthenticated) {
-            return;
+            clearTimeout(this.expiryTimer);
+            this.expiryTimer = undefined;
         }
-        if (this.activity === SessionActivity.Idle) {
+        else if (this.activity === SessionActivity.Idle) {
             this.endIfIdle();
         }
         else {
@@ -165,6 +166,7 @@
                 this.expiryTimer = undefined;
                 if (!runner.isAuthenticated) {
                     runner.expireTransaction();
+                    this.applyKeyChanges();
                 }
             }, REMOVED_KEY_TRANSACTION_MS).unref();
         }
--- a/tests/entry/support/EntryDeployment.ts
+++ b/tests/entry/support/EntryDeployment.ts
@@ -1,4 +1,4 @@
-import { createConfigurationRow } from "@pomeloturn/platform/support/configurationRow";
+import { type ConfigurationOptions, createConfigurationRow } from "@pomeloturn/platform/support/configurationRow";
 import { LineGroup } from "@pomeloturn/platform/support/LineGroup";
 import { OrderServer } from "@pomeloturn/platform/support/OrderServer";
 import { CONFIGURATION_KEY, INSTANCE_TABLE, OPERATOR_TABLE } from "@pomeloturn/platform/tables";
@@ -14,6 +14,8 @@
     readonly syncReplicas?: number;
     readonly areFencesChecked?: boolean;
     readonly timeoutMs?: number;
+    /** Configuration beyond one service; see `createConfigurationRow`. */
+    readonly configuration?: ConfigurationOptions;
 }
 
 /** A store, an interface for orders and a database group, for processes of the platform's entry. Each process has a link to the store of its own. */
@@ -33,8 +35,9 @@
     ) {}
 
     static async create(
-        { instanceIds = ["a", "b", "c"], syncReplicas = 0, areFencesChecked = true, timeoutMs = TIMEOUT_MS }: EntryDeploymentOptions = {},
+        { instanceIds = ["a", "b", "c"], syncReplicas = 0, areFencesChecked = true, ...options }: EntryDeploymentOptions = {},
     ): Promise<EntryDeployment> {
+        const { timeoutMs = TIMEOUT_MS, configuration } = options;
         const store = await RestorableStore.start();
         const report = (id: string, row: object | undefined): void =>
             row === undefined ? store.delete(INSTANCE_TABLE, id) : store.write(INSTANCE_TABLE, id, row);
@@ -43,7 +46,7 @@
         for (const id of instanceIds) {
             await group.add(id);
         }
-        store.write(OPERATOR_TABLE, CONFIGURATION_KEY, createConfigurationRow(SERVICE, timeoutMs, { syncReplicas }));
+        store.write(OPERATOR_TABLE, CONFIGURATION_KEY, createConfigurationRow(SERVICE, timeoutMs, { syncReplicas, ...configuration }));
         return new EntryDeployment(store, group, orders, areFencesChecked);
     }
 
@@ -70,6 +73,11 @@
         return vm;
     }
 
+    /** Writes the next configuration into the store. */
+    configure(configuration: ConfigurationOptions): void {
+        this.store.write(OPERATOR_TABLE, CONFIGURATION_KEY, createConfigurationRow(SERVICE, TIMEOUT_MS, configuration));
+    }
+
     /** Opens a link to a server, which is closed with the deployment. @param address "host:port" */
     async openLink(address: string): Promise<SilentLink> {
         const link = await SilentLink.start(address);
--- a/tests/entry/support/EntryProcess.ts
+++ b/tests/entry/support/EntryProcess.ts
@@ -20,6 +20,10 @@
     readonly shutdownGraceS?: number;
     readonly areFencesChecked?: boolean;
     readonly isFirstStart?: boolean;
+    /** Bounds of the teams' allowances. Without them operations are not limited. */
+    readonly allowance?: { readonly windowS: number; readonly overageShare: number; readonly slackOperations: number; };
+    /** Whether the log is kept in `EntryProcess.log`. */
+    readonly isLogKept?: boolean;
 }
 
 const isReady = (port: number): Promise<boolean> =>
@@ -27,10 +31,14 @@
 
 /** The built program of the platform's entry in a process of its own, as deploy/system.toml runs it. */
 export class EntryProcess {
+    /** What the process has logged, if its log is kept. */
+    log = "";
+
     private constructor(
         readonly vm: string,
         readonly callerPort: number,
         readonly relayAddress: string,
+        readonly metricsAddress: string,
         readonly process: ChildProcess,
         private readonly readinessPort: number,
         private readonly folder: string,
@@ -39,7 +47,7 @@
     static async spawn(
         { vm, storeAddress, ordersAddress = `${HOST}:9`, contactMs = 5_000, shutdownGraceS = 3, ...flags }: EntryProcessOptions,
     ): Promise<EntryProcess> {
-        const { areFencesChecked = true, isFirstStart = false } = flags;
+        const { areFencesChecked = true, isFirstStart = false, allowance, isLogKept = false } = flags;
         const ports = await findPorts(4);
         const [callerAddress, readinessAddress, metricsAddress, relayAddress] = ports.map(port => `${HOST}:${port}`);
         const folder = mkdtempSync(join(tmpdir(), "entry-"));
@@ -47,12 +55,17 @@
         const settings = {
             ...{ vm, failureDomain: "north-a", regions: { "north-a": "north" }, storeAddress, ordersAddress },
             ...{ callerAddress, readinessAddress, metricsAddress, relayAddress },
-            ...{ shutdownGraceS, contactMs, reportIntervalMs: REPORT_INTERVAL_MS, isFirstStart, areFencesChecked },
+            ...{ shutdownGraceS, contactMs, reportIntervalMs: REPORT_INTERVAL_MS, isFirstStart, areFencesChecked, allowance },
         };
         writeFileSync(file, JSON.stringify(settings));
         const env = { PATH: process.env["PATH"], ...createSettingsEnvironment(file) };
-        const child = spawn(process.execPath, ["target/entry.cjs"], { env, stdio: ["ignore", logTarget(), "inherit"] });
-        return new EntryProcess(vm, ports[0]!, relayAddress!, child, ports[1]!, folder);
+        const child = spawn(process.execPath, ["target/entry.cjs"], {
+            env,
+            stdio: ["ignore", isLogKept ? "pipe" : logTarget(), "inherit"],
+        });
+        const entry = new EntryProcess(vm, ports[0]!, relayAddress!, metricsAddress!, child, ports[1]!, folder);
+        child.stdout?.on("data", (chunk: Buffer) => entry.log += chunk.toString());
+        return entry;
     }
 
     /** Starts a process and waits until it is ready. */
