Report an expired transaction as ABORTED, and bound the time to wait

Unit tests of SessionRunner for keys and allowances found three faults:

- The first statement after a transaction had expired with its key was answered MALFORMED (104), as if the caller had made a mistake.
It gets ABORTED (207) now.
- A transaction that expired while its allowance was asked for and refused made the session's next transaction fail after its first statement.
- For a team whose limit never has room the caller was told "retry-after-ms=Infinity".
The time is at most 60 s now.

--- a/packages/process/statement-runner/src/SessionRunner.ts
+++ b/packages/process/statement-runner/src/SessionRunner.ts
@@ -18,6 +18,8 @@
 
 const NO_INSTANCE_RETRY_AFTER_MS = 500;
 const DEFAULT_TRANSACTION_IDLE_MS = 3_000;
+/** Longest time to wait that a caller is told: a limit of 0 never has room, but a newer configuration may raise it. */
+const MAXIMUM_RETRY_AFTER_MS = 60_000;
 
 const SHUTDOWN_DETAIL = "the proxy is shutting down";
 
@@ -40,6 +42,8 @@
     private isClosed = false;
     /** Whether the open transaction fails once its running statement has ended. */
     private isExpiring = false;
+    /** Whether a transaction has expired and its caller has not been told yet. */
+    private hasExpired = false;
 
     private constructor(database: string, private readonly key: string, private readonly ports: RunnerPorts) {
         this.state = createSession(database);
@@ -68,6 +72,7 @@
     expireTransaction(): void {
         if (this.transaction !== undefined && this.operation?.isDone !== false) {
             this.failIdleTransaction();
+            this.hasExpired = true;
         }
         else {
             this.isExpiring = this.transaction !== undefined;
@@ -123,7 +128,7 @@
 
     async run(statement: Statement): Promise<CallerReply> {
         clearTimeout(this.idleTimer);
-        const reply = answerLocally(this.state, statement) ?? await this.dispatch(statement);
+        const reply = this.answerExpired(statement) ?? answerLocally(this.state, statement) ?? await this.dispatch(statement);
         if (this.transaction !== undefined && this.state.status === TransactionStatus.Open && !this.isClosed) {
             this.idleTimer = setTimeout(
                 () => this.failIdleTransaction(),
@@ -143,6 +148,15 @@
         this.transaction?.rollback();
     }
 
+    /** Answers the first statement after the transaction has expired, unless it ends the transaction. */
+    private answerExpired({ kind }: Statement): CallerReply | undefined {
+        const { hasExpired } = this;
+        this.hasExpired = false;
+        return hasExpired && kind !== StatementKind.Commit && kind !== StatementKind.Rollback
+            ? createErrorReply(ResultCode.TransactionLost, "the caller's key was removed", this.state.status)
+            : undefined;
+    }
+
     private dispatch(statement: Statement): Promise<CallerReply> | CallerReply {
         if (statement.kind === StatementKind.Rollback) {
             this.endTransaction();
@@ -183,9 +197,11 @@
             return undefined;
         }
         const decision = await takeAllowance(operation.identity);
-        return decision.isGranted
-            ? undefined
-            : createErrorReply(ResultCode.AllowanceExhausted, operation.identity, this.state.status, decision.retryAfterMs);
+        if (decision.isGranted) {
+            return undefined;
+        }
+        const retryAfterMs = Math.min(decision.retryAfterMs, MAXIMUM_RETRY_AFTER_MS);
+        return createErrorReply(ResultCode.AllowanceExhausted, operation.identity, this.state.status, retryAfterMs);
     }
 
     private async runAtInstance(
@@ -210,9 +226,7 @@
         const reply = "detail" in outcome ? outcome : this.toCallerReply(outcome, statement, isWrite, operation);
         this.reportOutcome(operation, reply);
         const result = this.transaction === undefined ? reply : this.updateTransaction(statement, reply);
-        const mustFail = this.isExpiring && this.transaction !== undefined;
-        this.isExpiring = false;
-        return mustFail ? this.failTransaction(result) : result;
+        return this.isExpiring ? this.failTransaction(result) : result;
     }
 
     /** Converts an instance's reply into the caller's reply. */
@@ -253,13 +267,13 @@
     private endTransaction(): void {
         this.transaction?.rollback();
         this.transaction = undefined;
+        this.isExpiring = false;
         this.state.status = TransactionStatus.Idle;
     }
 
     /** Rolls back a transaction whose caller has been idle too long, to free its connection for other sessions. */
     private failIdleTransaction(): void {
-        this.transaction?.rollback();
-        this.transaction = undefined;
+        this.endTransaction();
         this.state.status = TransactionStatus.Failed;
     }
 
--- /dev/null
+++ b/packages/process/statement-runner/src/teamOperations.test.ts
@@ -0,0 +1,210 @@
+import { ResultCode } from "@pomeloturn/errors/ResultCode";
+import { TransactionStatus } from "@pomeloturn/types/Request";
+import { type Statement, StatementKind } from "@pomeloturn/types/Statement";
+import type { TeamTable } from "@pomeloturn/types/Teams";
+import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
+import type { AllowanceDecision, RunnerPorts } from "./RunnerPorts.ts";
+import { SessionRunner } from "./SessionRunner.ts";
+import { createTestPorts, createTestRoutes, TEST_DATABASE } from "./support/createTestPorts.ts";
+import { ScriptedInstance } from "./support/ScriptedInstance.ts";
+
+const TIMEOUT_MS = 2_000;
+const KEY = "key-1";
+const GRANTED: AllowanceDecision = { isGranted: true };
+const REFUSED: AllowanceDecision = { isGranted: false, retryAfterMs: 120 };
+
+const createTeams = (teamNamesByKey: readonly (readonly [string, string])[]): TeamTable => ({
+    teams: new Map(["falcon", "heron"].map(name => [name, { name, operationsPerS: 10, burstOperations: 10 }])),
+    teamNamesByKey: new Map(teamNamesByKey),
+});
+
+const createStatement = (id: string, kind: StatementKind): Statement => ({ id, kind, text: id, name: id, argument: "", isWrite: false });
+
+let instance: ScriptedInstance;
+let ports: RunnerPorts;
+/** Teams for which an operation was asked for, in order. */
+let askedTeams: string[];
+/** Decides about an allowance. @param count number of operations that were asked for */
+let decide: (count: number) => AllowanceDecision | Promise<AllowanceDecision>;
+let version: number;
+
+/** Activates a configuration with other keys. */
+const applyKeys = (...teamNamesByKey: (readonly [string, string])[]): void => {
+    ports.directory.applyRoutes(createTestRoutes(TIMEOUT_MS, { version: ++version, teams: createTeams(teamNamesByKey) }));
+};
+
+const createRunner = (): SessionRunner => SessionRunner.create(TEST_DATABASE, KEY, ports);
+
+beforeEach(() => {
+    vi.useFakeTimers({ toFake: ["setTimeout", "clearTimeout", "setImmediate", "clearImmediate", "performance"] });
+    instance = new ScriptedInstance();
+    askedTeams = [];
+    decide = () => GRANTED;
+    version = 1;
+    ports = {
+        ...createTestPorts(instance.open, TIMEOUT_MS, { teams: createTeams([[KEY, "falcon"]]) }),
+        takeAllowance: async team => decide(askedTeams.push(team)),
+    };
+});
+afterEach(() => {
+    vi.useRealTimers();
+});
+
+/** Runs a statement and advances the time until it is answered. */
+const run = async (runner: SessionRunner, id: string, kind: StatementKind): ReturnType<SessionRunner["run"]> => {
+    const reply = runner.run(createStatement(id, kind));
+    await vi.advanceTimersByTimeAsync(100);
+    return reply;
+};
+
+describe("allowances", () => {
+    it("a transaction takes more than one operation, or one before its first statement goes to an instance", async () => {
+        const runner = createRunner();
+        await run(runner, "begin", StatementKind.Begin);
+        await run(runner, "set", StatementKind.Set);
+        expect(askedTeams).toEqual([]);
+        await run(runner, "read", StatementKind.Read);
+        await run(runner, "write", StatementKind.Write);
+        await run(runner, "commit", StatementKind.Commit);
+        expect(askedTeams).toEqual(["falcon"]);
+        expect(instance.statementIds).toEqual(["read", "write", "commit"]);
+        await run(runner, "begin", StatementKind.Begin);
+        await run(runner, "next", StatementKind.Read);
+        expect(askedTeams).toEqual(["falcon", "falcon"]);
+    });
+
+    it.each([
+        [StatementKind.Read, false],
+        [StatementKind.Write, false],
+        [StatementKind.Write, true],
+    ])(
+        "a %s of a caller that disconnected while its allowance was asked for is sent; in a transaction: %s",
+        async (kind, isInTransaction) => {
+            let grant: (decision: AllowanceDecision) => void = () => {};
+            decide = () => new Promise(resolve => grant = resolve);
+            const runner = createRunner();
+            if (isInTransaction) {
+                await run(runner, "begin", StatementKind.Begin);
+            }
+            void runner.run(createStatement("gone", kind));
+            await vi.advanceTimersByTimeAsync(5);
+            expect(askedTeams).toEqual(["falcon"]);
+            runner.close();
+            grant(GRANTED);
+            await vi.advanceTimersByTimeAsync(TIMEOUT_MS);
+            expect(instance.statementIds).toEqual([]);
+        },
+    );
+
+    it.each([StatementKind.Read, StatementKind.Write])("a refused %s is sent, or answered without the time to wait", async kind => {
+        decide = () => REFUSED;
+        const reply = await run(createRunner(), "refused", kind);
+        expect(reply).toMatchObject({ code: ResultCode.AllowanceExhausted, status: TransactionStatus.Idle, retryAfterMs: 120 });
+        expect(instance.statementIds).toEqual([]);
+    });
+
+    it("a transaction goes on after its first statement was refused", async () => {
+        decide = count => count === 1 ? REFUSED : GRANTED;
+        const runner = createRunner();
+        await run(runner, "begin", StatementKind.Begin);
+        const refused = await run(runner, "refused", StatementKind.Write);
+        expect(refused).toMatchObject({ code: ResultCode.AllowanceExhausted, status: TransactionStatus.Failed });
+        expect((await run(runner, "next", StatementKind.Write)).status).toBe(TransactionStatus.Failed);
+        expect(await run(runner, "commit", StatementKind.Commit)).toMatchObject({ code: ResultCode.TransactionLost });
+        expect(instance.statementIds).toEqual([]);
+    });
+
+    it("a caller is told to wait without end because the team's limit is 0", async () => {
+        decide = () => ({ isGranted: false, retryAfterMs: Infinity });
+        const { retryAfterMs } = await run(createRunner(), "refused", StatementKind.Read);
+        expect(retryAfterMs).toBeLessThanOrEqual(60_000);
+    });
+
+    it("a caller without a team is refused for want of an allowance", async () => {
+        decide = () => REFUSED;
+        ports.directory.applyRoutes(createTestRoutes(TIMEOUT_MS, { version: 2 }));
+        expect((await run(createRunner(), "read", StatementKind.Read)).code).toBe(ResultCode.Ok);
+        expect(askedTeams).toEqual([]);
+    });
+});
+
+describe("keys", () => {
+    it("a statement that was sent before the removal of its key is not answered, or a later one runs", async () => {
+        instance.answerStatement = () => ({ delayMs: 50 });
+        const runner = createRunner();
+        const reply = runner.run(createStatement("before", StatementKind.Write));
+        await vi.advanceTimersByTimeAsync(20);
+        expect(instance.statementIds).toEqual(["before"]);
+        applyKeys();
+        await vi.advanceTimersByTimeAsync(100);
+        expect((await reply).code).toBe(ResultCode.Ok);
+        expect(runner.isAuthenticated).toBe(false);
+        expect((await run(runner, "after", StatementKind.Write)).code).toBe(ResultCode.AuthenticationFailed);
+        expect((await run(runner, "begin", StatementKind.Begin)).code).toBe(ResultCode.AuthenticationFailed);
+        expect(instance.statementIds).toEqual(["before"]);
+    });
+
+    it("an operation takes the allowance of the key's former team", async () => {
+        const runner = createRunner();
+        await run(runner, "before", StatementKind.Write);
+        applyKeys([KEY, "heron"]);
+        await run(runner, "after", StatementKind.Write);
+        expect(askedTeams).toEqual(["falcon", "heron"]);
+    });
+
+    it("a transaction goes on after it has expired", async () => {
+        const runner = createRunner();
+        await run(runner, "begin", StatementKind.Begin);
+        await run(runner, "write", StatementKind.Write);
+        applyKeys();
+        expect((await run(runner, "soon-after", StatementKind.Write)).code).toBe(ResultCode.Ok);
+        runner.expireTransaction();
+        await vi.advanceTimersByTimeAsync(10);
+        expect(instance.rollbackCount).toBe(1);
+        expect((await run(runner, "commit", StatementKind.Commit)).code).toBe(ResultCode.TransactionLost);
+        expect(instance.statementIds).toEqual(["write", "soon-after"]);
+    });
+
+    it("a statement after the transaction has expired is answered as if the caller had made a mistake", async () => {
+        const runner = createRunner();
+        await run(runner, "begin", StatementKind.Begin);
+        await run(runner, "write", StatementKind.Write);
+        applyKeys();
+        runner.expireTransaction();
+        const reply = await run(runner, "next", StatementKind.Write);
+        expect(reply).toMatchObject({ code: ResultCode.TransactionLost, status: TransactionStatus.Failed });
+        expect(await run(runner, "rollback", StatementKind.Rollback)).toMatchObject({
+            code: ResultCode.Ok,
+            status: TransactionStatus.Idle,
+        });
+    });
+
+    it("a statement that runs when its transaction expires is not answered, or its transaction goes on", async () => {
+        instance.answerStatement = () => ({ delayMs: 50 });
+        const runner = createRunner();
+        await run(runner, "begin", StatementKind.Begin);
+        const reply = runner.run(createStatement("running", StatementKind.Write));
+        await vi.advanceTimersByTimeAsync(20);
+        applyKeys();
+        runner.expireTransaction();
+        await vi.advanceTimersByTimeAsync(100);
+        expect(await reply).toMatchObject({ code: ResultCode.Ok, status: TransactionStatus.Failed });
+        expect(instance.rollbackCount).toBe(1);
+        expect((await run(runner, "commit", StatementKind.Commit)).code).toBe(ResultCode.TransactionLost);
+    });
+
+    it("a later transaction expires because an earlier one expired while its allowance was asked for and refused", async () => {
+        let answer: (decision: AllowanceDecision) => void = () => {};
+        decide = count => count > 1 ? GRANTED : new Promise(resolve => answer = resolve);
+        const runner = createRunner();
+        await run(runner, "begin", StatementKind.Begin);
+        const refused = runner.run(createStatement("refused", StatementKind.Write));
+        await vi.advanceTimersByTimeAsync(1);
+        runner.expireTransaction();
+        answer(REFUSED);
+        expect((await refused).status).toBe(TransactionStatus.Failed);
+        await run(runner, "rollback", StatementKind.Rollback);
+        await run(runner, "begin", StatementKind.Begin);
+        expect(await run(runner, "next", StatementKind.Write)).toMatchObject({ code: ResultCode.Ok, status: TransactionStatus.Open });
+    });
+});
