--- a/packages/process/statement-runner/src/SessionRunner.ts
+++ b/packages/process/statement-runner/src/SessionRunner.ts
@@ -19,6 +19,8 @@
 
 const NO_INSTANCE_RETRY_AFTER_MS = 500;
 const DEFAULT_TRANSACTION_IDLE_MS = 3_000;
+/** Longest time to wait that a caller is told: a limit of 0 never has room, but a newer configuration may raise it. */
+const MAXIMUM_RETRY_AFTER_MS = 60_000;
 
 /** Longest wait for a team's allowance, as shares of the statement's time limit and of the operation's target latency. */
 const ALLOWANCE_WAIT_SHARE = 0.3;
@@ -45,6 +47,8 @@
     private isClosed = false;
     /** Whether the open transaction fails once its running statement has ended. */
     private isExpiring = false;
+    /** Whether a transaction has expired and its caller has not been told yet. */
+    private hasExpired = false;
 
     private constructor(database: string, private readonly key: string, private readonly ports: RunnerPorts) {
         this.state = createSession(database);
@@ -73,6 +77,7 @@
     expireTransaction(): void {
         if (this.transaction !== undefined && this.operation?.isDone !== false) {
             this.failIdleTransaction();
+            this.hasExpired = true;
         }
         else {
             this.isExpiring = this.transaction !== undefined;
@@ -128,7 +133,7 @@
 
     async run(statement: Statement): Promise<CallerReply> {
         clearTimeout(this.idleTimer);
-        const reply = answerLocally(this.state, statement) ?? await this.dispatch(statement);
+        const reply = this.answerExpired(statement) ?? answerLocally(this.state, statement) ?? await this.dispatch(statement);
         if (this.transaction !== undefined && this.state.status === TransactionStatus.Open && !this.isClosed) {
             this.idleTimer = setTimeout(
                 () => this.failIdleTransaction(),
@@ -148,6 +153,15 @@
         this.transaction?.rollback();
     }
 
+    /** Answers the first statement after the transaction has expired, unless it ends the transaction. */
+    private answerExpired({ kind }: Statement): CallerReply | undefined {
+        const { hasExpired } = this;
+        this.hasExpired = false;
+        return hasExpired && kind !== StatementKind.Commit && kind !== StatementKind.Rollback
+            ? createErrorReply(ResultCode.TransactionLost, "the caller's key was removed", this.state.status)
+            : undefined;
+    }
+
     private dispatch(statement: Statement): Promise<CallerReply> | CallerReply {
         if (statement.kind === StatementKind.Rollback) {
             this.endTransaction();
@@ -191,7 +205,8 @@
         const maximumWaitMs = Math.min(ALLOWANCE_WAIT_SHARE * timeoutMs, ALLOWANCE_WAIT_TARGET_SHARE * targetLatencyMs);
         const decision = await takeAllowance(operation.identity, maximumWaitMs);
         if (!decision.isGranted) {
-            return createErrorReply(ResultCode.AllowanceExhausted, operation.identity, this.state.status, decision.retryAfterMs);
+            const retryAfterMs = Math.min(decision.retryAfterMs, MAXIMUM_RETRY_AFTER_MS);
+            return createErrorReply(ResultCode.AllowanceExhausted, operation.identity, this.state.status, retryAfterMs);
         }
         if (decision.waitMs > 0) {
             await sleep(decision.waitMs);
@@ -222,9 +237,7 @@
         const reply = "detail" in outcome ? outcome : this.toCallerReply(outcome, statement, isWrite, operation);
         this.reportOutcome(operation, reply);
         const result = this.transaction === undefined ? reply : this.updateTransaction(statement, reply);
-        const mustFail = this.isExpiring && this.transaction !== undefined;
-        this.isExpiring = false;
-        return mustFail ? this.failTransaction(result) : result;
+        return this.isExpiring ? this.failTransaction(result) : result;
     }
 
     /** Converts an instance's reply into the caller's reply. */
@@ -265,13 +278,13 @@
     private endTransaction(): void {
         this.transaction?.rollback();
         this.transaction = undefined;
+        this.isExpiring = false;
         this.state.status = TransactionStatus.Idle;
     }
 
     /** Rolls back a transaction whose caller has been idle too long, to free its connection for other sessions. */
     private failIdleTransaction(): void {
-        this.transaction?.rollback();
-        this.transaction = undefined;
+        this.endTransaction();
         this.state.status = TransactionStatus.Failed;
     }
 
