Pace statements and openings by the answers of each instance where serverPacing is on

Change: one pace for each instance in InstanceRuntime. waitForTurn, the candidates of a read, warm-up and the backoff after a failed opening ask it; answers, refusals, lost connections, silent BEGINs and failed openings feed it. A pool that has lost its instance opens a connection at the floor of the pace, since no statement does so for a replica. Off by default.

--- a/packages/connection/instance-pool/src/InstancePool.ts
+++ b/packages/connection/instance-pool/src/InstancePool.ts
@@ -1,11 +1,12 @@
 import { type ConnectionUse, createConnectionUse, recordUse, recordUseStart } from "@pomeloturn/admit-waiting/ConnectionUse";
 import { estimateWaitMs } from "@pomeloturn/admit-waiting/decideAdmission";
 import { ResultCode } from "@pomeloturn/errors/ResultCode";
-import { type CommandChannel } from "@pomeloturn/instance-connection/CommandChannel";
-import { type ConnectionState, createConnectionState } from "@pomeloturn/statement-session/ConnectionState";
+import { createConnectionState } from "@pomeloturn/statement-session/ConnectionState";
 import type { InstanceReply } from "@pomeloturn/types/InstanceCommand";
 import { TransactionStatus } from "@pomeloturn/types/Request";
 import { ConnectionLease } from "./ConnectionLease.ts";
+import type { PooledConnection } from "./PooledConnection.ts";
+import type { PoolPorts } from "./PoolPorts.ts";
 import {
     countFree,
     countUsable,
@@ -29,30 +30,6 @@
 /** Identity of connections that are opened in advance and of requests that belong to no team. */
 export const NO_IDENTITY = "";
 
-/** Clock, connection factory and callbacks of a pool. */
-export interface PoolPorts {
-    /** Monotonic time in milliseconds. */
-    readonly nowMs: () => number;
-    /** Opens a connection under a caller identity. */
-    readonly open: (onClosed: (reason: string, isRemote: boolean) => void, identity: string) => CommandChannel;
-    /** Called for each connection that could not be opened, except when the instance has no connections left. */
-    readonly onOpenFailed: (reply: InstanceReply) => void;
-    /** Called for each open connection that the instance or the network closed. */
-    readonly onLost: (reason: string) => void;
-}
-
-interface PooledConnection {
-    readonly connection: CommandChannel;
-    readonly connectionState: ConnectionState;
-    /** Identity that the instance was told at start-up. Only requests of this identity use the connection. */
-    readonly identity: string;
-    lastUsedAtMs: number;
-    leasedAtMs: number;
-    /** Rank of the request that uses the connection. */
-    rank: number;
-    isBusy: boolean;
-}
-
 /** Pool of the connections from this VM to one instance. */
 export class InstancePool {
     private readonly state: PoolState = createPoolState();
@@ -75,6 +52,12 @@
         return this.state.busyCount + this.waiting.count;
     }
 
+    /** Number of requests that wait for a connection or for a reply. */
+    get activeCount(): number {
+        const busy = [...this.all].filter(({ isBusy }) => isBusy);
+        return this.waiting.count + busy.filter(({ connection }) => connection.outstandingReplyCount > 0).length;
+    }
+
     /** Number of open connections. */
     get openCount(): number {
         return this.state.busyCount + this.state.idleCount;
@@ -131,8 +114,8 @@
 
     /** Opens a first connection in advance, so that the first request does not have to wait for it. */
     warmUp(): void {
-        if (this.state.coreConnectionCount > 0 && this.openCount + this.state.openingCount === 0 && !this.isClosed) {
-            this.openConnection(NO_IDENTITY);
+        if (this.state.coreConnectionCount > 0) {
+            this.openFirst();
         }
     }
 
@@ -147,6 +130,9 @@
         ) {
             oldest.connection.close("the idle timeout of the connection has passed");
         }
+        if (this.isUnreachable && this.ports.pacing !== undefined) {
+            this.openFirst();
+        }
         this.openNeeded();
     }
 
@@ -164,6 +150,12 @@
         [...this.idle].forEach(({ connection }) => connection.close(reason));
     }
 
+    private openFirst(): void {
+        if (this.openCount + this.state.openingCount === 0 && !this.isClosed && this.ports.pacing?.takeProbe() !== false) {
+            this.openConnection(NO_IDENTITY);
+        }
+    }
+
     private cancelWaiter(waiter: WaitingRequest): void {
         if (this.waiting.remove(waiter)) {
             waiter.resolve(undefined);
@@ -230,7 +222,7 @@
                 this.addOpened(pooled);
             }
             else {
-                this.handleOpenFailure(connection, reply);
+                this.handleOpenFailure(pooled, reply);
             }
         });
     }
@@ -242,7 +234,7 @@
         this.assignOrMakeIdle(pooled);
     }
 
-    private handleOpenFailure(connection: CommandChannel, reply: InstanceReply): void {
+    private handleOpenFailure({ connection, leasedAtMs: startedAtMs }: PooledConnection, reply: InstanceReply): void {
         connection.close(`the instance did not accept the connection, result ${reply.code}`);
         if (reply.code === ResultCode.ConnectionsExhausted) {
             recordExhausted(this.state, this.ports.nowMs());
@@ -251,6 +243,8 @@
             recordOpenFailure(this.state, this.ports.nowMs());
             this.ports.onOpenFailed(reply);
         }
+        const pacedMs = this.ports.pacing?.recordFailedOpening(reply.code === ResultCode.ConnectionsExhausted, startedAtMs);
+        this.state.backoffUntilMs = pacedMs === undefined ? this.state.backoffUntilMs : this.ports.nowMs() + pacedMs;
         if (this.openCount === 0) {
             this.failWaiters();
         }
@@ -307,6 +301,9 @@
         if (isRemote) {
             this.ports.onLost(reason);
         }
+        if (isRemote && !pooled.isBusy) {
+            this.ports.pacing?.recordLoss(pooled.lastUsedAtMs);
+        }
         if (pooled.isBusy) {
             pooled.isBusy = false;
             this.state.busyCount--;
--- a/packages/process/service-directory/src/InstanceRuntime.ts
+++ b/packages/process/service-directory/src/InstanceRuntime.ts
@@ -1,7 +1,14 @@
 import type { InstancePool } from "@pomeloturn/instance-pool/InstancePool";
-import { type AttemptPace, createAttemptPace, recordRefusal, recordSuccess } from "@pomeloturn/pace-attempts/AttemptPace";
+import {
+    type AttemptPace,
+    createAttemptPace,
+    recordRefusal,
+    recordSuccess,
+    waitBeforeAttemptMs,
+} from "@pomeloturn/pace-attempts/AttemptPace";
 import type { LogPosition } from "@pomeloturn/types/LogPosition";
 import type { InstanceEntry } from "@pomeloturn/types/ServiceEntries";
+import type { InstancePacing } from "./InstancePacing.ts";
 
 /** Latency that is assumed for an instance before its first answer. */
 const INITIAL_LATENCY_MS = 15;
@@ -22,10 +29,27 @@
     nextCheckAtMs = -Infinity;
     private behindBackoffMs = INITIAL_BEHIND_BACKOFF_MS;
 
-    private constructor(public entry: InstanceEntry, readonly pool: InstancePool) {}
+    private constructor(
+        public entry: InstanceEntry,
+        readonly pool: InstancePool,
+        /** Pacing by the instance's answers, which replaces `pace`; undefined where it is off. */
+        readonly pacing: InstancePacing | undefined,
+    ) {}
 
-    static create(entry: InstanceEntry, pool: InstancePool): InstanceRuntime {
-        return new InstanceRuntime(entry, pool);
+    static create(entry: InstanceEntry, pool: InstancePool, pacing?: InstancePacing): InstanceRuntime {
+        pacing?.countWith(() => pool.activeCount);
+        return new InstanceRuntime(entry, pool, pacing);
+    }
+
+    /** Returns the time until the pace of the instance is expected to allow a statement of the rank, in milliseconds. */
+    waitForPaceMs(rank: number, nowMs: number): number {
+        return this.pacing?.expectWaitMs(rank) ?? waitBeforeAttemptMs(this.pace, rank, nowMs);
+    }
+
+    /** Stops the use of the instance: waiting statements get no connection to it. */
+    retire(reason: string): void {
+        this.pool.retire(reason);
+        this.pacing?.retire();
     }
 
     recordAnswered(latencyMs: number, position: LogPosition | undefined): void {
@@ -33,11 +57,18 @@
         this.position = position ?? this.position;
         this.behindBackoffMs = INITIAL_BEHIND_BACKOFF_MS;
         recordSuccess(this.pace);
+        this.pacing?.recordAnswer(latencyMs);
     }
 
-    /** Records that the instance refused a statement because all its slots were taken. @param random random number from 0 to 1 */
-    recordRefusal(random: number, nowMs: number): void {
+    /**
+     * Records that the instance refused a statement because all its slots were taken.
+     *
+     * @param sentAtMs monotonic time at which the statement was sent, in milliseconds
+     * @param random random number from 0 to 1
+     */
+    recordRefusal(sentAtMs: number, random: number, nowMs: number): void {
         recordRefusal(this.pace, random, nowMs);
+        this.pacing?.recordRefusal(sentAtMs);
     }
 
     /**
--- a/packages/process/service-directory/src/ServiceDirectory.ts
+++ b/packages/process/service-directory/src/ServiceDirectory.ts
@@ -5,6 +5,7 @@
 import { isSettlingDue, settleListing } from "@pomeloturn/merge-listing/settleListing";
 import { recordAnswered, recordClaim, recordRemoval } from "@pomeloturn/replace-primary/knownLeader";
 import type { InstanceEntry, RouteEntry, RouteTable } from "@pomeloturn/types/ServiceEntries";
+import { InstancePacing, type PaceSummary, type PacingPorts } from "./InstancePacing.ts";
 import { InstanceRuntime } from "./InstanceRuntime.ts";
 import { isSameInstance } from "./isSameInstance.ts";
 import { createMisroutedEntries, isMisrouted, recordMisrouted, takeDueChecks } from "./MisroutedEntries.ts";
@@ -23,8 +24,8 @@
 /** Delay between two checks whether an instance whose claim to be the primary does not count yet is at its address. */
 const CLAIMANT_CHECK_INTERVAL_MS = 500;
 
-/** Creates the connection pool of an instance. */
-export type PoolFactory = (entry: InstanceEntry) => InstancePool;
+/** Creates the connection pool of an instance. @param pacing pacing of its openings; undefined where it is off */
+export type PoolFactory = (entry: InstanceEntry, pacing: InstancePacing | undefined) => InstancePool;
 
 /** Services, instances and routes that this VM knows. */
 export class ServiceDirectory {
@@ -39,10 +40,11 @@
     private vmCount = 1;
     private readonly history = createListingHistory();
 
-    private constructor(private readonly createPool: PoolFactory) {}
+    private constructor(private readonly createPool: PoolFactory, private readonly findPacingPorts: () => PacingPorts | undefined) {}
 
-    static create(createPool: PoolFactory): ServiceDirectory {
-        return new ServiceDirectory(createPool);
+    /** @param findPacingPorts returns the ports of the pacing by answers, or undefined where it is off */
+    static create(createPool: PoolFactory, findPacingPorts: () => PacingPorts | undefined = () => undefined): ServiceDirectory {
+        return new ServiceDirectory(createPool, findPacingPorts);
     }
 
     /** Routes of the newest configuration; undefined before the first one arrives. */
@@ -87,12 +89,15 @@
         const service = this.findOrCreateService(entry.service);
         const known = service.instances.get(entry.id);
         if (known !== undefined && isSameInstance(known.entry, entry)) {
+            if (entry.isPrimary && !known.entry.isPrimary) {
+                known.pacing?.recordStart(entry.slots, this.vmCount);
+            }
             known.entry = entry;
         }
         else {
-            known?.pool.retire("the instance was replaced by a new one");
+            known?.retire("the instance was replaced by a new one");
             service.knownLeader.answeredIds.delete(entry.id);
-            service.instances.set(entry.id, InstanceRuntime.create(entry, this.createPool(entry)));
+            service.instances.set(entry.id, this.createInstance(entry));
         }
         recordClaim(service.knownLeader, entry.id, entry.isPrimary, entry.writtenAt);
         this.updatePoolLimits();
@@ -250,6 +255,13 @@
         return this.routeTable !== undefined && [...this.services.values()].some(({ leader }) => leader !== undefined);
     }
 
+    /** Lists the paces of the instances; empty where pacing by answers is off. */
+    listPaces(): readonly PaceSummary[] {
+        return [...this.services.values()].flatMap(({ name, instances }) =>
+            [...instances].flatMap(([id, { pacing }]) => pacing === undefined ? [] : [pacing.summarize(name, id)])
+        );
+    }
+
     /** Returns all entries, used or not, by id. */
     private listKnownEntries(): Map<string, InstanceEntry> {
         const used = [...this.services.values()].flatMap(service => [...service.instances.values()].map(({ entry }) => entry));
@@ -266,10 +278,17 @@
         return service;
     }
 
-    private takeOutOfUse(service: ServiceRuntime, { entry: { id }, pool }: InstanceRuntime, reason: string): void {
-        service.instances.delete(id);
-        pool.retire(reason);
-        recordRemoval(service.knownLeader, id);
+    private createInstance(entry: InstanceEntry): InstanceRuntime {
+        const ports = this.findPacingPorts();
+        const pacing = ports && InstancePacing.create(ports);
+        pacing?.recordStart(entry.slots, this.vmCount);
+        return InstanceRuntime.create(entry, this.createPool(entry, pacing), pacing);
+    }
+
+    private takeOutOfUse(service: ServiceRuntime, instance: InstanceRuntime, reason: string): void {
+        service.instances.delete(instance.entry.id);
+        instance.retire(reason);
+        recordRemoval(service.knownLeader, instance.entry.id);
         service.notifyWaiters();
     }
 
--- a/packages/process/statement-runner/src/Transaction.ts
+++ b/packages/process/statement-runner/src/Transaction.ts
@@ -133,12 +133,13 @@
             return undefined;
         }
         const { commands } = planSynchronization(lease, operation);
+        const askedAtMs = this.ports.nowMs();
         const sent = sendAfterSynchronization(lease, commands, { kind: CommandKind.BeginRead, after: requirement.after });
         const reply = await withTimeout(sent, BEGIN_TIMEOUT_MS);
         if (reply?.code === ResultCode.Ok) {
             return { lease, instance };
         }
-        this.handleFailedBegin(instance, lease, reply, requirement.isCommitPosition);
+        this.handleFailedBegin(instance, lease, reply, requirement.isCommitPosition, askedAtMs);
         return undefined;
     }
 
@@ -147,7 +148,11 @@
         lease: ConnectionLease,
         reply: InstanceReply | undefined,
         isCommitPosition: boolean,
+        askedAtMs: number,
     ): void {
+        if (reply === undefined || reply.code === ResultCode.BackendLost) {
+            instance.pacing?.recordLoss(askedAtMs);
+        }
         if (reply === undefined) {
             lease.discard(`the instance did not answer BEGIN within ${BEGIN_TIMEOUT_MS} ms`);
             return;
--- a/packages/process/statement-runner/src/attemptRead.ts
+++ b/packages/process/statement-runner/src/attemptRead.ts
@@ -11,7 +11,7 @@
 import { releaseAfterRollback, rollBack } from "./rollBack.ts";
 import type { RunnerPorts } from "./RunnerPorts.ts";
 import { sendAfterSynchronization } from "./sendAfterSynchronization.ts";
-import { waitForLeaderTurn, waitForTurn } from "./waitForTurn.ts";
+import { connectionWaitMs, waitForLeaderTurn, waitForTurn } from "./waitForTurn.ts";
 
 /** Time after a statement's deadline at which a connection that has not answered is closed. */
 const ABANDON_MARGIN_MS = 20;
@@ -73,8 +73,13 @@
     waitMs: number,
     ports: RunnerPorts,
 ): Promise<InstanceReply | undefined> => {
-    const lease = await waitForTurn(instance, operation, ports.nowMs() + waitMs, ports)
-        ? await instance.pool.acquire(operation.route.rank, waitMs, operation.identity)
+    const limitAtMs = ports.nowMs() + waitMs;
+    const lease = await waitForTurn(instance, operation, limitAtMs, ports)
+        ? await instance.pool.acquire(
+            operation.route.rank,
+            connectionWaitMs(instance, waitMs, limitAtMs, ports.nowMs()),
+            operation.identity,
+        )
         : undefined;
     if (lease === undefined) {
         return undefined;
@@ -108,9 +113,11 @@
         preparedName = plan.preparedName;
         return plan.commands;
     };
-    const isAllowed = await waitForLeaderTurn(operation, ports.nowMs() + waitMs, ports);
+    const limitAtMs = ports.nowMs() + waitMs;
+    const isAllowed = await waitForLeaderTurn(operation, limitAtMs, ports);
     const { service, route, identity } = operation;
-    const begun = isAllowed ? await beginAtLeader(service, route.rank, waitMs, identity, synchronize, ports) : undefined;
+    const leftMs = service.leader === undefined ? waitMs : connectionWaitMs(service.leader, waitMs, limitAtMs, ports.nowMs());
+    const begun = isAllowed ? await beginAtLeader(service, route.rank, leftMs, identity, synchronize, ports) : undefined;
     if (begun === undefined) {
         return undefined;
     }
--- a/packages/process/statement-runner/src/beginAtLeader.ts
+++ b/packages/process/statement-runner/src/beginAtLeader.ts
@@ -46,10 +46,12 @@
         return { lease, instance };
     }
     if (reply === undefined) {
+        instance.pacing?.recordLoss(askedAtMs);
         ports.onInstanceSuspected(service.name, instance.entry.id, AttemptFailure.TimedOut);
         lease.discard(`the instance did not answer BEGIN within ${BEGIN_TIMEOUT_MS} ms`);
     }
     else if (reply.code === ResultCode.BackendLost) {
+        instance.pacing?.recordLoss(askedAtMs);
         ports.onInstanceSuspected(service.name, instance.entry.id, AttemptFailure.Refused);
     }
     else {
--- a/packages/process/statement-runner/src/recordReply.ts
+++ b/packages/process/statement-runner/src/recordReply.ts
@@ -9,6 +9,9 @@
         instance?.recordAnswered(ports.nowMs() - sentAtMs, reply.position);
     }
     else if (reply.code === ResultCode.QueueFull) {
-        instance?.recordRefusal(ports.random(), ports.nowMs());
+        instance?.recordRefusal(sentAtMs, ports.random(), ports.nowMs());
+    }
+    else if (reply.code === ResultCode.BackendLost) {
+        instance?.pacing?.recordLoss(sentAtMs);
     }
 };
--- a/packages/process/statement-runner/src/runRead.ts
+++ b/packages/process/statement-runner/src/runRead.ts
@@ -1,6 +1,5 @@
 import { withTimeout } from "@pomeloturn/clock/withTimeout";
 import { ResultCode } from "@pomeloturn/errors/ResultCode";
-import { waitBeforeAttemptMs } from "@pomeloturn/pace-attempts/AttemptPace";
 import { depositHedge, takeHedge } from "@pomeloturn/plan-retry/hedgeBudget";
 import { findProvenPosition, isAtOrAfter, laterPosition } from "@pomeloturn/position-samples/PositionSamples";
 import { type Candidate, chooseCandidate } from "@pomeloturn/rank-candidates/rankCandidates";
@@ -70,7 +69,7 @@
         isUnreachable: instance.pool.isUnreachable,
         isPrimary: instance === service.leader,
         isBehind: isBehind(instance, after, nowMs),
-        waitMs: Math.max(waitBeforeAttemptMs(instance.pace, route.rank, nowMs), instance.pool.estimateWaitMs(route.rank)),
+        waitMs: Math.max(instance.waitForPaceMs(route.rank, nowMs), instance.pool.estimateWaitMs(route.rank)),
     }));
 };
 
--- a/packages/process/statement-runner/src/runWrite.ts
+++ b/packages/process/statement-runner/src/runWrite.ts
@@ -62,9 +62,11 @@
         return undefined;
     }
     operation.instance = leader.entry.id;
+    const askedAtMs = ports.nowMs();
     if (await isAlive(lease)) {
         return releaseIfDone(operation, lease);
     }
+    leader.pacing?.recordLoss(askedAtMs);
     ports.onInstanceSuspected(service.name, leader.entry.id, AttemptFailure.TimedOut);
     return undefined;
 };
--- a/packages/process/statement-runner/src/waitForTurn.ts
+++ b/packages/process/statement-runner/src/waitForTurn.ts
@@ -1,5 +1,6 @@
 import { decideAdmission } from "@pomeloturn/admit-waiting/decideAdmission";
 import { recordAttempt, waitBeforeAttemptMs } from "@pomeloturn/pace-attempts/AttemptPace";
+import type { InstancePacing } from "@pomeloturn/service-directory/InstancePacing";
 import type { InstanceRuntime } from "@pomeloturn/service-directory/InstanceRuntime";
 import type { Operation } from "./Operation.ts";
 import type { RunnerPorts } from "./RunnerPorts.ts";
@@ -11,6 +12,18 @@
     operation.retryAfterMs = retryAfterMs;
 };
 
+const waitForPacedTurn = async (pacing: InstancePacing, operation: Operation, limitAtMs: number, ports: RunnerPorts): Promise<boolean> => {
+    const turn = await pacing.waitForTurn(operation.route.rank, limitAtMs, () => operation.isDone);
+    if (!turn.isAllowed) {
+        endWaiting(operation, turn.retryAfterMs, ports.nowMs());
+    }
+    return turn.isAllowed;
+};
+
+/** Time for which a statement may wait for a connection after its turn, so that both waits together end by `limitAtMs` where pacing is on. */
+export const connectionWaitMs = ({ pacing }: InstanceRuntime, waitMs: number, limitAtMs: number, nowMs: number): number =>
+    pacing === undefined ? waitMs : Math.max(1, limitAtMs - nowMs);
+
 /**
  * Waits until the pacing of an instance that reported itself busy allows the statement to queue for a connection. If its
  * turn is expected later than the statement may wait, its waiting time ends at once.
@@ -33,6 +46,9 @@
             endWaiting(operation, admission.retryAfterMs, nowMs);
             return false;
         }
+        if (instance.pacing !== undefined) {
+            return waitForPacedTurn(instance.pacing, operation, limitAtMs, ports);
+        }
         const pacingMs = waitBeforeAttemptMs(instance.pace, rank, nowMs);
         if (pacingMs === 0) {
             recordAttempt(instance.pace, rank, nowMs);
--- a/packages/request/server-pace/src/PacedLine.ts
+++ b/packages/request/server-pace/src/PacedLine.ts
@@ -33,17 +33,11 @@
     line.splice(index < 0 ? line.length : index, 0, waiting);
 };
 
-/** Removes a statement that no longer waits. */
-export const leaveLine = <Waiting extends PacedStatement>(line: PacedLine<Waiting>, waiting: Waiting): void => {
-    const index = line.indexOf(waiting);
-    if (index >= 0) {
-        line.splice(index, 1);
-    }
-};
-
-/** Expected time for which `aheadCount` statements hold up the next one. In slow start each of them doubles the pace. */
-const estimateAheadMs = (pace: ServerPace, aheadCount: number): number =>
-    intervalMs(pace) * (pace.isSlowStart ? Math.log2(1 + aheadCount) : aheadCount);
+/**
+ * Expected time for which `aheadCount` statements hold up the next one, if the instance answers them on time, so that the pace
+ * doubles. A linear estimate refused statements that could still be served after a fault.
+ */
+const estimateAheadMs = (pace: ServerPace, aheadCount: number): number => intervalMs(pace) * Math.log2(1 + aheadCount);
 
 /**
  * Decides whether the window allows an attempt.
@@ -65,6 +59,15 @@
     return { isAllowed: waitMs === 0, waitMs };
 };
 
+/** Returns the expected wait of a statement that would join the line now, in milliseconds. */
+export const expectWaitMs = (
+    line: PacedLine<PacedStatement>,
+    pace: ServerPace,
+    inFlightCount: number,
+    rank: number,
+    nowMs: number,
+): number => decidePace(pace, inFlightCount, line.filter(other => other.rank <= rank).length, rank, nowMs).waitMs;
+
 /** Takes from the line the statements whose attempts may be made now and those whose turn would come too late. */
 export const stepLine = <Waiting extends PacedStatement>(
     line: PacedLine<Waiting>,
--- a/packages/request/server-pace/src/ServerPace.ts
+++ b/packages/request/server-pace/src/ServerPace.ts
@@ -37,8 +37,8 @@
     readonly random: number;
 }
 
-/** Slot time of one attempt, about that of a new connection and a statement of mean length (12 and 11.5 ms). */
-const ATTEMPT_TIME_MS = 25;
+/** Slot time of one attempt: a new connection and a statement of mean length take 23.5 ms, at a cold instance 37.6 ms. */
+const ATTEMPT_TIME_MS = 30;
 /** Longest interval at the start: a new instance is tried at least this often. */
 const START_INTERVAL_MS = 200;
 /** Longest interval after failures, so that a recovered instance is detected. Equals the longest backoff of a pool. */
@@ -51,15 +51,16 @@
 const ADDITIVE_STEP = 0.25;
 /** Statements take 3 to 20 ms, so an answer is late only well beyond the spread of their own times. */
 const LATE_FACTOR = 4;
-const LATE_MARGIN_MS = 40;
+/** About the time of a full queue (32 attempts of 23.5 ms at 4 slots: 188 ms). With 40 to 140 ms more operations were late in a cold phase. */
+const LATE_MARGIN_MS = 200;
 const BEST_LATENCY_PERIOD_MS = 5_000;
 /** On-time answers after which the window no longer limits; the fixed backoff of `pace-attempts` ends after as many. */
 const RECOVERED_ANSWER_COUNT = 8;
 /** Time without refusals after which the window no longer limits if the instance has answered since. */
 const QUIET_MS = 2_000;
 const URGENT_RANK = 0;
-/** Share of the pause that the most urgent rank waits. */
-const URGENT_PAUSE_SHARE = 0.25;
+/** Shares of the pause that statements of the ranks from 0 on wait; lower ranks wait all of it. */
+const PAUSE_SHARES: readonly number[] = [0.1];
 
 export const createServerPace = (): ServerPace => ({
     window: 1,
@@ -177,7 +178,7 @@
     }
     const isUrgent = rank === URGENT_RANK;
     if (pace.window < 1) {
-        return Math.max(0, pace.pausedFromMs + pace.pauseMs * (isUrgent ? URGENT_PAUSE_SHARE : 1) - nowMs);
+        return Math.max(0, pace.pausedFromMs + pace.pauseMs * (PAUSE_SHARES[rank] ?? 1) - nowMs);
     }
     if (inFlightCount < Math.floor(pace.window) + (isUrgent ? 1 : 0)) {
         return 0;
--- a/programs/entry/src/Entry.ts
+++ b/programs/entry/src/Entry.ts
@@ -6,6 +6,7 @@
 import { chooseReadTimes, type ReadTimes } from "@pomeloturn/follow-table/chooseReadTimes";
 import { InstanceConnection } from "@pomeloturn/instance-connection/InstanceConnection";
 import { InstancePool } from "@pomeloturn/instance-pool/InstancePool";
+import type { OpeningPacing } from "@pomeloturn/instance-pool/OpeningPacing";
 import type { ProcessLogger } from "@pomeloturn/logger/createLogger";
 import { standardOutput } from "@pomeloturn/logger/standardOutput";
 import { lineCallerProtocol, lineInstanceProtocol } from "@pomeloturn/platform/lineProtocol";
@@ -44,8 +45,11 @@
 export class Entry {
     private readonly abortController = new AbortController();
     private readonly suspensionDetector = SuspensionDetector.create(differenceMs => this.discardSamples(differenceMs));
-    private readonly directory = ServiceDirectory.create(entry => this.createPool(entry));
-    private readonly metrics = EntryMetrics.create();
+    private readonly directory = ServiceDirectory.create(
+        (entry, pacing) => this.createPool(entry, pacing),
+        () => this.settings.serverPacing ? this.ports : undefined,
+    );
+    private readonly metrics = EntryMetrics.create(() => this.directory.listPaces());
     private readonly readTimes: ReadTimes;
     private readonly store: StoreClient;
     private readonly tables: RelayedTableReader;
@@ -264,13 +268,14 @@
         }
     }
 
-    private createPool(entry: InstanceEntry): InstancePool {
+    private createPool(entry: InstanceEntry, pacing: OpeningPacing | undefined): InstancePool {
         const suspect = (): void => this.replacements.suspect(entry.service, entry.id);
         return InstancePool.create({
             nowMs: this.ports.nowMs,
             open: (onClosed, identity) => this.connect(entry, onClosed, identity),
             onOpenFailed: suspect,
             onLost: suspect,
+            pacing,
         });
     }
 
--- a/programs/entry/src/EntryMetrics.ts
+++ b/programs/entry/src/EntryMetrics.ts
@@ -1,5 +1,6 @@
 import type { LatencyHistograms } from "@pomeloturn/histograms/LatencyHistograms";
 import { Counters } from "@pomeloturn/logger/Counters";
+import type { PaceSummary } from "@pomeloturn/service-directory/InstancePacing";
 
 /** Delay before the histogram library is loaded, so that a restarted VM serves callers first. */
 const LOAD_DELAY_MS = 3_000;
@@ -17,10 +18,10 @@
     /** Latencies that were recorded before the histogram library was loaded. */
     private readonly pendingLatencies: Latency[] = [];
 
-    private constructor() {}
+    private constructor(private readonly listPaces: () => readonly PaceSummary[]) {}
 
-    static create(): EntryMetrics {
-        const metrics = new EntryMetrics();
+    static create(listPaces: () => readonly PaceSummary[] = () => []): EntryMetrics {
+        const metrics = new EntryMetrics(listPaces);
         setTimeout(() => void metrics.loadHistograms(), LOAD_DELAY_MS).unref();
         return metrics;
     }
@@ -37,7 +38,7 @@
     /** Formats all metrics in the Prometheus text format. */
     async format(): Promise<string> {
         const { formatMetrics } = await import("@pomeloturn/histograms/formatMetrics");
-        return formatMetrics(this.counters.snapshot(), (await this.loadHistograms()).summarize());
+        return formatMetrics(this.counters.snapshot(), (await this.loadHistograms()).summarize(), this.listPaces());
     }
 
     private async loadHistograms(): Promise<LatencyHistograms> {
--- a/tests/pacing/support/measureFleet.ts
+++ b/tests/pacing/support/measureFleet.ts
@@ -28,6 +28,7 @@
         openingCount: meanOf("openingCount"),
         operationCount: meanOf("operationCount"),
         lateCount: meanOf("lateCount"),
+        urgentLateCount: meanOf("urgentLateCount"),
         unansweredCount: meanOf("unansweredCount"),
         recoveryMs: meanOf("recoveryMs"),
         worstRecoveryMs: Math.max(...results.map(({ recoveryMs }) => recoveryMs)),
--- a/tests/pacing/support/simulateFleet.ts
+++ b/tests/pacing/support/simulateFleet.ts
@@ -36,6 +36,8 @@
     /** Operations that were answered after their target or not at all. */
     readonly lateCount: number;
     readonly unansweredCount: number;
+    /** Late operations of the most urgent rank. */
+    readonly urgentLateCount: number;
     /** Time from readiness until the statements answered within 500 ms are 80% of those that arrive in it. */
     readonly recoveryMs: number;
     readonly heldBeyondLimitMs: number;
@@ -118,6 +120,7 @@
             openingCount: instance.openingCount,
             operationCount: operations.length,
             lateCount: operations.filter(isLate).length,
+            urgentLateCount: operations.filter(operation => operation.rank === 0 && isLate(operation)).length,
             unansweredCount: operations.filter(({ answeredAtMs }) => answeredAtMs === undefined).length,
             recoveryMs: measureRecoveryMs(instance.answeredAtMs, readyAtMs, this.fleet.operationsPerS),
             heldBeyondLimitMs: Math.max(...this.vms.map(vm => vm.heldBeyondLimitMs)),
