Test the pacing by answers in the pool, the directory and the runner

Cause: the wiring had no tests of its own. Change: tests of failed openings, probes, turns, refusals at the limit and disconnected callers, with the setting on; a test of pace-attempts and the pool with the setting off is unchanged.

--- a/packages/connection/instance-pool/src/InstancePool.test.ts
+++ b/packages/connection/instance-pool/src/InstancePool.test.ts
@@ -5,6 +5,7 @@
 import { describe, expect, it } from "vitest";
 import type { ConnectionLease } from "./ConnectionLease.ts";
 import { InstancePool } from "./InstancePool.ts";
+import type { OpeningPacing } from "./OpeningPacing.ts";
 
 const WAIT_MS = 1_000;
 const OPENED: InstanceReply = {
@@ -21,21 +22,24 @@
     /** Identities under which connections were opened, in order. */
     readonly opened: string[] = [];
     readonly closed: string[] = [];
-    private readonly pendingStartups: (() => void)[] = [];
-    readonly pool = InstancePool.create({
-        nowMs: () => 0,
-        open: (onClosed, identity) => this.open(onClosed, identity),
-        onOpenFailed: () => {},
-        onLost: () => {},
-    });
+    private readonly pendingStartups: ((reply?: InstanceReply) => void)[] = [];
+    readonly pool: InstancePool;
+    nowMs = 0;
 
-    constructor(connectionLimit: number, vmCount: number) {
+    constructor(connectionLimit: number, vmCount: number, pacing?: OpeningPacing) {
+        this.pool = InstancePool.create({
+            nowMs: () => this.nowMs,
+            open: (onClosed, identity) => this.open(onClosed, identity),
+            onOpenFailed: () => {},
+            onLost: () => {},
+            pacing,
+        });
         this.pool.setLimit(connectionLimit, vmCount);
     }
 
-    /** Lets the instance accept all connections that are being opened. */
-    async accept(): Promise<void> {
-        this.pendingStartups.splice(0).forEach(resolve => resolve());
+    /** Lets the instance answer all connections that are being opened. */
+    async accept(reply: InstanceReply = OPENED): Promise<void> {
+        this.pendingStartups.splice(0).forEach(resolve => resolve(reply));
         await new Promise(resolve => setImmediate(resolve));
     }
 
@@ -49,7 +53,7 @@
         this.opened.push(identity);
         let isClosed = false;
         return {
-            startupReply: new Promise(resolve => this.pendingStartups.push(() => resolve(OPENED))),
+            startupReply: new Promise(resolve => this.pendingStartups.push((reply = OPENED) => resolve(reply))),
             get isClosed() {
                 return isClosed;
             },
@@ -114,3 +118,67 @@
         expect(await ordinary).toBeUndefined();
     });
 });
+
+describe("InstancePool with pacing by answers", () => {
+    const LOST: InstanceReply = { ...OPENED, code: ResultCode.BackendLost };
+    const PACED_MS = 300;
+    const createPacing = (isProbeAllowed = true): OpeningPacing & { readonly recorded: string[]; } => {
+        const recorded: string[] = [];
+        return {
+            recorded,
+            recordFailedOpening: isExhausted => {
+                recorded.push(isExhausted ? "exhausted" : "failed");
+                return PACED_MS;
+            },
+            recordLoss: () => recorded.push("lost"),
+            takeProbe: () => isProbeAllowed,
+        };
+    };
+    const failOpening = async (test: TestPool, reply = LOST): Promise<void> => {
+        void test.pool.acquire(1, WAIT_MS, "a");
+        await test.accept(reply);
+        test.opened.length = 0;
+    };
+
+    it("would fail if failed openings did not reach the pace", async () => {
+        const pacing = createPacing();
+        const test = new TestPool(16, 8, pacing);
+        await failOpening(test);
+        test.nowMs = PACED_MS;
+        await failOpening(test, { ...LOST, code: ResultCode.ConnectionsExhausted });
+        expect(pacing.recorded).toEqual(["failed", "exhausted"]);
+    });
+
+    it("would fail if the backoff of the pool replaced that of the pace", async () => {
+        const test = new TestPool(16, 8, createPacing(false));
+        await failOpening(test);
+        test.nowMs = PACED_MS - 1;
+        expect(await test.pool.acquire(1, WAIT_MS, "a")).toBeUndefined();
+        test.nowMs = PACED_MS;
+        await test.acquire("a");
+        expect(test.opened).toEqual(["a"]);
+    });
+
+    it.each([[70, 73], [16, 8]])(
+        "would fail if nothing found out that an unreachable instance answers again (%i connections, %i VMs)",
+        async (connectionLimit, vmCount) => {
+            const test = new TestPool(connectionLimit, vmCount, createPacing());
+            await failOpening(test);
+            expect(test.pool.isUnreachable).toBe(true);
+            test.pool.tick();
+            test.pool.tick();
+            expect(test.opened).toEqual([""]);
+            await test.accept();
+            expect(test.pool.isUnreachable).toBe(false);
+            test.pool.close("the test has ended");
+        },
+    );
+
+    it("would fail if the recovery were tried before the pace allows it", async () => {
+        const test = new TestPool(70, 73, createPacing(false));
+        await failOpening(test);
+        test.pool.tick();
+        test.pool.warmUp();
+        expect(test.opened).toEqual([]);
+    });
+});
--- a/packages/process/statement-runner/src/support/createTestPorts.ts
+++ b/packages/process/statement-runner/src/support/createTestPorts.ts
@@ -7,10 +7,18 @@
 
 export const TEST_DATABASE = "orders";
 
-/** Creates the dependencies of a runner with one primary and a single connection, whose channels the test opens. */
-export const createTestPorts = (open: () => CommandChannel, timeoutMs: number): RunnerPorts => {
-    const directory = ServiceDirectory.create(() =>
-        InstancePool.create({ nowMs: () => performance.now(), open, onOpenFailed: () => {}, onLost: () => {} })
+const nowMs = (): number => performance.now();
+const random = (): number => 1 / 2;
+
+/**
+ * Creates the dependencies of a runner with one primary and a single connection, whose channels the test opens.
+ *
+ * @param isPaced whether statements are paced by the instance's answers
+ */
+export const createTestPorts = (open: () => CommandChannel, timeoutMs: number, isPaced = false): RunnerPorts => {
+    const directory = ServiceDirectory.create(
+        (_entry, pacing) => InstancePool.create({ nowMs, open, onOpenFailed: () => {}, onLost: () => {}, pacing }),
+        () => isPaced ? { nowMs, random } : undefined,
     );
     const route = {
         database: TEST_DATABASE,
@@ -34,8 +42,8 @@
     });
     return {
         directory,
-        nowMs: () => performance.now(),
-        random: () => 1 / 2,
+        nowMs,
+        random,
         detectSuspensions: () => 0,
         distanceTo: () => Distance.SameDomain,
         onInstanceSuspected: () => {},
