Look at a session again whose key was removed while a statement arrived

Its caller could keep the connection: the session was idle when the removal came, so no timer was set, and a statement that arrived at that moment kept it from ending.

--- a/packages/process/statement-runner/src/SessionRunner.ts
+++ b/packages/process/statement-runner/src/SessionRunner.ts
@@ -1,4 +1,4 @@
-import { identifyCaller, NO_TEAM } from "@pomeloturn/authenticate-caller/identifyCaller";
+import { identifyCaller } from "@pomeloturn/authenticate-caller/identifyCaller";
 import { ResultCode } from "@pomeloturn/errors/ResultCode";
 import { newestSampleAgeMs } from "@pomeloturn/position-samples/PositionSamples";
 import type { ServiceRuntime } from "@pomeloturn/service-directory/ServiceRuntime";
@@ -10,21 +10,15 @@
 import type { RouteEntry } from "@pomeloturn/types/ServiceEntries";
 import { type Statement, StatementKind } from "@pomeloturn/types/Statement";
 import { toWriteResultCode } from "./decideRetry.ts";
-import { createOperation, extendSendDeadline, type Operation } from "./Operation.ts";
+import { createOperation, type Operation } from "./Operation.ts";
 import type { RunnerPorts } from "./RunnerPorts.ts";
 import { runRead } from "./runRead.ts";
 import { runWrite } from "./runWrite.ts";
-import { sleep } from "./timing.ts";
 import { Transaction } from "./Transaction.ts";
+import { waitForAllowance } from "./waitForAllowance.ts";
 
 const NO_INSTANCE_RETRY_AFTER_MS = 500;
 const DEFAULT_TRANSACTION_IDLE_MS = 3_000;
-/** Longest time to wait that a caller is told: a limit of 0 never has room, but a newer configuration may raise it. */
-const MAXIMUM_RETRY_AFTER_MS = 60_000;
-
-/** Longest wait for a team's allowance, as shares of the statement's time limit and of the operation's target latency. */
-const ALLOWANCE_WAIT_SHARE = 0.3;
-const ALLOWANCE_WAIT_TARGET_SHARE = 0.5;
 
 const SHUTDOWN_DETAIL = "the proxy is shutting down";
 
@@ -197,22 +191,10 @@
 
     /** Asks for one operation of the team's allowance, unless the operation has begun. @returns the refusal, if any */
     private async refuseBeyondAllowance(operation: Operation): Promise<CallerReply | undefined> {
-        const { takeAllowance } = this.ports;
-        if (takeAllowance === undefined || operation.identity === NO_TEAM || this.transaction?.hasBegun === true) {
-            return undefined;
-        }
-        const { timeoutMs, targetLatencyMs } = operation.route;
-        const maximumWaitMs = Math.min(ALLOWANCE_WAIT_SHARE * timeoutMs, ALLOWANCE_WAIT_TARGET_SHARE * targetLatencyMs);
-        const decision = await takeAllowance(operation.identity, maximumWaitMs);
-        if (!decision.isGranted) {
-            const retryAfterMs = Math.min(decision.retryAfterMs, MAXIMUM_RETRY_AFTER_MS);
-            return createErrorReply(ResultCode.AllowanceExhausted, operation.identity, this.state.status, retryAfterMs);
-        }
-        if (decision.waitMs > 0) {
-            await sleep(decision.waitMs);
-        }
-        extendSendDeadline(operation, this.ports.nowMs());
-        return undefined;
+        const retryAfterMs = this.transaction?.hasBegun === true ? undefined : await waitForAllowance(operation, this.ports);
+        return retryAfterMs === undefined
+            ? undefined
+            : createErrorReply(ResultCode.AllowanceExhausted, operation.identity, this.state.status, retryAfterMs);
     }
 
     private async runAtInstance(
--- a/packages/process/statement-runner/src/support/createTestPorts.ts
+++ b/packages/process/statement-runner/src/support/createTestPorts.ts
@@ -13,8 +13,13 @@
     readonly version?: number;
     readonly connectionLimit?: number;
     readonly teams?: TeamTable;
+    /** Whether statements are paced by the instance's answers. */
+    readonly isPaced?: boolean;
 }
 
+const nowMs = (): number => performance.now();
+const random = (): number => 1 / 2;
+
 /** Creates the configuration of the tests: one route to the primary of one service. */
 export const createTestRoutes = (timeoutMs: number, { version = 1, connectionLimit = 1, teams }: TestRouteOptions = {}): RouteTable => {
     const route = {
@@ -32,8 +37,9 @@
 
 /** Creates the dependencies of a runner with one primary and, unless the options say otherwise, a single connection, whose channels the test opens. */
 export const createTestPorts = (open: () => CommandChannel, timeoutMs: number, options: TestRouteOptions = {}): RunnerPorts => {
-    const directory = ServiceDirectory.create(() =>
-        InstancePool.create({ nowMs: () => performance.now(), open, onOpenFailed: () => {}, onLost: () => {} })
+    const directory = ServiceDirectory.create(
+        (_entry, pacing) => InstancePool.create({ nowMs, open, onOpenFailed: () => {}, onLost: () => {}, pacing }),
+        () => options.isPaced === true ? { nowMs, random } : undefined,
     );
     directory.applyRoutes(createTestRoutes(timeoutMs, options));
     const instance = { id: "i-1", service: "ledger", host: "127.0.0.1", port: 1, failureDomain: "domain", slots: 2 };
@@ -47,8 +53,8 @@
     });
     return {
         directory,
-        nowMs: () => performance.now(),
-        random: () => 1 / 2,
+        nowMs,
+        random,
         detectSuspensions: () => 0,
         distanceTo: () => Distance.SameDomain,
         onInstanceSuspected: () => {},
--- a/programs/entry/src/CallerSession.ts
+++ b/programs/entry/src/CallerSession.ts
@@ -158,10 +158,11 @@
             clearTimeout(this.expiryTimer);
             this.expiryTimer = undefined;
         }
-        else if (this.activity === SessionActivity.Idle) {
-            this.endIfIdle();
-        }
         else {
+            if (this.activity === SessionActivity.Idle) {
+                this.endIfIdle();
+            }
+            // A statement that arrives at this moment keeps the session from ending, so it is looked at again.
             this.expiryTimer ??= setTimeout(() => {
                 this.expiryTimer = undefined;
                 if (!runner.isAuthenticated) {
--- a/programs/entry/src/TeamAllowances.ts
+++ b/programs/entry/src/TeamAllowances.ts
@@ -6,16 +6,6 @@
 import { type AllowanceSettings, type PlatformSettings, splitAddress } from "@pomeloturn/platform/PlatformSettings";
 import type { TeamTable } from "@pomeloturn/types/Teams";
 
-/** Clock, random source and outputs of `TeamAllowances`. */
-export interface TeamAllowancesOptions {
-    readonly settings: PlatformSettings;
-    readonly bounds: AllowanceSettings;
-    readonly nowMs: () => number;
-    readonly random: () => number;
-    readonly counters: Counters;
-    readonly logger: ProcessLogger;
-}
-
 /** Limits the operations of teams to their allowances, together with the other VMs. Its datagrams use the relay's port. */
 export class TeamAllowances {
     private readonly exchange: AllowanceExchange;
@@ -23,7 +13,7 @@
 
     private readonly recorders: Readonly<Record<AllowanceEvent, (team: string) => void>>;
 
-    private constructor({ settings, bounds, nowMs, random, counters, logger }: TeamAllowancesOptions) {
+    private constructor(settings: PlatformSettings, bounds: AllowanceSettings, counters: Counters, logger: ProcessLogger) {
         this.recorders = {
             [AllowanceEvent.Granted]: () => {
                 counters.add("allowance_granted");
@@ -46,8 +36,8 @@
             region: settings.regions[settings.failureDomain] ?? "",
             bounds,
             contactMs: settings.contactMs,
-            nowMs,
-            random,
+            nowMs: () => performance.now(),
+            random: Math.random,
             send: (address, text) => this.socket.send(address, text),
             onEvent: (event, team) => this.recorders[event](team),
         });
@@ -55,8 +45,10 @@
         this.socket = AllowanceSocket.create(splitAddress(settings.relayAddress), receive, logger);
     }
 
-    static create(options: TeamAllowancesOptions): TeamAllowances {
-        return new TeamAllowances(options);
+    /** @returns undefined where the settings state no bounds for allowances */
+    static create(settings: PlatformSettings, counters: Counters, logger: ProcessLogger): TeamAllowances | undefined {
+        const { allowance } = settings;
+        return allowance === undefined ? undefined : new TeamAllowances(settings, allowance, counters, logger);
     }
 
     take(team: string, maximumWaitMs: number): Promise<AllowanceOutcome> {
