Count second attempts of a team's read against its allowance

A read that was repeated after a loss or a failure, or hedged because it was slow, ran a second time at an instance under one operation of its team's allowance, so callers together could pass the bound of the team.

Each attempt that may run takes an operation now. One that was not sent or certainly not run (BUSY, LAGGING, READONLY) leaves its operation to the next. A refused second attempt is skipped: the first one goes on, or its result is returned at once, with the reason in the log line. The answer of the first attempt does not wait for the allowance of the second.

--- a/packages/process/statement-runner/src/decideRetry.ts
+++ b/packages/process/statement-runner/src/decideRetry.ts
@@ -18,6 +18,9 @@
     ResultCode.NotPrimary,
 ]);
 
+/** Whether the reply guarantees that its statement did not run. */
+export const isCertainlyNotRun = ({ code }: InstanceReply): boolean => NOT_RUN_CODES.has(code);
+
 /** Result codes of a read that another attempt would not change. */
 const FINAL_READ_CODES: ReadonlySet<number> = new Set<number>([ResultCode.Ok, ResultCode.MalformedMessage]);
 
--- a/packages/process/statement-runner/src/runRead.ts
+++ b/packages/process/statement-runner/src/runRead.ts
@@ -11,8 +11,9 @@
 import type { LogPosition } from "@pomeloturn/types/LogPosition";
 import { Freshness } from "@pomeloturn/types/ServiceEntries";
 import { attemptPrimaryRead, attemptRead } from "./attemptRead.ts";
-import { decideReadRetry, RetryDecision } from "./decideRetry.ts";
+import { decideReadRetry, isCertainlyNotRun, RetryDecision } from "./decideRetry.ts";
 import { type Operation, sendTimeLeftMs } from "./Operation.ts";
+import { ReadAllowance } from "./ReadAllowance.ts";
 import type { RunnerPorts } from "./RunnerPorts.ts";
 import { renewSamples, sampleLeader } from "./sampleLeader.ts";
 import { sleep } from "./timing.ts";
@@ -108,20 +109,23 @@
     private readonly excluded = new Set<string>();
     private lastResultCode: number = ResultCode.NoInstance;
     private wasSent = false;
+    private readonly allowance: ReadAllowance;
 
-    constructor(private readonly operation: Operation, private readonly ports: RunnerPorts) {}
+    constructor(private readonly operation: Operation, private readonly ports: RunnerPorts) {
+        this.allowance = ReadAllowance.create(operation, ports);
+    }
 
     async run(): Promise<InstanceReply | CallerReply> {
         const { operation, ports } = this;
         depositHedge(operation.service.hedgeBudget);
         while (!this.isFinished()) {
-            if (this.pending.size < 2 && operation.attempts < MAXIMUM_ATTEMPTS) {
+            if (this.canStartAttempt) {
                 await this.startAttempt();
             }
             if (this.pending.size === 0) {
                 continue;
             }
-            const isHedged = this.pending.size > 1 || operation.attempts >= MAXIMUM_ATTEMPTS;
+            const isHedged = !this.canStartAttempt;
             const remainingMs = operation.deadlineAtMs - ports.nowMs();
             const finished = await withTimeout(
                 Promise.race(this.pending.values()),
@@ -138,7 +142,12 @@
     private isFinished(): boolean {
         const nowMs = this.ports.nowMs();
         const { deadlineAtMs, sendDeadlineAtMs, attempts, isDone } = this.operation;
-        return isDone || nowMs >= deadlineAtMs || (this.pending.size === 0 && (nowMs >= sendDeadlineAtMs || attempts >= MAXIMUM_ATTEMPTS));
+        const canStart = nowMs < sendDeadlineAtMs && attempts < MAXIMUM_ATTEMPTS && !this.allowance.isExhausted;
+        return isDone || nowMs >= deadlineAtMs || (this.pending.size === 0 && !canStart);
+    }
+
+    private get canStartAttempt(): boolean {
+        return this.pending.size < 2 && this.operation.attempts < MAXIMUM_ATTEMPTS && !this.allowance.isExhausted;
     }
 
     private hedgeDelayMs(): number {
@@ -149,13 +158,15 @@
     /** Starts an attempt. Without an available instance and without a pending attempt, waits briefly for a change of the primary. */
     private async startAttempt(): Promise<void> {
         const { operation, ports } = this;
-        const attempt = operation.route.freshness === Freshness.Primary ? this.startAtLeader() : await this.startAtChosenInstance();
+        const starting = operation.route.freshness === Freshness.Primary ? this.startAtLeader() : this.startAtChosenInstance();
+        const attempt = await starting;
         if (attempt !== undefined) {
+            this.allowance.spend();
             operation.attempts++;
             operation.instance = attempt.instance?.entry.id ?? "";
             this.pending.set(attempt, attempt.reply.then(() => attempt));
         }
-        else if (this.pending.size === 0) {
+        else if (this.pending.size === 0 && !this.allowance.isExhausted) {
             this.excluded.clear();
             await operation.service.waitForChange(Math.min(RETRY_PAUSE_MS * 2, sendTimeLeftMs(operation, ports.nowMs())));
         }
@@ -167,13 +178,21 @@
         return this.pending.size > 0 && instance.pool.estimateWaitMs(route.rank) > 0 && !takeHedge(service.hedgeBudget);
     }
 
-    private startAtLeader(): Attempt | undefined {
+    /** Asks for an operation of the allowance if the attempt needs one. Does not wait for it beyond the answer of a pending attempt. */
+    private async isAllowed(): Promise<boolean> {
+        const remainingMs = this.operation.deadlineAtMs - this.ports.nowMs();
+        return await withTimeout(Promise.race([this.allowance.request(), ...this.pending.values()]), remainingMs) === true;
+    }
+
+    /** Starts at once unless the attempt needs an operation of the allowance, so that the read keeps its place among others. */
+    private startAtLeader(): Promise<Attempt | undefined> | Attempt | undefined {
         const { operation, ports } = this;
         const instance = operation.service.leader;
         if (instance === undefined || instance.pool.isUnreachable || this.isHeldBack(instance)) {
             return undefined;
         }
-        return { instance, reply: attemptPrimaryRead(operation, this.connectionWaitMs(), ports) };
+        const start = (): Attempt => ({ instance, reply: attemptPrimaryRead(operation, this.connectionWaitMs(), ports) });
+        return this.allowance.isGranted ? start() : this.isAllowed().then(isAllowed => isAllowed ? start() : undefined);
     }
 
     private async startAtChosenInstance(): Promise<Attempt | undefined> {
@@ -183,7 +202,7 @@
             return undefined;
         }
         const { instance, requirement } = found;
-        if (this.isHeldBack(instance)) {
+        if (this.isHeldBack(instance) || !(this.allowance.isGranted || await this.isAllowed())) {
             return undefined;
         }
         this.excluded.add(instance.entry.id);
@@ -206,30 +225,35 @@
         if (reply === undefined) {
             // Nothing was sent, so the attempt does not count.
             this.operation.attempts--;
+            this.allowance.giveBack();
             await sleep(RETRY_PAUSE_MS);
             return undefined;
         }
         if (decideReadRetry(reply) === RetryDecision.Return) {
             return reply;
         }
+        if (isCertainlyNotRun(reply)) {
+            this.allowance.giveBack();
+        }
         this.wasSent ||= reply.code === ResultCode.BackendLost;
         this.lastResultCode = reply.code;
         return undefined;
     }
 
     private refuse(): CallerReply {
-        const { session } = this.operation;
+        const { session, service, identity } = this.operation;
+        const reason = this.allowance.isExhausted ? `; not repeated, as the allowance of team ${identity} is used up` : "";
         if (this.pending.size > 0 || this.wasSent) {
             return createErrorReply(
                 ResultCode.DeadlineWhileRunning,
-                `no instance of service ${this.operation.service.name} answered in time; attempts: ${this.operation.attempts}`,
+                `no instance of service ${service.name} answered in time; attempts: ${this.operation.attempts}${reason}`,
                 session.status,
             );
         }
         const code = this.lastResultCode === ResultCode.StatementFailed ? ResultCode.StatementFailed : ResultCode.NoInstance;
         return createErrorReply(
             code,
-            `no instance of service ${this.operation.service.name} served the read; last result ${this.lastResultCode}`,
+            `no instance of service ${service.name} served the read; last result ${this.lastResultCode}${reason}`,
             session.status,
             this.operation.retryAfterMs ?? RETRY_AFTER_MS,
         );
--- a/packages/process/statement-runner/src/support/ScriptedInstance.ts
+++ b/packages/process/statement-runner/src/support/ScriptedInstance.ts
@@ -16,6 +16,8 @@
     /** Ids of the callers' statements, in order of arrival. */
     readonly statementIds: string[] = [];
     rollbackCount = 0;
+    /** Number of the next BEGINs that are refused as overloaded. */
+    refusedBeginCount = 0;
     /** Answer to a statement. @param count number of statements with this id that have arrived */
     answerStatement: (id: string, count: number) => ScriptedAnswer = () => ({});
 
@@ -54,6 +56,10 @@
     }
 
     private chooseAnswer(command: InstanceCommand): ScriptedAnswer {
+        if (command.kind === CommandKind.Begin && this.refusedBeginCount > 0) {
+            this.refusedBeginCount--;
+            return { code: ResultCode.QueueFull };
+        }
         if (command.kind !== CommandKind.Forward) {
             return {};
         }
--- a/packages/process/statement-runner/src/teamOperations.test.ts
+++ b/packages/process/statement-runner/src/teamOperations.test.ts
@@ -208,3 +208,92 @@
         expect(await run(runner, "next", StatementKind.Write)).toMatchObject({ code: ResultCode.Ok, status: TransactionStatus.Open });
     });
 });
+
+describe("second attempts of a read", () => {
+    const NOT_RUN_CODES = [ResultCode.QueueFull, ResultCode.ReplicaBehind, ResultCode.NotPrimary];
+    const RUN_CODES = [ResultCode.BackendLost, ResultCode.StatementFailed, ResultCode.DeadlineWhileRunning];
+
+    const answerFirstWith = (code: number): void => {
+        instance.answerStatement = (_id, count) => count === 1 ? { code } : {};
+    };
+
+    it.each(RUN_CODES)("a read that may have run (result %i) is repeated without an operation of the allowance", async code => {
+        answerFirstWith(code);
+        const reply = createRunner().run(createStatement("read", StatementKind.Read));
+        await vi.advanceTimersByTimeAsync(TIMEOUT_MS);
+        expect((await reply).code).toBe(ResultCode.Ok);
+        expect(instance.statementIds).toEqual(["read", "read"]);
+        expect(askedTeams).toEqual(["falcon", "falcon"]);
+    });
+
+    it.each([
+        [ResultCode.BackendLost, ResultCode.DeadlineWhileRunning],
+        [ResultCode.StatementFailed, ResultCode.StatementFailed],
+    ])("a read that may have run (result %i) is repeated although the allowance was refused", async (code, expected) => {
+        answerFirstWith(code);
+        decide = count => count === 1 ? GRANTED : REFUSED;
+        const startedAtMs = performance.now();
+        let answeredAtMs = Infinity;
+        const reply = createRunner().run(createStatement("read", StatementKind.Read));
+        void reply.then(() => answeredAtMs = performance.now());
+        await vi.advanceTimersByTimeAsync(TIMEOUT_MS);
+        expect((await reply).code).toBe(expected);
+        expect(instance.statementIds).toEqual(["read"]);
+        expect(askedTeams).toEqual(["falcon", "falcon"]);
+        // The refusal ends the read; its caller does not wait for the limit of the route.
+        expect(answeredAtMs - startedAtMs).toBeLessThan(200);
+    });
+
+    it.each(NOT_RUN_CODES)("a read that certainly did not run (result %i) takes a further operation", async code => {
+        answerFirstWith(code);
+        decide = count => count === 1 ? GRANTED : REFUSED;
+        const reply = createRunner().run(createStatement("read", StatementKind.Read));
+        await vi.advanceTimersByTimeAsync(TIMEOUT_MS);
+        await reply;
+        expect(askedTeams).toEqual(["falcon"]);
+    });
+
+    it("a read whose BEGIN was refused takes a further operation", async () => {
+        instance.refusedBeginCount = 1;
+        const reply = createRunner().run(createStatement("read", StatementKind.Read));
+        await vi.advanceTimersByTimeAsync(TIMEOUT_MS);
+        expect((await reply).code).toBe(ResultCode.Ok);
+        expect(instance.statementIds).toEqual(["read"]);
+        expect(askedTeams).toEqual(["falcon"]);
+    });
+
+    describe("while the first one is slow", () => {
+        const FIRST_MS = 600;
+
+        beforeEach(() => {
+            const routes = createTestRoutes(TIMEOUT_MS, { version: 2, connectionLimit: 2, teams: createTeams([[KEY, "falcon"]]) });
+            ports.directory.applyRoutes(routes);
+            instance.answerStatement = (_id, count) => count === 1 ? { delayMs: FIRST_MS } : {};
+        });
+
+        it.each([
+            { name: "granted", sentCount: 2, second: GRANTED },
+            { name: "refused", sentCount: 1, second: REFUSED },
+        ])("a read whose second operation is $name does not send $sentCount attempts", async ({ sentCount, second }) => {
+            decide = count => count === 1 ? GRANTED : second;
+            const reply = createRunner().run(createStatement("read", StatementKind.Read));
+            await vi.advanceTimersByTimeAsync(FIRST_MS - 50);
+            expect(instance.statementIds.length).toBe(sentCount);
+            await vi.advanceTimersByTimeAsync(TIMEOUT_MS);
+            expect((await reply).code).toBe(ResultCode.Ok);
+            expect(instance.statementIds.length).toBe(sentCount);
+            expect(askedTeams).toEqual(["falcon", "falcon"]);
+        });
+
+        it("the first answer waits for the allowance of a second attempt", async () => {
+            decide = count => count === 1 ? GRANTED : new Promise(() => {});
+            const startedAtMs = performance.now();
+            let answeredAtMs = Infinity;
+            const reply = createRunner().run(createStatement("read", StatementKind.Read));
+            void reply.then(() => answeredAtMs = performance.now());
+            await vi.advanceTimersByTimeAsync(TIMEOUT_MS);
+            expect(answeredAtMs - startedAtMs).toBeLessThan(FIRST_MS + 50);
+            expect(instance.statementIds).toEqual(["read"]);
+        });
+    });
+});
