--- a/packages/request/server-pace/src/ServerPace.ts
+++ b/packages/request/server-pace/src/ServerPace.ts
@@ -51,7 +51,7 @@
 const ADDITIVE_STEP = 0.25;
 /** Statements take 3 to 20 ms, so an answer is late only well beyond the spread of their own times. */
 const LATE_FACTOR = 4;
-/** About the time of a full queue (32 attempts of 23.5 ms at 4 slots: 188 ms). With 40 to 140 ms more operations were late in a cold phase. */
+/** About the time of a full queue (32 attempts of 23.5 ms at 4 slots: 188 ms). With 40 to 140 ms more were late after a restart. */
 const LATE_MARGIN_MS = 200;
 const BEST_LATENCY_PERIOD_MS = 5_000;
 /** On-time answers after which the window no longer limits; the fixed backoff of `pace-attempts` ends after as many. */
