--- a/packages/process/statement-runner/src/ReadAllowance.ts
+++ b/packages/process/statement-runner/src/ReadAllowance.ts
@@ -49,7 +49,7 @@
     }
 
     private async ask(takeAllowance: NonNullable<RunnerPorts["takeAllowance"]>): Promise<boolean> {
-        const { isGranted } = await takeAllowance(this.operation.identity);
+        const { isGranted } = await takeAllowance(this.operation.identity, 0);
         this.pendingRequest = undefined;
         this.grantedCount += isGranted ? 1 : 0;
         this.isRefused = !isGranted;
