Test what misbehaving callers do to the process

Operators saw processes end for lack of memory when callers sent large or unfinished messages. These tests start the built program with the options of deploy/system.toml, a heap of 40 MB, memoryMb 128 and descriptorLimit 600 (the two settings have no effect yet), and check that it lives, stays under 128 MB resident and 400 descriptors, and answers a write afterwards.

--- a/tests/entry/support/EntryProcess.ts
+++ b/tests/entry/support/EntryProcess.ts
@@ -20,6 +20,12 @@
     readonly shutdownGraceS?: number;
     readonly areFencesChecked?: boolean;
     readonly isFirstStart?: boolean;
+    /** Memory of the process's machine, in MB. */
+    readonly memoryMb?: number;
+    /** Open descriptors that the process may have. */
+    readonly descriptorLimit?: number;
+    /** Options of Node.js; by default none. */
+    readonly nodeOptions?: readonly string[];
 }
 
 const isReady = (port: number): Promise<boolean> =>
@@ -39,7 +45,7 @@
     static async spawn(
         { vm, storeAddress, ordersAddress = `${HOST}:9`, contactMs = 5_000, shutdownGraceS = 3, ...flags }: EntryProcessOptions,
     ): Promise<EntryProcess> {
-        const { areFencesChecked = true, isFirstStart = false } = flags;
+        const { areFencesChecked = true, isFirstStart = false, nodeOptions = [], memoryMb, descriptorLimit } = flags;
         const ports = await findPorts(4);
         const [callerAddress, readinessAddress, metricsAddress, relayAddress] = ports.map(port => `${HOST}:${port}`);
         const folder = mkdtempSync(join(tmpdir(), "entry-"));
@@ -48,10 +54,11 @@
             ...{ vm, failureDomain: "north-a", regions: { "north-a": "north" }, storeAddress, ordersAddress },
             ...{ callerAddress, readinessAddress, metricsAddress, relayAddress },
             ...{ shutdownGraceS, contactMs, reportIntervalMs: REPORT_INTERVAL_MS, isFirstStart, areFencesChecked },
+            ...{ memoryMb, descriptorLimit },
         };
         writeFileSync(file, JSON.stringify(settings));
         const env = { PATH: process.env["PATH"], ...createSettingsEnvironment(file) };
-        const child = spawn(process.execPath, ["target/entry.cjs"], { env, stdio: ["ignore", logTarget(), "inherit"] });
+        const child = spawn(process.execPath, [...nodeOptions, "target/entry.cjs"], { env, stdio: ["ignore", logTarget(), "inherit"] });
         return new EntryProcess(vm, ports[0]!, relayAddress!, child, ports[1]!, folder);
     }
 
