Bound what the process holds for its callers

Callers saw their connections reset because a process had ended for lack of memory: 300 callers with messages of 1 MB, or sessions with large settings, were enough with a heap of 40 MB.

Received bytes are kept as buffers in the session and decoded one message at a time; until now each chunk was decoded at once, and each piece of a long line copied what had come before. The time is now linear in the bytes. `caller-limits` bounds all bytes held for callers (10% of the machine's memory) and their connections (75% of the descriptors less 200): near the bound reading stops from those that hold much, and the largest holders are closed first. Messages that are not finished in 15 s and answers that are not read in 30 s end the connection. A session also no longer keeps its last statement, nor the message around a setting that it has stored.

The two tests of the session pass a guard to the listener; nothing else in them changed.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -56,6 +56,7 @@
     "packages/process/assign-holders/**/*.ts",
     "packages/process/drain/**/*.ts",
     "packages/connection/statement-session/**/*.ts",
+    "packages/connection/caller-limits/**/*.ts",
     "packages/connection/instance-pool/src/PoolState.ts",
 ];
 
--- a/packages/connection/statement-session/src/SessionState.ts
+++ b/packages/connection/statement-session/src/SessionState.ts
@@ -23,3 +23,10 @@
     storedLength: 0,
     status: TransactionStatus.Idle,
 });
+
+/** Memory of an entry of a map besides its characters. */
+const ENTRY_BYTES = 128;
+
+/** @returns the memory that the state takes, in bytes */
+export const measureStored = ({ database, settings, preparedStatements, storedLength }: SessionState): number =>
+    database.length + storedLength + ENTRY_BYTES * (settings.size + preparedStatements.size);
--- a/packages/connection/statement-session/src/answerLocally.ts
+++ b/packages/connection/statement-session/src/answerLocally.ts
@@ -35,6 +35,9 @@
 
 const lengthOf = (name: string, value: string | undefined): number => value === undefined ? 0 : name.length + value.length;
 
+/** Copies a part of a message, which would otherwise keep the memory of the whole message. */
+const detach = (text: string): string => Buffer.from(text, "latin1").toString("latin1");
+
 /** Replaces a setting or a prepared statement, unless the session would then hold too much. */
 const store = (session: SessionState, oldLength: number, newLength: number, apply: () => void): CallerReply => {
     const storedLength = session.storedLength - oldLength + newLength;
@@ -49,14 +52,19 @@
 
 const localHandlers: Readonly<Partial<Record<StatementKind, LocalHandler>>> = {
     set: (session, { name, argument }) =>
-        store(session, lengthOf(name, session.settings.get(name)), lengthOf(name, argument), () => session.settings.set(name, argument)),
+        store(
+            session,
+            lengthOf(name, session.settings.get(name)),
+            lengthOf(name, argument),
+            () => session.settings.set(detach(name), detach(argument)),
+        ),
     prepare: (session, { name, argument, isWrite }) => {
         const known = session.preparedStatements.get(name);
         return store(
             session,
             lengthOf(name, known?.shape),
             lengthOf(name, argument),
-            () => session.preparedStatements.set(name, { isWrite, shape: argument }),
+            () => session.preparedStatements.set(detach(name), { isWrite, shape: detach(argument) }),
         );
     },
     close: (session, { name }) =>
@@ -67,6 +75,8 @@
 
 /** Maximum length of statement text quoted in an error. */
 const MAXIMUM_DETAIL_CHARACTERS = 60;
+/** Maximum length of a name quoted in an error. */
+const MAXIMUM_NAME_CHARACTERS = 200;
 
 const TRANSACTION_END_KINDS: ReadonlySet<StatementKind> = new Set<StatementKind>([StatementKind.Commit, StatementKind.Rollback]);
 
@@ -95,7 +105,7 @@
         return createErrorReply(ResultCode.MalformedMessage, "COMMIT or ROLLBACK is not allowed, no transaction is open", status);
     }
     if (kind === StatementKind.Execute && !preparedStatements.has(name)) {
-        return createErrorReply(ResultCode.UnknownPreparedStatement, name, status);
+        return createErrorReply(ResultCode.UnknownPreparedStatement, name.slice(0, MAXIMUM_NAME_CHARACTERS), status);
     }
     return undefined;
 };
--- a/packages/process/statement-runner/src/SessionRunner.ts
+++ b/packages/process/statement-runner/src/SessionRunner.ts
@@ -3,7 +3,7 @@
 import { newestSampleAgeMs } from "@pomeloturn/position-samples/PositionSamples";
 import type { ServiceRuntime } from "@pomeloturn/service-directory/ServiceRuntime";
 import { answerLocally, createErrorReply, createSuccessReply } from "@pomeloturn/statement-session/answerLocally";
-import { createSession, type SessionState } from "@pomeloturn/statement-session/SessionState";
+import { createSession, measureStored, type SessionState } from "@pomeloturn/statement-session/SessionState";
 import type { CallerReply } from "@pomeloturn/types/CallerMessage";
 import type { InstanceReply } from "@pomeloturn/types/InstanceCommand";
 import { TransactionStatus } from "@pomeloturn/types/Request";
@@ -74,6 +74,11 @@
         }
     }
 
+    /** Memory that the session takes until it ends. */
+    get storedBytes(): number {
+        return this.key.length + measureStored(this.state);
+    }
+
     /** Whether no transaction is open. */
     get isIdle(): boolean {
         return this.state.status === TransactionStatus.Idle;
@@ -124,6 +129,8 @@
     async run(statement: Statement): Promise<CallerReply> {
         clearTimeout(this.idleTimer);
         const reply = answerLocally(this.state, statement) ?? await this.dispatch(statement);
+        // An answered statement of 1 MiB would otherwise be kept until the next one.
+        this.operation = undefined;
         if (this.transaction !== undefined && this.state.status === TransactionStatus.Open && !this.isClosed) {
             this.idleTimer = setTimeout(
                 () => this.failIdleTransaction(),
--- a/packages/shared/types/src/Protocols.ts
+++ b/packages/shared/types/src/Protocols.ts
@@ -16,9 +16,26 @@
     readonly hasPartialMessage: boolean;
 }
 
+/** Decodes a byte stream into messages one at a time. What has not been taken is kept as bytes. */
+export interface BufferedDecoder<Message> extends Decoder<Message> {
+    /** Memory in which received bytes are kept. */
+    readonly heldBytes: number;
+    /** Size of the next message, if it is complete. */
+    readonly nextMessageBytes: number | undefined;
+    /** Adds received bytes. */
+    add(chunk: Buffer): void;
+    /**
+     * @returns the next message, if it is complete
+     * @throws PomeloturnError when the bytes violate the protocol
+     */
+    take(): Message | undefined;
+    /** Drops all bytes. */
+    clear(): void;
+}
+
 /** Wire protocol between callers and the proxy. */
 export interface CallerProtocol {
-    createDecoder(): Decoder<CallerMessage>;
+    createDecoder(): BufferedDecoder<CallerMessage>;
     encodeGreeting(): string;
     encodeReply(reply: CallerReply): string;
     /** Encodes an error after which the connection is closed. */
--- a/programs/entry/src/CallerListener.ts
+++ b/programs/entry/src/CallerListener.ts
@@ -5,6 +5,7 @@
 import type { CallerProtocol } from "@pomeloturn/types/Protocols";
 import { once } from "node:events";
 import { type AddressInfo, createServer, type Server } from "node:net";
+import type { CallerGuard } from "./CallerGuard.ts";
 import { CallerSession, type StatementGate } from "./CallerSession.ts";
 
 const BACKLOG = 1_024;
@@ -14,9 +15,14 @@
     readonly sessions = new Set<CallerSession>();
     private readonly server: Server;
 
-    private constructor(protocol: CallerProtocol, ports: RunnerPorts, gate: StatementGate) {
+    private constructor(protocol: CallerProtocol, ports: RunnerPorts, gate: StatementGate, guard: CallerGuard) {
         this.server = createServer({ allowHalfOpen: true, ...KEEP_ALIVE_OPTIONS }, socket => {
-            this.sessions.add(CallerSession.create(socket, protocol, ports, gate, session => this.sessions.delete(session)));
+            if (guard.tryAccept()) {
+                this.sessions.add(CallerSession.create(socket, protocol, ports, gate, guard, session => this.sessions.delete(session)));
+            }
+            else {
+                socket.destroy();
+            }
         });
     }
 
@@ -27,8 +33,9 @@
         ports: RunnerPorts,
         gate: StatementGate,
         onError: (error: Error) => void,
+        guard: CallerGuard,
     ): CallerListener {
-        const listener = new CallerListener(protocol, ports, gate);
+        const listener = new CallerListener(protocol, ports, gate, guard);
         listenUntilBound(listener.server, { ...address, backlog: BACKLOG }, onError);
         return listener;
     }
--- a/programs/entry/src/CallerSession.ts
+++ b/programs/entry/src/CallerSession.ts
@@ -1,11 +1,12 @@
 import { type DrainedStatement, StatementDecision } from "@pomeloturn/drain/decideStatement";
-import type { PomeloturnError } from "@pomeloturn/errors/PomeloturnError";
 import { ResultCode } from "@pomeloturn/errors/ResultCode";
 import type { RunnerPorts } from "@pomeloturn/statement-runner/RunnerPorts";
 import { SessionRunner } from "@pomeloturn/statement-runner/SessionRunner";
 import type { CallerMessage, CallerReply } from "@pomeloturn/types/CallerMessage";
-import type { CallerProtocol, Decoder } from "@pomeloturn/types/Protocols";
+import type { CallerProtocol } from "@pomeloturn/types/Protocols";
 import type { Socket } from "node:net";
+import type { CallerGuard } from "./CallerGuard.ts";
+import { CallerInput, type InputSession } from "./CallerInput.ts";
 
 /** Time after the end of a session at which its connection is closed although its caller has not closed it. */
 const LINGER_MS = 5_000;
@@ -13,9 +14,8 @@
 /** Time after the removal of a key for which an open transaction of its caller may go on. */
 const REMOVED_KEY_TRANSACTION_MS = 2_000;
 
-/** Number and size of waiting messages above which the session stops reading from its caller. */
-const MAXIMUM_WAITING_MESSAGES = 64;
-const MAXIMUM_WAITING_BYTES = 262_144;
+/** Longest part of a caller's text that is repeated in an error. */
+const MAXIMUM_DETAIL_CHARACTERS = 200;
 
 /** Decides whether a statement is run while the process shuts down. */
 export interface StatementGate {
@@ -35,24 +35,19 @@
 export type SessionActivity = typeof SessionActivity[keyof typeof SessionActivity];
 
 /** Connection of one caller. Decodes its messages and replies to them in order. */
-export class CallerSession {
-    private readonly decoder: Decoder<CallerMessage>;
-    private readonly waitingMessages: CallerMessage[] = [];
+export class CallerSession implements InputSession {
+    private readonly input: CallerInput;
     private runner: SessionRunner | undefined;
-    /** Bytes that were received since the last message was taken from an empty queue. */
-    private waitingBytes = 0;
-    private isBusy = false;
+    isBusy = false;
     /** Whether a statement has been begun and not been answered. */
     private isAnswering = false;
-    private isEnded = false;
+    isEnded = false;
     private lingerTimer: NodeJS.Timeout | undefined;
     private expiryTimer: NodeJS.Timeout | undefined;
     /** When the last message was received or answered, in monotonic milliseconds. */
     private lastUsedAtMs: number;
     /** Whether the caller has closed its sending side. What it sent before is still answered. */
     private isInputEnded = false;
-    /** Error that ends the session once what was received before it is answered. */
-    private inputError: { readonly code: ResultCode; readonly detail: string; } | undefined;
     /** Whether the session ends once no message waits. */
     private isEnding = false;
     /** Number from 0 to 1 by which the sessions differ in the time at which a shutdown refuses their statements. */
@@ -70,9 +65,10 @@
         private readonly protocol: CallerProtocol,
         private readonly ports: RunnerPorts,
         private readonly gate: StatementGate,
+        guard: CallerGuard,
         private readonly onClosed: (session: CallerSession) => void,
     ) {
-        this.decoder = protocol.createDecoder();
+        this.input = CallerInput.create(socket, protocol.createDecoder(), guard, this);
         this.drainShare = ports.random();
         this.lastUsedAtMs = ports.nowMs();
     }
@@ -82,9 +78,10 @@
         protocol: CallerProtocol,
         ports: RunnerPorts,
         gate: StatementGate,
+        guard: CallerGuard,
         onClosed: (session: CallerSession) => void,
     ): CallerSession {
-        const session = new CallerSession(socket, protocol, ports, gate, onClosed);
+        const session = new CallerSession(socket, protocol, ports, gate, guard, onClosed);
         socket.setNoDelay(true);
         socket.on("data", chunk => session.receive(chunk));
         // The close event that follows ends the session.
@@ -98,7 +95,7 @@
         if (this.isEnded) {
             return SessionActivity.Ended;
         }
-        if (this.isBusy || this.waitingMessages.length > 0 || this.decoder.hasPartialMessage) {
+        if (this.isBusy || this.input.hasBytes) {
             return SessionActivity.Running;
         }
         return this.runner === undefined || this.runner.isIdle ? SessionActivity.Idle : SessionActivity.InTransaction;
@@ -111,7 +108,15 @@
 
     /** Size of the replies that the caller has not read yet, as far as this process holds them. */
     get unsentBytes(): number {
-        return this.socket.writableLength;
+        return this.input.unsentBytes;
+    }
+
+    get isStarted(): boolean {
+        return this.runner !== undefined;
+    }
+
+    get storedBytes(): number {
+        return this.runner?.storedBytes ?? 0;
     }
 
     /** When the open transaction began, in monotonic milliseconds; undefined when none is open. */
@@ -126,10 +131,10 @@
     end(): void {
         if (!this.isEnded) {
             this.isEnded = true;
-            this.waitingMessages.length = 0;
             this.socket.end();
             this.socket.resume();
             this.runner?.close();
+            this.input.clear();
             this.lingerTimer = setTimeout(() => this.socket.destroy(), LINGER_MS).unref();
         }
     }
@@ -139,6 +144,12 @@
         this.socket.destroy();
     }
 
+    /** Closes the connection at once, without regard to what was received. */
+    abort(): void {
+        this.isEnded = true;
+        this.socket.destroy();
+    }
+
     /** Ends the session unless bytes of another message have arrived by now. */
     endIfIdle(): void {
         setImmediate(() => {
@@ -179,9 +190,10 @@
         if (runner !== undefined && this.isAnswering) {
             this.reply(runner.abandon());
         }
-        const waiting = this.waitingMessages.splice(0).filter(({ kind }) => kind === "statement");
-        if (runner !== undefined) {
-            waiting.forEach(() => this.reply(runner.refuse()));
+        for (let message = this.input.take(); message !== undefined; message = this.input.take()) {
+            if (runner !== undefined && message.kind === "statement") {
+                this.reply(runner.refuse());
+            }
         }
         this.end();
     }
@@ -194,65 +206,46 @@
     }
 
     private receive(chunk: Buffer): void {
-        if (this.isEnded || this.inputError !== undefined) {
-            return;
-        }
-        try {
-            this.waitingMessages.push(...this.decoder.push(chunk));
-        }
-        catch (error) {
-            const code = (error as PomeloturnError).code as ResultCode | undefined;
-            this.inputError = { code: code ?? ResultCode.MalformedMessage, detail: (error as Error).message };
-        }
-        this.lastUsedAtMs = this.ports.nowMs();
-        this.waitingBytes += chunk.length;
-        if (this.waitingMessages.length > MAXIMUM_WAITING_MESSAGES || this.waitingBytes > MAXIMUM_WAITING_BYTES) {
-            this.socket.pause();
-        }
-        if (!this.isBusy) {
-            void this.processWaitingMessages();
+        this.input.add(chunk);
+        if (!this.isEnded) {
+            this.lastUsedAtMs = this.ports.nowMs();
+            if (!this.isBusy) {
+                void this.processWaitingMessages();
+            }
         }
     }
 
     private async processWaitingMessages(): Promise<void> {
         this.isBusy = true;
-        for (let message = this.waitingMessages.shift(); message !== undefined && !this.isEnded; message = this.waitingMessages.shift()) {
-            try {
-                await this.handlers[message.kind](message);
-            }
-            catch (error) {
-                this.ports.onUnexpectedError(error as Error);
-                this.closeWithError(ResultCode.OutcomeUnknown, "internal error in the proxy");
-            }
-            if (this.socket.writableNeedDrain) {
-                await this.waitUntilWritable();
+        while (!this.isEnded) {
+            const started = this.input.start();
+            const message = started instanceof Promise ? await started : started;
+            if (message === undefined) {
+                break;
             }
+            await this.handle(message);
+            await this.input.finish();
         }
         this.isBusy = false;
-        this.waitingBytes = 0;
         this.lastUsedAtMs = this.ports.nowMs();
-        if (this.inputError !== undefined) {
-            this.closeWithError(this.inputError.code, this.inputError.detail);
+        if (this.input.error !== undefined) {
+            this.closeWithError(this.input.error.code, this.input.error.detail);
         }
         if (this.isInputEnded || this.isEnding) {
             this.end();
         }
-        this.socket.resume();
+        this.input.update();
+        this.input.release();
     }
 
-    /** Resolves when the caller has read enough of its replies, or the connection is closed. */
-    private waitUntilWritable(): Promise<void> {
-        const { socket } = this;
-        socket.pause();
-        return new Promise(resolve => {
-            const finish = (): void => {
-                socket.off("drain", finish);
-                socket.off("close", finish);
-                resolve();
-            };
-            socket.on("drain", finish);
-            socket.on("close", finish);
-        });
+    private async handle(message: CallerMessage): Promise<void> {
+        try {
+            await this.handlers[message.kind](message);
+        }
+        catch (error) {
+            this.ports.onUnexpectedError(error as Error);
+            this.closeWithError(ResultCode.OutcomeUnknown, "internal error in the proxy");
+        }
     }
 
     private start({ database, key }: Extract<CallerMessage, { kind: "startup"; }>): void {
@@ -266,7 +259,7 @@
             this.closeWithError(ResultCode.NoInstance, "the proxy has not received a configuration yet");
         }
         else if (this.ports.directory.findRoute(database) === undefined) {
-            this.closeWithError(ResultCode.UnknownService, database);
+            this.closeWithError(ResultCode.UnknownService, database.slice(0, MAXIMUM_DETAIL_CHARACTERS));
         }
         else {
             const runner = SessionRunner.create(database, key, this.ports);
@@ -316,6 +309,8 @@
         clearTimeout(this.lingerTimer);
         clearTimeout(this.expiryTimer);
         this.runner?.close();
+        this.input.clear();
+        this.input.release();
         this.onClosed(this);
     }
 }
--- a/programs/entry/src/Entry.ts
+++ b/programs/entry/src/Entry.ts
@@ -27,6 +27,7 @@
 import { CallerListener } from "./CallerListener.ts";
 import type { StatementGate } from "./CallerSession.ts";
 import { chooseRelayedReadTimes } from "./chooseRelayedReadTimes.ts";
+import { createCallerGuard } from "./createCallerGuard.ts";
 import { DirectoryFeeds } from "./DirectoryFeeds.ts";
 import { EntryDrain } from "./EntryDrain.ts";
 import { EntryMetrics } from "./EntryMetrics.ts";
@@ -179,6 +180,7 @@
             this.ports,
             gate,
             onListenError("callers"),
+            createCallerGuard(settings, this.metrics, logger, this.ports.nowMs),
         );
         this.listener = listener;
         const isReady = (): boolean => !this.isDraining && directory.isServing && listener.isListening;
--- a/programs/entry/src/callerSession.test.ts
+++ b/programs/entry/src/callerSession.test.ts
@@ -5,6 +5,7 @@
 import { setTimeout as delay } from "node:timers/promises";
 import { afterEach, beforeEach, expect, it, vi } from "vitest";
 import { CallerListener } from "./CallerListener.ts";
+import { createTestGuard } from "./support/createTestGuard.ts";
 import { TestCaller } from "./support/TestCaller.ts";
 
 const TIMEOUT_MS = 600;
@@ -28,7 +29,14 @@
     const onError = (error: Error): void => {
         throw error;
     };
-    listener = CallerListener.create({ host: "127.0.0.1", port: 0 }, lineCallerProtocol, ports, { decide: () => "run" }, onError);
+    listener = CallerListener.create(
+        { host: "127.0.0.1", port: 0 },
+        lineCallerProtocol,
+        ports,
+        { decide: () => "run" },
+        onError,
+        createTestGuard(),
+    );
     port = await listener.listeningPort();
 });
 
--- a/programs/entry/src/shutdown.test.ts
+++ b/programs/entry/src/shutdown.test.ts
@@ -6,6 +6,7 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
 import { CallerListener } from "./CallerListener.ts";
 import { EntryDrain } from "./EntryDrain.ts";
+import { createTestGuard } from "./support/createTestGuard.ts";
 import { TestCaller } from "./support/TestCaller.ts";
 
 const HOST = "127.0.0.1";
@@ -38,7 +39,7 @@
         decide: statement => drain?.decide(statement) ?? "run",
     }, error => {
         throw error;
-    });
+    }, createTestGuard());
     port = await listener.listeningPort();
 });
 
