--- a/packages/connection/statement-session/src/session.test.ts
+++ b/packages/connection/statement-session/src/session.test.ts
@@ -3,7 +3,7 @@
 import { describe, expect, it } from "vitest";
 import { answerLocally } from "./answerLocally.ts";
 import { createConnectionState, synchronizeConnection } from "./ConnectionState.ts";
-import { createSession } from "./SessionState.ts";
+import { createSession, measureStored } from "./SessionState.ts";
 
 const statement = (kind: StatementKind, name = "", argument = "", isWrite = false): Statement => ({
     id: "r1",
@@ -52,6 +52,13 @@
         expect(session.settings.size + session.preparedStatements.size).toBe(2);
     });
 
+    it("is measured with the entries, so that many short names count", () => {
+        const session = createSession("orders");
+        Array.from({ length: 1_000 }, (_each, index) => answerLocally(session, statement(StatementKind.Set, `${index}`, "v")));
+        expect(session.storedLength).toBeLessThan(5_000);
+        expect(measureStored(session)).toBeGreaterThan(100_000);
+    });
+
     it("does not count what was replaced or closed", () => {
         const session = createSession("orders");
         const kinds = [StatementKind.Set, StatementKind.Prepare, StatementKind.Close];
