--- a/tests/entry/support/EntryProcess.ts
+++ b/tests/entry/support/EntryProcess.ts
@@ -24,6 +24,12 @@
     readonly allowance?: { readonly windowS: number; readonly overageShare: number; readonly slackOperations: number; };
     /** Whether the log is kept in `EntryProcess.log`. */
     readonly isLogKept?: boolean;
+    /** Memory of the process's machine, in MB. */
+    readonly memoryMb?: number;
+    /** Open descriptors that the process may have. */
+    readonly descriptorLimit?: number;
+    /** Options of Node.js; by default none. */
+    readonly nodeOptions?: readonly string[];
 }
 
 const isReady = (port: number): Promise<boolean> =>
@@ -48,6 +54,7 @@
         { vm, storeAddress, ordersAddress = `${HOST}:9`, contactMs = 5_000, shutdownGraceS = 3, ...flags }: EntryProcessOptions,
     ): Promise<EntryProcess> {
         const { areFencesChecked = true, isFirstStart = false, allowance, isLogKept = false } = flags;
+        const { nodeOptions = [], memoryMb, descriptorLimit } = flags;
         const ports = await findPorts(4);
         const [callerAddress, readinessAddress, metricsAddress, relayAddress] = ports.map(port => `${HOST}:${port}`);
         const folder = mkdtempSync(join(tmpdir(), "entry-"));
@@ -56,10 +63,11 @@
             ...{ vm, failureDomain: "north-a", regions: { "north-a": "north" }, storeAddress, ordersAddress },
             ...{ callerAddress, readinessAddress, metricsAddress, relayAddress },
             ...{ shutdownGraceS, contactMs, reportIntervalMs: REPORT_INTERVAL_MS, isFirstStart, areFencesChecked, allowance },
+            ...{ memoryMb, descriptorLimit },
         };
         writeFileSync(file, JSON.stringify(settings));
         const env = { PATH: process.env["PATH"], ...createSettingsEnvironment(file) };
-        const child = spawn(process.execPath, ["target/entry.cjs"], {
+        const child = spawn(process.execPath, [...nodeOptions, "target/entry.cjs"], {
             env,
             stdio: ["ignore", isLogKept ? "pipe" : logTarget(), "inherit"],
         });
