--- a/packages/process/statement-runner/src/RunnerPorts.ts
+++ b/packages/process/statement-runner/src/RunnerPorts.ts
@@ -50,6 +50,8 @@
     /** Asks for one operation of a team's allowance. Undefined where teams have none. */
     readonly takeAllowance?: ((team: string) => Promise<AllowanceDecision>) | undefined;
     readonly onInstanceSuspected: (service: string, instanceId: string, failure: AttemptFailure) => void;
+    /** Called when a session is refused at its start. */
+    readonly onStartupRefused?: (code: number) => void;
     readonly onStatement: (record: StatementRecord) => void;
     /** Receives an error that no statement should cause. The session ends, and the outcome of its statement is unknown. */
     readonly onUnexpectedError: (error: Error) => void;
--- a/packages/process/statement-runner/src/SessionRunner.ts
+++ b/packages/process/statement-runner/src/SessionRunner.ts
@@ -168,7 +168,7 @@
         }
         const identity = this.transaction?.identity ?? this.identify(route);
         if (identity === undefined) {
-            return createErrorReply(ResultCode.AuthenticationFailed, "the key is not valid any more", this.state.status);
+            return this.refuseKey(statement, route);
         }
         if (statement.kind === StatementKind.Begin || statement.kind === StatementKind.BeginRead) {
             this.transaction = Transaction.create(route, identity, statement.kind === StatementKind.BeginRead, this.ports);
@@ -185,6 +185,15 @@
         return this.runAtInstance(statement, route, service, identity);
     }
 
+    private refuseKey(statement: Statement, route: RouteEntry): CallerReply {
+        const reply = createErrorReply(ResultCode.AuthenticationFailed, "the key is not valid any more", this.state.status);
+        const service = this.ports.directory.services.get(route.service);
+        if (service !== undefined) {
+            this.reportOutcome(createOperation(this.state, statement, route, service, NO_TEAM, this.ports.nowMs()), reply);
+        }
+        return reply;
+    }
+
     private identify(route: RouteEntry): string | undefined {
         const { routes } = this.ports.directory;
         return routes === undefined ? undefined : identifyCaller(routes, route, this.key);
--- a/programs/entry/src/CallerSession.ts
+++ b/programs/entry/src/CallerSession.ts
@@ -259,21 +259,21 @@
 
     private start({ database, key }: Extract<CallerMessage, { kind: "startup"; }>): void {
         if (this.runner !== undefined) {
-            this.closeWithError(ResultCode.MalformedStartup, "the session has already started");
+            this.refuseStart(ResultCode.MalformedStartup, "the session has already started");
         }
         else if (this.decide(undefined, 0) !== StatementDecision.Run) {
-            this.closeWithError(ResultCode.Draining, "the proxy is shutting down");
+            this.refuseStart(ResultCode.Draining, "the proxy is shutting down");
         }
         else if (this.ports.directory.routes === undefined) {
-            this.closeWithError(ResultCode.NoInstance, "the proxy has not received a configuration yet");
+            this.refuseStart(ResultCode.NoInstance, "the proxy has not received a configuration yet");
         }
         else if (this.ports.directory.findRoute(database) === undefined) {
-            this.closeWithError(ResultCode.UnknownService, database);
+            this.refuseStart(ResultCode.UnknownService, database);
         }
         else {
             const runner = SessionRunner.create(database, key, this.ports);
             if (!runner.isAuthenticated) {
-                this.closeWithError(ResultCode.AuthenticationFailed, database);
+                this.refuseStart(ResultCode.AuthenticationFailed, database);
                 return;
             }
             this.runner = runner;
@@ -281,6 +281,11 @@
         }
     }
 
+    private refuseStart(code: ResultCode, detail: string): void {
+        this.ports.onStartupRefused?.(code);
+        this.closeWithError(code, detail);
+    }
+
     private async answer({ statement }: Extract<CallerMessage, { kind: "statement"; }>): Promise<void> {
         if (this.runner === undefined) {
             this.closeWithError(ResultCode.MalformedStartup, "the first statement was sent before the start-up message");
--- a/programs/entry/src/Entry.ts
+++ b/programs/entry/src/Entry.ts
@@ -210,9 +210,8 @@
 
     private createPorts(): RunnerPorts {
         const statements = StatementLog.create(this.logger, this.metrics);
-        const { allowances } = this;
         return {
-            takeAllowance: allowances === undefined ? undefined : team => allowances.take(team),
+            takeAllowance: this.allowances === undefined ? undefined : team => this.allowances!.take(team),
             directory: this.directory,
             nowMs: () => performance.now(),
             random: Math.random,
@@ -222,6 +221,7 @@
                 this.metrics.counters.add(`suspected_${failure}`);
                 this.replacements.suspect(service, instanceId);
             },
+            onStartupRefused: code => statements.recordRefusedStartup(code),
             onStatement: record => statements.record(record, performance.now()),
             onUnexpectedError: error => {
                 this.metrics.counters.add("faults");
--- a/programs/entry/src/StatementLog.ts
+++ b/programs/entry/src/StatementLog.ts
@@ -23,6 +23,11 @@
         return new StatementLog(logger, metrics);
     }
 
+    /** Counts a session that was refused at its start. It has no line, as anyone can cause many of them. */
+    recordRefusedStartup(code: number): void {
+        this.metrics.counters.add(`startup_refused_${code}`);
+    }
+
     record(statement: StatementRecord, nowMs: number): void {
         const { service, rank, code, latencyMs, attempts } = statement;
         this.metrics.recordLatency(service, `rank-${rank}`, latencyMs);
--- a/tests/entry/teamAllowances.test.ts
+++ b/tests/entry/teamAllowances.test.ts
@@ -62,6 +62,8 @@
     expect(findFullestWindow(answers.filter(({ id }) => arrivedIds.has(id)).map(({ sentAtMs }) => sentAtMs))).toBeLessThanOrEqual(BOUND);
     expect(refused.filter(({ kind, text }) => kind !== "error" || !/^BUSY pomeloturn 309: .* retry-after-ms=\d+$/.test(text))).toEqual([]);
     expect(refused.filter(({ id }) => arrivedIds.has(id))).toEqual([]);
+    // Operators find refused operations in the log.
+    expect(vms.filter(vm => !/"statement",.*"code":309,.*"detail":"heron"/.test(vm.log))).toEqual([]);
     // What the configuration allows is granted, although each process knows only its own callers.
     expect(arrivedIds.size).toBeGreaterThan(TEAM.rate_per_s * 7);
 });
--- a/tests/entry/teamKeys.test.ts
+++ b/tests/entry/teamKeys.test.ts
@@ -117,6 +117,8 @@
     const answer = await caller.run("removed", "WRITE 1a4 x");
     expect(answer).toEqual({ kind: "error", text: expect.stringMatching(/^NOAUTH pomeloturn 101:/) as unknown });
     expect(deployment.group.callerNames.has("removed")).toBe(false);
+    // Operators find the refused statement in the log.
+    expect(vm.log).toMatch(/"requestId":"removed",.*"code":101,/);
     // A session that was busy at the removal used to stay open.
     await delay(2_500);
     expect(caller.isClosed).toBe(true);
@@ -152,6 +154,8 @@
     expect(statements?.length).toBeGreaterThan(0);
     const metrics = await (await fetch(`http://${vm.metricsAddress}/metrics`)).text();
     expect(metrics).toContain("statements_served");
+    // Operators see why sessions were refused at their start.
+    expect(metrics).toContain("startup_refused_101");
     const names = [...deployment.group.startupNames].sort();
     expect(names).toEqual(["falcon", "heron", vm.vm]);
     expect(Object.values(KEYS).filter(key => vm.log.includes(key) || metrics.includes(key))).toEqual([]);
