--- a/packages/process/statement-runner/src/RunnerPorts.ts
+++ b/packages/process/statement-runner/src/RunnerPorts.ts
@@ -54,6 +54,8 @@
      */
     readonly takeAllowance?: ((team: string, maximumWaitMs: number) => Promise<AllowanceDecision>) | undefined;
     readonly onInstanceSuspected: (service: string, instanceId: string, failure: AttemptFailure) => void;
+    /** Called when a session is refused at its start. */
+    readonly onStartupRefused?: (code: number) => void;
     readonly onStatement: (record: StatementRecord) => void;
     /** Receives an error that no statement should cause. The session ends, and the outcome of its statement is unknown. */
     readonly onUnexpectedError: (error: Error) => void;
--- a/programs/entry/src/Entry.ts
+++ b/programs/entry/src/Entry.ts
@@ -215,6 +215,7 @@
                 this.metrics.counters.add(`suspected_${failure}`);
                 this.replacements.suspect(service, instanceId);
             },
+            onStartupRefused: code => statements.recordRefusedStartup(code),
             onStatement: record => statements.record(record, performance.now()),
             onUnexpectedError: error => {
                 this.metrics.counters.add("faults");
