Grant operations of a seat only after its former holders have stopped

Causes: a new holder granted contactMs after an unanswered takeover, although partitions last up to 12 s; it asked the next VM in the hash order, which could be new itself or still wait for a former holder; its bucket filled while the former holder granted; and a VM that had yielded could become the holder by a late list.

A new holder now asks the holder among the VMs that registered before it, for up to 3 x contactMs. A VM vouches for a seat only when the holders before it have answered. Timers of AllowanceExchange are a port, for tests in virtual time.

--- a/packages/process/allowance-link/src/AllowanceExchange.ts
+++ b/packages/process/allowance-link/src/AllowanceExchange.ts
@@ -1,10 +1,9 @@
-import { hashText } from "@pomeloturn/membership/hash";
 import { type AllowanceBounds, computeSeatLimits } from "@pomeloturn/team-allowance/computeSeatLimits";
 import type { TeamEntry, TeamTable } from "@pomeloturn/types/Teams";
 import type { AllowanceMember } from "./AllowanceMember.ts";
 import { type AllowanceMessage, AllowanceMessageKind, decodeAllowanceMessage, encodeAllowanceMessage } from "./allowanceMessages.ts";
-import { chooseSeatHolders, type SeatHolder, type SeatMember } from "./chooseSeatHolders.ts";
 import { type HeldSeat, HeldSeats, type SeatAnswer } from "./HeldSeats.ts";
+import { SeatAssignment } from "./SeatAssignment.ts";
 import {
     createSeatMemory,
     expireSeatMemory,
@@ -25,6 +24,12 @@
 /** Time after which an operation may be tried again when no holder answered. */
 const NO_ANSWER_RETRY_MS = 250;
 
+/**
+ * Multiple of `contactMs` after which a former holder that does not answer a takeover counts as gone. A VM that is partitioned
+ * from others for up to 12 s may grant operations of the seat to those that it reaches until it learns of the takeover.
+ */
+const TAKEOVER_WAIT_FACTOR = 3;
+
 /** Constants for `AllowanceEvents.onAsked` and the like are the names of the counters that operators see. */
 export const AllowanceEvent = {
     Granted: "granted",
@@ -54,24 +59,23 @@
     readonly nowMs: () => number;
     /** Random number from 0 to 1. */
     readonly random: () => number;
+    /** Calls `onDue` once after a time. @returns a function that cancels the call */
+    readonly startTimer: (delayMs: number, onDue: () => void) => () => void;
     readonly send: (address: string, text: string) => void;
     readonly onEvent: (event: AllowanceEvent, team: string) => void;
 }
 
 interface PendingRequest {
     readonly resolve: (answer: AllowanceMessage | undefined) => void;
-    readonly timer: NodeJS.Timeout;
+    readonly cancelTimer: () => void;
 }
 
 type Handler = (message: AllowanceMessage, sourceAddress: string) => void;
 
 /** Asks the holders of a team's seats for operations, and answers for the seats that this VM holds. Knows no sockets. */
 export class AllowanceExchange {
-    private members: readonly SeatMember[] = [];
-    private readonly addresses = new Map<string, string>();
+    private readonly assignment: SeatAssignment;
     private teams: TeamTable | undefined;
-    /** Holders by team, for the present members. */
-    private readonly holders = new Map<string, readonly SeatHolder[]>();
     private readonly held: HeldSeats;
     private readonly memory = createSeatMemory();
     private readonly pending = new Map<number, PendingRequest>();
@@ -88,7 +92,9 @@
     };
 
     private constructor(private readonly ports: AllowancePorts) {
-        this.held = HeldSeats.create(ports.contactMs);
+        const takeoverWaitMs = TAKEOVER_WAIT_FACTOR * ports.contactMs;
+        this.assignment = SeatAssignment.create(ports.vm, takeoverWaitMs);
+        this.held = HeldSeats.create(takeoverWaitMs, (team, seat, passed) => this.assignment.findFormer(team, seat, passed));
     }
 
     static create(ports: AllowancePorts): AllowanceExchange {
@@ -110,11 +116,7 @@
     }
 
     setMembers(members: Iterable<AllowanceMember>): void {
-        const usable = [...members].filter(({ address }) => address !== undefined);
-        this.addresses.clear();
-        usable.forEach(({ vm, address }) => this.addresses.set(vm, address!));
-        this.members = usable.map(({ vm, region }) => ({ vm, region, hash: hashText(vm) }));
-        this.holders.clear();
+        this.assignment.setMembers(members, this.ports.nowMs());
         this.updateHeldSeats();
     }
 
@@ -122,13 +124,14 @@
     tick(): void {
         const nowMs = this.ports.nowMs();
         expireSeatMemory(this.memory, nowMs);
-        this.held.listUnconfirmed(nowMs).forEach(seat => void this.takeOver(seat));
+        this.held.expire(nowMs);
+        this.held.listUnconfirmed(nowMs).forEach(seat => seat.formers.forEach(former => void this.takeOver(seat, former)));
     }
 
     /** Grants nothing more, because the process shuts down. */
     stop(): void {
         this.hasStopped = true;
-        this.held.clear();
+        this.held.clear(this.ports.nowMs());
     }
 
     /** Takes one operation of a team's allowance. */
@@ -163,32 +166,16 @@
         }
     }
 
-    private findHolders(team: string): readonly SeatHolder[] {
-        const known = this.holders.get(team);
-        if (known !== undefined) {
-            return known;
-        }
-        const found = chooseSeatHolders(hashText(team), this.members);
-        this.holders.set(team, found);
-        return found;
-    }
-
     private listCandidates(team: string): SeatCandidate[] {
-        return this.findHolders(team).flatMap(({ holder }, seat) =>
+        return this.assignment.findHolders(team).flatMap(({ holder }, seat) =>
             holder === undefined ? [] : [{ seat, vm: holder.vm, isNear: holder.region === this.ports.region }]
         );
     }
 
     private updateHeldSeats(): void {
-        const held: HeldSeat[] = [];
-        for (const team of this.hasStopped ? [] : this.teams?.teams.keys() ?? []) {
-            this.findHolders(team).forEach(({ holder, next }, seat) => {
-                if (holder?.vm === this.ports.vm) {
-                    held.push({ team, seat, former: next?.vm });
-                }
-            });
-        }
-        this.held.replace(held, new Set(this.addresses.keys()), this.ports.nowMs());
+        const nowMs = this.ports.nowMs();
+        const teams = this.hasStopped ? [] : [...this.teams?.teams.keys() ?? []];
+        this.held.replace(this.assignment.listSeats(teams, nowMs), new Set(this.assignment.addresses.keys()), nowMs);
     }
 
     /** @returns undefined without an answer in time */
@@ -234,15 +221,24 @@
 
     private answerTakeover(message: AllowanceMessage, source: string): void {
         if (message.kind === AllowanceMessageKind.Takeover) {
-            this.held.yieldTo(message.sender, message.team, message.seat, this.ports.nowMs());
-            this.ports.send(source, encodeAllowanceMessage({ kind: AllowanceMessageKind.Yielded, number: message.number }));
+            const { sender, team, seat, number } = message;
+            const nowMs = this.ports.nowMs();
+            // Without an answer the new holder asks again.
+            if (this.held.yieldTo(sender, team, seat, nowMs)) {
+                const isComplete = this.assignment.canVouch(team, sender, nowMs);
+                const kind = isComplete ? AllowanceMessageKind.Yielded : AllowanceMessageKind.NotHolder;
+                this.ports.send(source, encodeAllowanceMessage({ kind, number }));
+            }
         }
     }
 
-    private async takeOver({ team, seat, former }: HeldSeat): Promise<void> {
-        const answer = await this.request(former!, { kind: AllowanceMessageKind.Takeover, seat, team }, FAR_TIMEOUT_MS);
+    private async takeOver({ team, seat }: HeldSeat, former: string): Promise<void> {
+        const answer = await this.request(former, { kind: AllowanceMessageKind.Takeover, seat, team }, FAR_TIMEOUT_MS);
         if (answer?.kind === AllowanceMessageKind.Yielded) {
-            this.held.confirm(team, seat);
+            this.held.confirm(team, seat, former, this.ports.nowMs());
+        }
+        else if (answer?.kind === AllowanceMessageKind.NotHolder) {
+            this.held.confirmOnly(team, seat, former, this.ports.nowMs());
         }
     }
 
@@ -251,14 +247,14 @@
         message: { readonly kind: "ask" | "takeover"; readonly seat: number; readonly team: string; },
         timeoutMs: number,
     ): Promise<AllowanceMessage | undefined> {
-        const address = this.addresses.get(vm);
+        const address = this.assignment.addresses.get(vm);
         if (address === undefined) {
             return Promise.resolve(undefined);
         }
         const number = ++this.lastNumber;
         return new Promise(resolve => {
-            const timer = setTimeout(() => this.finish(number, undefined), timeoutMs);
-            this.pending.set(number, { resolve, timer });
+            const cancelTimer = this.ports.startTimer(timeoutMs, () => this.finish(number, undefined));
+            this.pending.set(number, { resolve, cancelTimer });
             this.ports.send(address, encodeAllowanceMessage({ ...message, number, sender: this.ports.vm }));
         });
     }
@@ -271,7 +267,7 @@
         const pending = this.pending.get(number);
         if (pending !== undefined) {
             this.pending.delete(number);
-            clearTimeout(pending.timer);
+            pending.cancelTimer();
             pending.resolve(answer);
         }
     }
--- a/packages/process/allowance-link/src/allowanceMessages.ts
+++ b/packages/process/allowance-link/src/allowanceMessages.ts
@@ -7,11 +7,11 @@
     Granted: "granted",
     /** The bucket of the seat is empty. */
     Refused: "refused",
-    /** The VM does not hold the seat. */
+    /** The VM does not hold the seat. To a takeover: it cannot tell whether VMs before it have stopped to grant. */
     NotHolder: "not-holder",
     /** Tells the former holder of a seat that the sender holds it now. */
     Takeover: "takeover",
-    /** Confirms a takeover: the former holder grants nothing more of the seat. */
+    /** Confirms a takeover: the former holder, and those before it, grant nothing more of the seat. */
     Yielded: "yielded",
 } as const;
 export type AllowanceMessageKind = typeof AllowanceMessageKind[keyof typeof AllowanceMessageKind];
--- a/programs/entry/src/TeamAllowances.ts
+++ b/programs/entry/src/TeamAllowances.ts
@@ -48,6 +48,10 @@
             contactMs: settings.contactMs,
             nowMs,
             random,
+            startTimer: (delayMs, onDue) => {
+                const timer = setTimeout(onDue, delayMs);
+                return () => clearTimeout(timer);
+            },
             send: (address, text) => this.socket.send(address, text),
             onEvent: (event, team) => this.recorders[event](team),
         });
@@ -69,8 +73,9 @@
 
     setMembers(members: Iterable<MemberRow>, regions: Readonly<Record<string, string>>): void {
         this.exchange.setMembers(
-            [...members].map(({ vm, failureDomain, relayAddress }) => ({
+            [...members].map(({ vm, version, failureDomain, relayAddress }) => ({
                 vm,
+                version,
                 region: regions[failureDomain] ?? "",
                 address: relayAddress,
             })),
--- a/tests/leases/support/VirtualClock.ts
+++ b/tests/leases/support/VirtualClock.ts
@@ -48,6 +48,17 @@
         this.nowMs = endMs;
     }
 
+    /** Like `runUntil`, and completes the promises that each callback settles before the next one runs. */
+    async runSettledUntil(endMs: number): Promise<void> {
+        while (this.queue.length > 0 && this.queue[0]!.atMs <= endMs) {
+            const { atMs, run } = this.pop();
+            this.nowMs = atMs;
+            run();
+            await new Promise(resolve => setImmediate(resolve));
+        }
+        this.nowMs = endMs;
+    }
+
     private pop(): { atMs: number; run: () => void; } {
         const { queue } = this;
         this.swap(0, queue.length - 1);
