--- a/packages/process/allowance-link/src/AllowanceExchange.ts
+++ b/packages/process/allowance-link/src/AllowanceExchange.ts
@@ -1,10 +1,9 @@
-import { hashText } from "@pomeloturn/membership/hash";
 import { type AllowanceBounds, computeSeatLimits } from "@pomeloturn/team-allowance/computeSeatLimits";
 import type { TeamEntry, TeamTable } from "@pomeloturn/types/Teams";
 import type { AllowanceMember } from "./AllowanceMember.ts";
 import { type AllowanceMessage, AllowanceMessageKind, decodeAllowanceMessage, encodeAllowanceMessage } from "./allowanceMessages.ts";
-import { chooseSeatHolders, type SeatHolder, type SeatMember } from "./chooseSeatHolders.ts";
 import { type HeldSeat, HeldSeats, type SeatAnswer } from "./HeldSeats.ts";
+import { SeatAssignment } from "./SeatAssignment.ts";
 import {
     createSeatMemory,
     expireSeatMemory,
@@ -25,6 +24,12 @@
 /** Time after which an operation may be tried again when no holder answered. */
 const NO_ANSWER_RETRY_MS = 250;
 
+/**
+ * Multiple of `contactMs` after which a former holder that does not answer a takeover counts as gone. A VM that is partitioned
+ * from others for up to 12 s may grant operations of the seat to those that it reaches until it learns of the takeover.
+ */
+const TAKEOVER_WAIT_FACTOR = 3;
+
 /** Constants for `AllowanceEvents.onAsked` and the like are the names of the counters that operators see. */
 export const AllowanceEvent = {
     Granted: "granted",
@@ -39,8 +44,7 @@
 
 /** Whether a team may run another operation. */
 export type AllowanceOutcome =
-    /** `waitMs`: time until the operation may be sent, in milliseconds. */
-    | { readonly isGranted: true; readonly waitMs: number; }
+    | { readonly isGranted: true; }
     /** `retryAfterMs`: time after which the team is expected to have room, in milliseconds. */
     | { readonly isGranted: false; readonly retryAfterMs: number; };
 
@@ -55,34 +59,23 @@
     readonly nowMs: () => number;
     /** Random number from 0 to 1. */
     readonly random: () => number;
+    /** Calls `onDue` once after a time. @returns a function that cancels the call */
+    readonly startTimer: (delayMs: number, onDue: () => void) => () => void;
     readonly send: (address: string, text: string) => void;
     readonly onEvent: (event: AllowanceEvent, team: string) => void;
 }
 
-/** A seat whose bucket was empty. */
-interface SeatRefusal {
-    readonly candidate: SeatCandidate;
-    readonly retryAfterMs: number;
-}
-
 interface PendingRequest {
     readonly resolve: (answer: AllowanceMessage | undefined) => void;
-    readonly timer: NodeJS.Timeout;
+    readonly cancelTimer: () => void;
 }
 
-type RequestFields =
-    | Omit<Extract<AllowanceMessage, { kind: "ask"; }>, "number">
-    | Omit<Extract<AllowanceMessage, { kind: "takeover"; }>, "number">;
-
 type Handler = (message: AllowanceMessage, sourceAddress: string) => void;
 
 /** Asks the holders of a team's seats for operations, and answers for the seats that this VM holds. Knows no sockets. */
 export class AllowanceExchange {
-    private members: readonly SeatMember[] = [];
-    private readonly addresses = new Map<string, string>();
+    private readonly assignment: SeatAssignment;
     private teams: TeamTable | undefined;
-    /** Holders by team, for the present members. */
-    private readonly holders = new Map<string, readonly SeatHolder[]>();
     private readonly held: HeldSeats;
     private readonly memory = createSeatMemory();
     private readonly pending = new Map<number, PendingRequest>();
@@ -99,7 +92,9 @@
     };
 
     private constructor(private readonly ports: AllowancePorts) {
-        this.held = HeldSeats.create(ports.contactMs);
+        const takeoverWaitMs = TAKEOVER_WAIT_FACTOR * ports.contactMs;
+        this.assignment = SeatAssignment.create(ports.vm, takeoverWaitMs);
+        this.held = HeldSeats.create(takeoverWaitMs, (team, seat, passed) => this.assignment.findFormer(team, seat, passed));
     }
 
     static create(ports: AllowancePorts): AllowanceExchange {
@@ -121,11 +116,7 @@
     }
 
     setMembers(members: Iterable<AllowanceMember>): void {
-        const usable = [...members].filter(({ address }) => address !== undefined);
-        this.addresses.clear();
-        usable.forEach(({ vm, address }) => this.addresses.set(vm, address!));
-        this.members = usable.map(({ vm, region }) => ({ vm, region, hash: hashText(vm) }));
-        this.holders.clear();
+        this.assignment.setMembers(members, this.ports.nowMs());
         this.updateHeldSeats();
     }
 
@@ -133,47 +124,38 @@
     tick(): void {
         const nowMs = this.ports.nowMs();
         expireSeatMemory(this.memory, nowMs);
-        this.held.listUnconfirmed(nowMs).forEach(seat => void this.takeOver(seat));
+        this.held.expire(nowMs);
+        this.held.listUnconfirmed(nowMs).forEach(seat => seat.formers.forEach(former => void this.takeOver(seat, former)));
     }
 
     /** Grants nothing more, because the process shuts down. */
     stop(): void {
         this.hasStopped = true;
-        this.held.clear();
+        this.held.clear(this.ports.nowMs());
     }
 
-    /**
-     * Takes one operation of a team's allowance.
-     *
-     * @param maximumWaitMs longest time for which the operation may wait for its turn, in milliseconds
-     */
-    async take(team: string, maximumWaitMs: number): Promise<AllowanceOutcome> {
+    /** Takes one operation of a team's allowance. */
+    async take(team: string): Promise<AllowanceOutcome> {
         const candidates = orderCandidates(this.listCandidates(team), this.memory, this.ports.random(), this.ports.nowMs());
-        const refusals: SeatRefusal[] = [];
+        let retryAfterMs: number | undefined;
         for (const candidate of candidates) {
             const nowMs = this.ports.nowMs();
             const leftMs = refusalLeftMs(this.memory, team, candidate.seat, nowMs);
-            if (leftMs === 0 && refusals.length > 0 && isSilent(this.memory, candidate.vm, nowMs)) {
+            if (leftMs === 0 && retryAfterMs !== undefined && isSilent(this.memory, candidate.vm, nowMs)) {
                 // Another seat has answered: the team has no room, which is no reason to wait for a silent holder.
                 break;
             }
-            const answer = leftMs > 0 ? { kind: "refused" as const, retryAfterMs: leftMs } : await this.ask(candidate, team, 0);
+            const answer = leftMs > 0 ? { kind: "refused" as const, retryAfterMs: leftMs } : await this.ask(candidate, team);
             if (answer?.kind === "granted") {
-                return this.grant(team, answer.waitMs);
+                this.ports.onEvent(AllowanceEvent.Granted, team);
+                return { isGranted: true };
             }
             if (answer?.kind === "refused") {
-                refusals.push({ candidate, retryAfterMs: answer.retryAfterMs });
-            }
-        }
-        const first = refusals.sort((one, other) => one.retryAfterMs - other.retryAfterMs)[0];
-        if (first !== undefined && first.retryAfterMs <= maximumWaitMs) {
-            const answer = await this.ask(first.candidate, team, maximumWaitMs);
-            if (answer?.kind === "granted") {
-                return this.grant(team, answer.waitMs);
+                retryAfterMs = Math.min(retryAfterMs ?? Infinity, answer.retryAfterMs);
             }
         }
-        this.ports.onEvent(first === undefined ? AllowanceEvent.Unanswered : AllowanceEvent.Refused, team);
-        return { isGranted: false, retryAfterMs: (first?.retryAfterMs ?? NO_ANSWER_RETRY_MS) * (1 + this.ports.random()) };
+        this.ports.onEvent(retryAfterMs === undefined ? AllowanceEvent.Unanswered : AllowanceEvent.Refused, team);
+        return { isGranted: false, retryAfterMs: (retryAfterMs ?? NO_ANSWER_RETRY_MS) * (1 + this.ports.random()) };
     }
 
     /** Handles a datagram. */
@@ -184,46 +166,24 @@
         }
     }
 
-    private grant(team: string, waitMs: number): AllowanceOutcome {
-        this.ports.onEvent(AllowanceEvent.Granted, team);
-        return { isGranted: true, waitMs };
-    }
-
-    private findHolders(team: string): readonly SeatHolder[] {
-        const known = this.holders.get(team);
-        if (known !== undefined) {
-            return known;
-        }
-        const found = chooseSeatHolders(hashText(team), this.members);
-        this.holders.set(team, found);
-        return found;
-    }
-
     private listCandidates(team: string): SeatCandidate[] {
-        return this.findHolders(team).flatMap(({ holder }, seat) =>
+        return this.assignment.findHolders(team).flatMap(({ holder }, seat) =>
             holder === undefined ? [] : [{ seat, vm: holder.vm, isNear: holder.region === this.ports.region }]
         );
     }
 
     private updateHeldSeats(): void {
-        const held: HeldSeat[] = [];
-        for (const team of this.hasStopped ? [] : this.teams?.teams.keys() ?? []) {
-            this.findHolders(team).forEach(({ holder, next }, seat) => {
-                if (holder?.vm === this.ports.vm) {
-                    held.push({ team, seat, former: next?.vm });
-                }
-            });
-        }
-        this.held.replace(held, new Set(this.addresses.keys()), this.ports.nowMs());
+        const nowMs = this.ports.nowMs();
+        const teams = this.hasStopped ? [] : [...this.teams?.teams.keys() ?? []];
+        this.held.replace(this.assignment.listSeats(teams, nowMs), new Set(this.assignment.addresses.keys()), nowMs);
     }
 
     /** @returns undefined without an answer in time */
-    private async ask({ seat, vm, isNear }: SeatCandidate, team: string, maximumWaitMs: number): Promise<SeatAnswer | undefined> {
+    private async ask({ seat, vm, isNear }: SeatCandidate, team: string): Promise<SeatAnswer | undefined> {
         if (vm === this.ports.vm) {
-            return this.takeHeld(team, seat, maximumWaitMs);
+            return this.takeHeld(team, seat);
         }
-        const message = { kind: AllowanceMessageKind.Ask, seat, team, maximumWaitMs } as const;
-        const answer = await this.request(vm, message, isNear ? NEAR_TIMEOUT_MS : FAR_TIMEOUT_MS);
+        const answer = await this.request(vm, { kind: AllowanceMessageKind.Ask, seat, team }, isNear ? NEAR_TIMEOUT_MS : FAR_TIMEOUT_MS);
         const nowMs = this.ports.nowMs();
         if (answer === undefined) {
             recordNoAnswer(this.memory, vm, nowMs);
@@ -234,19 +194,19 @@
             recordRefusal(this.memory, team, seat, answer.retryAfterMs, nowMs);
             return { kind: "refused", retryAfterMs: answer.retryAfterMs };
         }
-        if (answer.kind === AllowanceMessageKind.Granted) {
-            return { kind: "granted", waitMs: answer.waitMs };
+        if (answer.kind === AllowanceMessageKind.NotHolder) {
+            recordRefusal(this.memory, team, seat, NOT_HOLDER_PAUSE_MS, nowMs);
+            return { kind: "not-holder" };
         }
-        recordRefusal(this.memory, team, seat, NOT_HOLDER_PAUSE_MS, nowMs);
-        return { kind: "not-holder" };
+        return { kind: "granted" };
     }
 
-    private takeHeld(team: string, seat: number, maximumWaitMs: number): SeatAnswer {
+    private takeHeld(team: string, seat: number): SeatAnswer {
         const entry: TeamEntry | undefined = this.teams?.teams.get(team);
         if (entry === undefined) {
             return { kind: "not-holder" };
         }
-        const answer = this.held.take(team, seat, computeSeatLimits(entry, this.ports.bounds, seat), maximumWaitMs, this.ports.nowMs());
+        const answer = this.held.take(team, seat, computeSeatLimits(entry, this.ports.bounds, seat), this.ports.nowMs());
         if (answer.kind !== "not-holder") {
             this.ports.onEvent(answer.kind === "granted" ? AllowanceEvent.SeatGranted : AllowanceEvent.SeatRefused, team);
         }
@@ -255,43 +215,47 @@
 
     private answerAsk(message: AllowanceMessage, source: string): void {
         if (message.kind === AllowanceMessageKind.Ask) {
-            const answer = this.takeHeld(message.team, message.seat, message.maximumWaitMs);
-            this.ports.send(source, encodeAllowanceMessage({ ...answer, number: message.number }));
+            this.ports.send(source, encodeAllowanceMessage({ ...this.takeHeld(message.team, message.seat), number: message.number }));
         }
     }
 
     private answerTakeover(message: AllowanceMessage, source: string): void {
         if (message.kind === AllowanceMessageKind.Takeover) {
-            this.held.yieldTo(message.sender, message.team, message.seat, this.ports.nowMs());
-            this.ports.send(source, encodeAllowanceMessage({ kind: AllowanceMessageKind.Yielded, number: message.number }));
+            const { sender, team, seat, number } = message;
+            const nowMs = this.ports.nowMs();
+            // Without an answer the new holder asks again.
+            if (this.held.yieldTo(sender, team, seat, nowMs)) {
+                const isComplete = this.assignment.canVouch(team, sender, nowMs);
+                const kind = isComplete ? AllowanceMessageKind.Yielded : AllowanceMessageKind.NotHolder;
+                this.ports.send(source, encodeAllowanceMessage({ kind, number }));
+            }
         }
     }
 
-    private async takeOver({ team, seat, former }: HeldSeat): Promise<void> {
-        const answer = await this.request(
-            former!,
-            { kind: AllowanceMessageKind.Takeover, seat, team, sender: this.ports.vm },
-            FAR_TIMEOUT_MS,
-        );
+    private async takeOver({ team, seat }: HeldSeat, former: string): Promise<void> {
+        const answer = await this.request(former, { kind: AllowanceMessageKind.Takeover, seat, team }, FAR_TIMEOUT_MS);
         if (answer?.kind === AllowanceMessageKind.Yielded) {
-            this.held.confirm(team, seat);
+            this.held.confirm(team, seat, former, this.ports.nowMs());
+        }
+        else if (answer?.kind === AllowanceMessageKind.NotHolder) {
+            this.held.confirmOnly(team, seat, former, this.ports.nowMs());
         }
     }
 
     private request(
         vm: string,
-        message: RequestFields,
+        message: { readonly kind: "ask" | "takeover"; readonly seat: number; readonly team: string; },
         timeoutMs: number,
     ): Promise<AllowanceMessage | undefined> {
-        const address = this.addresses.get(vm);
+        const address = this.assignment.addresses.get(vm);
         if (address === undefined) {
             return Promise.resolve(undefined);
         }
         const number = ++this.lastNumber;
         return new Promise(resolve => {
-            const timer = setTimeout(() => this.finish(number, undefined), timeoutMs);
-            this.pending.set(number, { resolve, timer });
-            this.ports.send(address, encodeAllowanceMessage({ ...message, number }));
+            const cancelTimer = this.ports.startTimer(timeoutMs, () => this.finish(number, undefined));
+            this.pending.set(number, { resolve, cancelTimer });
+            this.ports.send(address, encodeAllowanceMessage({ ...message, number, sender: this.ports.vm }));
         });
     }
 
@@ -303,7 +267,7 @@
         const pending = this.pending.get(number);
         if (pending !== undefined) {
             this.pending.delete(number);
-            clearTimeout(pending.timer);
+            pending.cancelTimer();
             pending.resolve(answer);
         }
     }
--- a/packages/process/allowance-link/src/allowanceMessages.ts
+++ b/packages/process/allowance-link/src/allowanceMessages.ts
@@ -7,11 +7,11 @@
     Granted: "granted",
     /** The bucket of the seat is empty. */
     Refused: "refused",
-    /** The VM does not hold the seat. */
+    /** The VM does not hold the seat. To a takeover: it cannot tell whether VMs before it have stopped to grant. */
     NotHolder: "not-holder",
     /** Tells the former holder of a seat that the sender holds it now. */
     Takeover: "takeover",
-    /** Confirms a takeover: the former holder grants nothing more of the seat. */
+    /** Confirms a takeover: the former holder, and those before it, grant nothing more of the seat. */
     Yielded: "yielded",
 } as const;
 export type AllowanceMessageKind = typeof AllowanceMessageKind[keyof typeof AllowanceMessageKind];
@@ -19,27 +19,13 @@
 /** One message. `number` pairs an answer with its request, in the requesting process. */
 export type AllowanceMessage =
     | {
-        readonly kind: typeof AllowanceMessageKind.Ask;
-        readonly number: number;
-        readonly seat: number;
-        readonly team: string;
-        /** Longest time for which the operation may wait for its token. */
-        readonly maximumWaitMs: number;
-    }
-    | {
-        readonly kind: typeof AllowanceMessageKind.Takeover;
+        readonly kind: typeof AllowanceMessageKind.Ask | typeof AllowanceMessageKind.Takeover;
         readonly number: number;
         readonly seat: number;
         readonly team: string;
         /** Name of the VM that sends the message. */
         readonly sender: string;
     }
-    | {
-        readonly kind: typeof AllowanceMessageKind.Granted;
-        readonly number: number;
-        /** Time until the operation may be sent. */
-        readonly waitMs: number;
-    }
     | {
         readonly kind: typeof AllowanceMessageKind.Refused;
         readonly number: number;
@@ -47,7 +33,10 @@
         readonly retryAfterMs: number;
     }
     | {
-        readonly kind: typeof AllowanceMessageKind.NotHolder | typeof AllowanceMessageKind.Yielded;
+        readonly kind:
+            | typeof AllowanceMessageKind.Granted
+            | typeof AllowanceMessageKind.NotHolder
+            | typeof AllowanceMessageKind.Yielded;
         readonly number: number;
     };
 
@@ -57,68 +46,44 @@
 
 const isCount = (value: number, maximum: number): boolean => Number.isSafeInteger(value) && value >= 0 && value <= maximum;
 
-/** Decodes a whole number of milliseconds. @returns undefined if the field is none */
-const decodeTime = (text: string | undefined): number | undefined =>
-    text !== undefined && text !== "" && isCount(Number(text), Number.MAX_SAFE_INTEGER) ? Number(text) : undefined;
-
-const decodeSeat = (text: string | undefined): number | undefined => {
-    const seat = decodeTime(text);
-    return seat === undefined || seat > MAXIMUM_SEAT ? undefined : seat;
-};
-
-const decodeAsk: MessageDecoder = (number, [seatText, team = "", waitText]) => {
-    const seat = decodeSeat(seatText);
-    const maximumWaitMs = decodeTime(waitText);
-    return seat === undefined || team === "" || maximumWaitMs === undefined
-        ? undefined
-        : { kind: AllowanceMessageKind.Ask, number, seat, team, maximumWaitMs };
+const createSeatDecoder = (kind: typeof AllowanceMessageKind.Ask | typeof AllowanceMessageKind.Takeover): MessageDecoder =>
+(
+    number,
+    [seatText = "", team = "", sender = ""],
+) => {
+    const seat = Number(seatText);
+    const isValid = seatText !== "" && isCount(seat, MAXIMUM_SEAT) && team !== "" && sender !== "";
+    return isValid ? { kind, number, seat, team, sender } : undefined;
 };
 
-const decodeTakeover: MessageDecoder = (number, [seatText, team = "", sender = ""]) => {
-    const seat = decodeSeat(seatText);
-    return seat === undefined || team === "" || sender === ""
-        ? undefined
-        : { kind: AllowanceMessageKind.Takeover, number, seat, team, sender };
-};
+const createPlainDecoder = (
+    kind: typeof AllowanceMessageKind.Granted | typeof AllowanceMessageKind.NotHolder | typeof AllowanceMessageKind.Yielded,
+): MessageDecoder =>
+number => ({ kind, number });
 
-const decodeGranted: MessageDecoder = (number, [text]) => {
-    const waitMs = decodeTime(text);
-    return waitMs === undefined ? undefined : { kind: AllowanceMessageKind.Granted, number, waitMs };
-};
-
-const decodeRefused: MessageDecoder = (number, [text]) => {
-    const retryAfterMs = decodeTime(text);
-    return retryAfterMs === undefined ? undefined : { kind: AllowanceMessageKind.Refused, number, retryAfterMs };
+const decodeRefused: MessageDecoder = (number, [text = ""]) => {
+    const retryAfterMs = Number(text);
+    return text !== "" && isCount(retryAfterMs, Number.MAX_SAFE_INTEGER)
+        ? { kind: AllowanceMessageKind.Refused, number, retryAfterMs }
+        : undefined;
 };
 
 const decoders: ReadonlyMap<string, MessageDecoder> = new Map([
-    [AllowanceMessageKind.Ask, decodeAsk],
-    [AllowanceMessageKind.Takeover, decodeTakeover],
-    [AllowanceMessageKind.Granted, decodeGranted],
-    [AllowanceMessageKind.NotHolder, number => ({ kind: AllowanceMessageKind.NotHolder, number })],
-    [AllowanceMessageKind.Yielded, number => ({ kind: AllowanceMessageKind.Yielded, number })],
+    [AllowanceMessageKind.Ask, createSeatDecoder(AllowanceMessageKind.Ask)],
+    [AllowanceMessageKind.Takeover, createSeatDecoder(AllowanceMessageKind.Takeover)],
+    [AllowanceMessageKind.Granted, createPlainDecoder(AllowanceMessageKind.Granted)],
+    [AllowanceMessageKind.NotHolder, createPlainDecoder(AllowanceMessageKind.NotHolder)],
+    [AllowanceMessageKind.Yielded, createPlainDecoder(AllowanceMessageKind.Yielded)],
     [AllowanceMessageKind.Refused, decodeRefused],
 ]);
 
-const encodeTime = (timeMs: number): string => String(Math.min(Number.MAX_SAFE_INTEGER, Math.ceil(timeMs)));
-
-type FieldEncoders = {
-    readonly [Kind in AllowanceMessageKind]: (message: Extract<AllowanceMessage, { kind: Kind; }>) => readonly (string | number)[];
-};
-
-const fieldEncoders: FieldEncoders = {
-    [AllowanceMessageKind.Ask]: ({ seat, team, maximumWaitMs }) => [seat, team, encodeTime(maximumWaitMs)],
-    [AllowanceMessageKind.Takeover]: ({ seat, team, sender }) => [seat, team, sender],
-    [AllowanceMessageKind.Granted]: ({ waitMs }) => [encodeTime(waitMs)],
-    [AllowanceMessageKind.Refused]: ({ retryAfterMs }) => [encodeTime(retryAfterMs)],
-    [AllowanceMessageKind.NotHolder]: () => [],
-    [AllowanceMessageKind.Yielded]: () => [],
-};
-
 /** Encodes a message. Times are rounded up to whole milliseconds. */
 export const encodeAllowanceMessage = (message: AllowanceMessage): string => {
-    const encodeFields = fieldEncoders[message.kind] as (value: AllowanceMessage) => readonly (string | number)[];
-    return [message.kind, message.number, ...encodeFields(message)].join(" ");
+    const head = `${message.kind} ${message.number}`;
+    if ("team" in message) {
+        return `${head} ${message.seat} ${message.team} ${message.sender}`;
+    }
+    return "retryAfterMs" in message ? `${head} ${Math.min(Number.MAX_SAFE_INTEGER, Math.ceil(message.retryAfterMs))}` : head;
 };
 
 /** Decodes a datagram. @returns undefined if it is not a message */
--- a/packages/process/statement-runner/src/RunnerPorts.ts
+++ b/packages/process/statement-runner/src/RunnerPorts.ts
@@ -30,8 +30,7 @@
 
 /** Whether a team may run another operation now. */
 export type AllowanceDecision =
-    /** `waitMs`: time until it may be sent, in milliseconds. */
-    | { readonly isGranted: true; readonly waitMs: number; }
+    | { readonly isGranted: true; }
     /** `retryAfterMs`: time after which the team is expected to have room, in milliseconds. */
     | { readonly isGranted: false; readonly retryAfterMs: number; };
 
@@ -48,11 +47,8 @@
      */
     readonly detectSuspensions: () => number;
     readonly distanceTo: (failureDomain: string) => Distance;
-    /**
-     * Asks for one operation of a team's allowance, which may wait for its turn for `maximumWaitMs` milliseconds. Undefined where
-     * teams have none.
-     */
-    readonly takeAllowance?: ((team: string, maximumWaitMs: number) => Promise<AllowanceDecision>) | undefined;
+    /** Asks for one operation of a team's allowance. Undefined where teams have none. */
+    readonly takeAllowance?: ((team: string) => Promise<AllowanceDecision>) | undefined;
     readonly onInstanceSuspected: (service: string, instanceId: string, failure: AttemptFailure) => void;
     /** Called when a session is refused at its start. */
     readonly onStartupRefused?: (code: number) => void;
--- a/packages/process/statement-runner/src/SessionRunner.ts
+++ b/packages/process/statement-runner/src/SessionRunner.ts
@@ -11,11 +11,11 @@
 import { type Statement, StatementKind } from "@pomeloturn/types/Statement";
 import { toWriteResultCode } from "./decideRetry.ts";
 import { createOperation, type Operation } from "./Operation.ts";
+import { requestAllowance } from "./requestAllowance.ts";
 import type { RunnerPorts } from "./RunnerPorts.ts";
 import { runRead } from "./runRead.ts";
 import { runWrite } from "./runWrite.ts";
 import { Transaction } from "./Transaction.ts";
-import { waitForAllowance } from "./waitForAllowance.ts";
 
 const NO_INSTANCE_RETRY_AFTER_MS = 500;
 const DEFAULT_TRANSACTION_IDLE_MS = 3_000;
@@ -207,7 +207,7 @@
 
     /** Asks for one operation of the team's allowance, unless the operation has begun. @returns the refusal, if any */
     private async refuseBeyondAllowance(operation: Operation): Promise<CallerReply | undefined> {
-        const retryAfterMs = this.transaction?.hasBegun === true ? undefined : await waitForAllowance(operation, this.ports);
+        const retryAfterMs = this.transaction?.hasBegun === true ? undefined : await requestAllowance(operation, this.ports);
         return retryAfterMs === undefined
             ? undefined
             : createErrorReply(ResultCode.AllowanceExhausted, operation.identity, this.state.status, retryAfterMs);
--- a/packages/process/statement-runner/src/teamOperations.test.ts
+++ b/packages/process/statement-runner/src/teamOperations.test.ts
@@ -10,7 +10,7 @@
 
 const TIMEOUT_MS = 2_000;
 const KEY = "key-1";
-const GRANTED: AllowanceDecision = { isGranted: true, waitMs: 0 };
+const GRANTED: AllowanceDecision = { isGranted: true };
 const REFUSED: AllowanceDecision = { isGranted: false, retryAfterMs: 120 };
 
 const createTeams = (teamNamesByKey: readonly (readonly [string, string])[]): TeamTable => ({
--- a/programs/entry/src/Entry.ts
+++ b/programs/entry/src/Entry.ts
@@ -205,7 +205,7 @@
         const statements = StatementLog.create(this.logger, this.metrics);
         const { allowances } = this;
         return {
-            takeAllowance: allowances === undefined ? undefined : (team, maximumWaitMs) => allowances.take(team, maximumWaitMs),
+            takeAllowance: allowances === undefined ? undefined : team => allowances.take(team),
             directory: this.directory,
             nowMs: () => performance.now(),
             random: Math.random,
--- a/programs/entry/src/TeamAllowances.ts
+++ b/programs/entry/src/TeamAllowances.ts
@@ -38,6 +38,10 @@
             contactMs: settings.contactMs,
             nowMs: () => performance.now(),
             random: Math.random,
+            startTimer: (delayMs, onDue) => {
+                const timer = setTimeout(onDue, delayMs);
+                return () => clearTimeout(timer);
+            },
             send: (address, text) => this.socket.send(address, text),
             onEvent: (event, team) => this.recorders[event](team),
         });
@@ -51,8 +55,8 @@
         return allowance === undefined ? undefined : new TeamAllowances(settings, allowance, counters, logger);
     }
 
-    take(team: string, maximumWaitMs: number): Promise<AllowanceOutcome> {
-        return this.exchange.take(team, maximumWaitMs);
+    take(team: string): Promise<AllowanceOutcome> {
+        return this.exchange.take(team);
     }
 
     setTeams(teams: TeamTable | undefined): void {
@@ -61,8 +65,9 @@
 
     setMembers(members: Iterable<MemberRow>, regions: Readonly<Record<string, string>>): void {
         this.exchange.setMembers(
-            [...members].map(({ vm, failureDomain, relayAddress }) => ({
+            [...members].map(({ vm, version, failureDomain, relayAddress }) => ({
                 vm,
+                version,
                 region: regions[failureDomain] ?? "",
                 address: relayAddress,
             })),
