Probe an instance that could not be reached, so that it is used again

Failed probes raise no suspicion of the primary.

The new test failed before (after its time limit).

--- a/packages/connection/instance-pool/src/InstancePool.test.ts
+++ b/packages/connection/instance-pool/src/InstancePool.test.ts
@@ -25,12 +25,13 @@
     private readonly pendingStartups: ((reply?: InstanceReply) => void)[] = [];
     readonly pool: InstancePool;
     nowMs = 0;
+    reportedFailureCount = 0;
 
     constructor(connectionLimit: number, vmCount: number, pacing?: OpeningPacing) {
         this.pool = InstancePool.create({
             nowMs: () => this.nowMs,
             open: (onClosed, identity) => this.open(onClosed, identity),
-            onOpenFailed: () => {},
+            onOpenFailed: () => this.reportedFailureCount++,
             onLost: () => {},
             pacing,
         });
@@ -105,6 +106,24 @@
         expect(test.opened).toEqual(["a", "b", "c"]);
     });
 
+    it("would fail if an instance that could not be reached once were never used again", async () => {
+        const test = new TestPool(2, 4);
+        const lease = test.pool.acquire(1, WAIT_MS, "a");
+        await test.accept({ ...OPENED, code: ResultCode.BackendLost });
+        expect(await lease).toBeUndefined();
+        test.pool.tick();
+        expect([test.pool.isUnreachable, test.opened]).toEqual([true, ["a"]]);
+        for (test.nowMs = 200; test.opened.length < 3 && test.nowMs < 5_000; test.nowMs += 200) {
+            test.pool.tick();
+            await test.accept({ ...OPENED, code: ResultCode.BackendLost });
+        }
+        expect(test.reportedFailureCount).toBe(1);
+        test.nowMs += 1_000;
+        test.pool.tick();
+        await test.accept();
+        expect(test.pool.isUnreachable).toBe(false);
+    });
+
     it("would fail if requests of a busy team kept a more urgent one of another team waiting", async () => {
         const test = new TestPool(2, 2);
         const [first] = [await test.acquire("a", 2), await test.acquire("a", 2)];
--- a/packages/connection/instance-pool/src/InstancePool.ts
+++ b/packages/connection/instance-pool/src/InstancePool.ts
@@ -130,7 +130,8 @@
         ) {
             oldest.connection.close("the idle timeout of the connection has passed");
         }
-        if (this.isUnreachable && this.ports.pacing !== undefined) {
+        if (this.isUnreachable && (this.ports.pacing !== undefined || nowMs >= this.state.backoffUntilMs)) {
+            // No request uses an unreachable instance, so that nothing else would find that it has recovered.
             this.openFirst();
         }
         this.openNeeded();
@@ -240,8 +241,12 @@
             recordExhausted(this.state, this.ports.nowMs());
         }
         else {
+            const isFirstFailure = this.state.failureCount === 0 || this.waiting.count > 0;
             recordOpenFailure(this.state, this.ports.nowMs());
-            this.ports.onOpenFailed(reply);
+            if (isFirstFailure || this.ports.pacing !== undefined) {
+                // A failed probe of an instance that no request uses says nothing new of it.
+                this.ports.onOpenFailed(reply);
+            }
         }
         const pacedMs = this.ports.pacing?.recordFailedOpening(reply.code === ResultCode.ConnectionsExhausted, startedAtMs);
         this.state.backoffUntilMs = pacedMs === undefined ? this.state.backoffUntilMs : this.ports.nowMs() + pacedMs;
