Ask former holders of seats at short intervals after a change of the seats

A VM that takes over a seat waits for a chain of former holders, each of which asked the one before it every 200 ms only. They ask every 40 ms now for 2 s.

--- a/packages/process/allowance-link/src/AllowanceExchange.ts
+++ b/packages/process/allowance-link/src/AllowanceExchange.ts
@@ -19,6 +19,8 @@
 /** Time to wait for the answer of a holder in the same region, and in another one: a few times the way there and back. */
 const NEAR_TIMEOUT_MS = 60;
 const FAR_TIMEOUT_MS = 100;
+/** Time after a change of the seats in which former holders are asked at short intervals. */
+const PROMPT_TAKEOVER_MS = 2_000;
 /** Time after which a holder that lost a seat may be asked again. */
 const NOT_HOLDER_PAUSE_MS = 300;
 /** Time after which an operation may be tried again when no holder answered. */
@@ -80,6 +82,7 @@
     private readonly memory = createSeatMemory();
     private readonly pending = new Map<number, PendingRequest>();
     private lastNumber = 0;
+    private seatsChangedAtMs = -Infinity;
     private hasStopped = false;
 
     private readonly handlers: Readonly<Record<AllowanceMessageKind, Handler>> = {
@@ -106,6 +109,12 @@
         return this.held.count;
     }
 
+    /** Whether this VM has just got seats whose former holders have not answered yet. They answer soon unless they are gone. */
+    get isTakingOver(): boolean {
+        const nowMs = this.ports.nowMs();
+        return nowMs - this.seatsChangedAtMs < PROMPT_TAKEOVER_MS && this.held.listUnconfirmed(nowMs).length > 0;
+    }
+
     setTeams(teams: TeamTable | undefined): void {
         const names = [...teams?.teams.keys() ?? []];
         const isSame = names.length === this.teams?.teams.size && names.every(name => this.teams!.teams.has(name));
@@ -174,6 +183,7 @@
 
     private updateHeldSeats(): void {
         const nowMs = this.ports.nowMs();
+        this.seatsChangedAtMs = nowMs;
         const teams = this.hasStopped ? [] : [...this.teams?.teams.keys() ?? []];
         this.held.replace(this.assignment.listSeats(teams, nowMs), new Set(this.assignment.addresses.keys()), nowMs);
     }
--- a/programs/entry/src/Entry.ts
+++ b/programs/entry/src/Entry.ts
@@ -41,7 +41,7 @@
 const MS_PER_S = 1_000;
 
 const TICK_MS = 200;
-/** Interval of ticks while a primary is suspected, missing or being replaced. */
+/** Interval of ticks while a primary is suspected, missing or being replaced, or seats of allowances are taken over. */
 const ACTIVE_TICK_MS = 40;
 /** The proxy process of one VM: wires the listeners, the directory, the store and the replacements of primaries together. */
 export class Entry {
@@ -251,9 +251,9 @@
         this.countDroppedLines();
         this.feeds?.tick(this.ports.nowMs());
         this.directory.tick();
-        this.allowances?.tick();
+        const isTakingOver = this.allowances?.tick() ?? false;
         this.directory.takeDueChecks(this.ports.nowMs()).forEach(entry => void probeInstance(this.connect(entry, () => {})));
-        return this.replacements.tick(this.directory.services.values()) ? ACTIVE_TICK_MS : TICK_MS;
+        return this.replacements.tick(this.directory.services.values()) || isTakingOver ? ACTIVE_TICK_MS : TICK_MS;
     }
 
     /** Counts and reports log lines that were dropped because the reader of standard output was too slow. */
--- a/programs/entry/src/TeamAllowances.ts
+++ b/programs/entry/src/TeamAllowances.ts
@@ -74,8 +74,10 @@
         );
     }
 
-    tick(): void {
+    /** @returns whether former holders of this VM's seats have not answered yet, so that the next tick is due soon */
+    tick(): boolean {
         this.exchange.tick();
+        return this.exchange.isTakingOver;
     }
 
     /** Grants nothing more, because the process shuts down. */
