--- a/packages/process/allowance-link/src/AllowanceExchange.test.ts
+++ b/packages/process/allowance-link/src/AllowanceExchange.test.ts
@@ -1,6 +1,6 @@
-import type { TeamTable } from "@pomeloturn/types/Teams";
+import type { AllowanceDecision, TeamTable } from "@pomeloturn/types/Teams";
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
-import { AllowanceEvent, AllowanceExchange, type AllowanceOutcome } from "./AllowanceExchange.ts";
+import { AllowanceEvent, AllowanceExchange } from "./AllowanceExchange.ts";
 
 const BOUNDS = { windowS: 5, overageShare: 0.1, slackOperations: 20 };
 const CONTACT_MS = 5_000;
@@ -119,7 +119,7 @@
 
     it("would fail if a late or repeated answer counted for another operation", async () => {
         const { exchange, sent } = createExchange();
-        const outcomes: AllowanceOutcome[] = [];
+        const outcomes: AllowanceDecision[] = [];
         void exchange.take("team").then(outcome => outcomes.push(outcome));
         const [, late] = sent[0]!.text.split(" ");
         await vi.advanceTimersByTimeAsync(60);
--- a/packages/process/allowance-link/src/AllowanceExchange.ts
+++ b/packages/process/allowance-link/src/AllowanceExchange.ts
@@ -1,5 +1,5 @@
 import { type AllowanceBounds, computeSeatLimits } from "@pomeloturn/team-allowance/computeSeatLimits";
-import type { TeamEntry, TeamTable } from "@pomeloturn/types/Teams";
+import type { AllowanceDecision, TeamEntry, TeamTable } from "@pomeloturn/types/Teams";
 import type { AllowanceMember } from "./AllowanceMember.ts";
 import { type AllowanceMessage, AllowanceMessageKind, decodeAllowanceMessage, encodeAllowanceMessage } from "./allowanceMessages.ts";
 import { type HeldSeat, HeldSeats, type SeatAnswer } from "./HeldSeats.ts";
@@ -32,7 +32,7 @@
  */
 const TAKEOVER_WAIT_FACTOR = 3;
 
-/** Constants for `AllowanceEvents.onAsked` and the like are the names of the counters that operators see. */
+/** What became of a request for an operation; see `AllowancePorts.onEvent`. */
 export const AllowanceEvent = {
     Granted: "granted",
     Refused: "refused",
@@ -44,12 +44,6 @@
 } as const;
 export type AllowanceEvent = typeof AllowanceEvent[keyof typeof AllowanceEvent];
 
-/** Whether a team may run another operation. */
-export type AllowanceOutcome =
-    | { readonly isGranted: true; }
-    /** `retryAfterMs`: time after which the team is expected to have room, in milliseconds. */
-    | { readonly isGranted: false; readonly retryAfterMs: number; };
-
 /** What an exchange needs from the process that hosts it. */
 export interface AllowancePorts {
     readonly vm: string;
@@ -144,7 +138,7 @@
     }
 
     /** Takes one operation of a team's allowance. */
-    async take(team: string): Promise<AllowanceOutcome> {
+    async take(team: string): Promise<AllowanceDecision> {
         const candidates = orderCandidates(this.listCandidates(team), this.memory, this.ports.random(), this.ports.nowMs());
         let retryAfterMs: number | undefined;
         for (const candidate of candidates) {
--- a/packages/process/statement-runner/src/RunnerPorts.ts
+++ b/packages/process/statement-runner/src/RunnerPorts.ts
@@ -1,5 +1,6 @@
 import type { Distance } from "@pomeloturn/rank-candidates/rankCandidates";
 import type { ServiceDirectory } from "@pomeloturn/service-directory/ServiceDirectory";
+import type { AllowanceDecision } from "@pomeloturn/types/Teams";
 
 /** Outcome of a finished statement, for logs and metrics. */
 export interface StatementRecord {
@@ -28,12 +29,6 @@
 } as const;
 export type AttemptFailure = typeof AttemptFailure[keyof typeof AttemptFailure];
 
-/** Whether a team may run another operation now. */
-export type AllowanceDecision =
-    | { readonly isGranted: true; }
-    /** `retryAfterMs`: time after which the team is expected to have room, in milliseconds. */
-    | { readonly isGranted: false; readonly retryAfterMs: number; };
-
 /** What the runner needs from the process that hosts it. */
 export interface RunnerPorts {
     readonly directory: ServiceDirectory;
--- a/packages/process/statement-runner/src/teamOperations.test.ts
+++ b/packages/process/statement-runner/src/teamOperations.test.ts
@@ -1,9 +1,9 @@
 import { ResultCode } from "@pomeloturn/errors/ResultCode";
 import { TransactionStatus } from "@pomeloturn/types/Request";
 import { type Statement, StatementKind } from "@pomeloturn/types/Statement";
-import type { TeamTable } from "@pomeloturn/types/Teams";
+import type { AllowanceDecision, TeamTable } from "@pomeloturn/types/Teams";
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
-import type { AllowanceDecision, RunnerPorts } from "./RunnerPorts.ts";
+import type { RunnerPorts } from "./RunnerPorts.ts";
 import { SessionRunner } from "./SessionRunner.ts";
 import { createTestPorts, createTestRoutes, TEST_DATABASE } from "./support/createTestPorts.ts";
 import { ScriptedInstance } from "./support/ScriptedInstance.ts";
--- a/packages/shared/types/src/Teams.ts
+++ b/packages/shared/types/src/Teams.ts
@@ -13,3 +13,9 @@
     readonly teams: ReadonlyMap<string, TeamEntry>;
     readonly teamNamesByKey: ReadonlyMap<string, string>;
 }
+
+/** Whether a team may run another operation now. */
+export type AllowanceDecision =
+    | { readonly isGranted: true; }
+    /** `retryAfterMs`: time after which the team is expected to have room, in milliseconds. */
+    | { readonly isGranted: false; readonly retryAfterMs: number; };
--- a/programs/entry/src/TeamAllowances.ts
+++ b/programs/entry/src/TeamAllowances.ts
@@ -1,10 +1,10 @@
-import { AllowanceEvent, AllowanceExchange, type AllowanceOutcome } from "@pomeloturn/allowance-link/AllowanceExchange";
+import { AllowanceEvent, AllowanceExchange } from "@pomeloturn/allowance-link/AllowanceExchange";
 import { AllowanceSocket } from "@pomeloturn/allowance-link/AllowanceSocket";
 import type { Counters } from "@pomeloturn/logger/Counters";
 import type { ProcessLogger } from "@pomeloturn/logger/createLogger";
 import type { MemberRow } from "@pomeloturn/platform/decodeMember";
 import { type AllowanceSettings, type PlatformSettings, splitAddress } from "@pomeloturn/platform/PlatformSettings";
-import type { TeamTable } from "@pomeloturn/types/Teams";
+import type { AllowanceDecision, TeamTable } from "@pomeloturn/types/Teams";
 
 /** Limits the operations of teams to their allowances, together with the other VMs. Its datagrams use the relay's port. */
 export class TeamAllowances {
@@ -55,7 +55,7 @@
         return allowance === undefined ? undefined : new TeamAllowances(settings, allowance, counters, logger);
     }
 
-    take(team: string): Promise<AllowanceOutcome> {
+    take(team: string): Promise<AllowanceDecision> {
         return this.exchange.take(team);
     }
 
--- a/tests/pacing/support/simulateFleet.ts
+++ b/tests/pacing/support/simulateFleet.ts
@@ -55,7 +55,7 @@
 const RECOVERY_WINDOW_MS = 500;
 const RECOVERY_SHARE = 0.8;
 const RECOVERY_STEP_MS = 10;
-/** Kinds of operations: share of the rate, work, target and caller's limit (deployment gridharbor-ff-grown). */
+/** Kinds of operations: share of the rate, work, target and caller's limit. */
 const KINDS = [
     { rank: 0, share: 0.13, limitMs: 6_016, targetMs: 401 },
     { rank: 1, share: 0.23, limitMs: 10_018, targetMs: 601 },
