Replace no primary before each instance that is alive must be listed

Cause: holdsEachCommit counts the instances that a VM knows, and one primary. Entries that expired in an outage are back within two seconds of the store's return. A VM that was running remembers them (CommitHolders); one that has just started knows only what is listed by then, and waited 0.9 s. With one replica known, one paused replica was enough.

Change: ListingCheck reads the listing at the store itself each second after the start of the process. Once the reads have covered 3 s without a failure, a restore of the store or a suspension of the VM, and this VM knows each listed instance, no instance that is alive can be missing. Before that, a service with sync_replicas gets no promotion for the reasons "down" and "leaderless", and no replica is paused. It works whatever the order of starts and returns, as the time is counted from the VM's first own read, which is never before the return. Services without sync_replicas are as before. Log lines say when a replacement is put off and when the listing is complete.

--- a/packages/process/replacement-runner/src/CommitHolders.ts
+++ b/packages/process/replacement-runner/src/CommitHolders.ts
@@ -1,7 +1,6 @@
 import type { ServiceRuntime } from "@pomeloturn/service-directory/ServiceRuntime";
+import { RETURN_WINDOW_MS } from "./returnWindow.ts";
 
-/** Time after the removal of an instance's entry in which it may be listed again, as after an outage of the store. */
-const RETURN_WINDOW_MS = 3_000;
 /** Time for an instance to answer at its address after it was listed. The entry of one that does not may come from another writer. */
 const FIRST_ANSWER_WINDOW_MS = 10_000;
 
--- /dev/null
+++ b/packages/process/replacement-runner/src/ListingCheck.ts
@@ -0,0 +1,73 @@
+import { RETURN_WINDOW_MS } from "./returnWindow.ts";
+
+/** Reads have to follow each other closely, so that the store cannot be down between them for long. */
+const READ_INTERVAL_MS = 1_000;
+const RETRY_DELAY_MS = 500;
+
+/** A read of the complete listing of instances at the store. Times are monotonic milliseconds. */
+export interface ListingRead {
+    readonly sentAtMs: number;
+    readonly answeredAtMs: number;
+    /** Era of the store that answered. */
+    readonly era: number;
+    /** Number of suspensions of this VM so far. Its clock does not count their time. */
+    readonly suspensions: number;
+    /** Whether this VM knows each instance that the listing shows. */
+    readonly isKnown: boolean;
+}
+
+/**
+ * Decides when this VM knows all instances that are alive. Entries expire during an outage of the store and return within
+ * `RETURN_WINDOW_MS` of its end. A process that has just started cannot tell how long ago that was, so it counts from its
+ * own first read, and begins anew after a failed read, a restore of the store or a suspension of this VM. Times are monotonic milliseconds.
+ */
+export class ListingCheck {
+    private readableSinceMs: number | undefined;
+    private era = 0;
+    private suspensions = 0;
+    private nextReadAtMs = -Infinity;
+    private isDone = false;
+
+    private constructor() {}
+
+    static create(): ListingCheck {
+        return new ListingCheck();
+    }
+
+    /** Whether no instance that is alive can be missing from what this VM knows. */
+    get isComplete(): boolean {
+        return this.isDone;
+    }
+
+    /** Whether the listing has to be read now. Until the outcome is recorded, no further read is due. */
+    takeDueRead(nowMs: number): boolean {
+        const isDue = !this.isDone && nowMs >= this.nextReadAtMs;
+        if (isDue) {
+            this.nextReadAtMs = Infinity;
+        }
+        return isDue;
+    }
+
+    /** Records a read that the store has answered. @returns whether the listing has become complete with it */
+    recordRead({ sentAtMs, answeredAtMs, era, suspensions, isKnown }: ListingRead): boolean {
+        if (this.isDone) {
+            return false;
+        }
+        if (this.readableSinceMs === undefined || era !== this.era || suspensions !== this.suspensions) {
+            this.readableSinceMs = answeredAtMs;
+            this.era = era;
+            this.suspensions = suspensions;
+        }
+        this.isDone = isKnown && sentAtMs - this.readableSinceMs >= RETURN_WINDOW_MS;
+        this.nextReadAtMs = answeredAtMs + READ_INTERVAL_MS;
+        return this.isDone;
+    }
+
+    /** Records a read without an answer: the store may have been down. @returns whether earlier reads count no longer */
+    recordFailure(nowMs: number): boolean {
+        const isBegun = this.readableSinceMs !== undefined;
+        this.readableSinceMs = undefined;
+        this.nextReadAtMs = nowMs + RETRY_DELAY_MS;
+        return isBegun;
+    }
+}
--- a/packages/process/replacement-runner/src/ReplacementActor.test.ts
+++ b/packages/process/replacement-runner/src/ReplacementActor.test.ts
@@ -5,7 +5,7 @@
 import { createUnheldAuthority } from "@pomeloturn/replace-primary/createUnheldAuthority";
 import { ServiceDirectory } from "@pomeloturn/service-directory/ServiceDirectory";
 import type { InstanceReply } from "@pomeloturn/types/InstanceCommand";
-import { type InstanceProtocol, PromotionOutcome } from "@pomeloturn/types/Protocols";
+import { type InstanceProtocol, type Listing, PromotionOutcome } from "@pomeloturn/types/Protocols";
 import { TransactionStatus } from "@pomeloturn/types/Request";
 import type { InstanceEntry } from "@pomeloturn/types/ServiceEntries";
 import { start } from "nact";
@@ -41,7 +41,7 @@
 };
 
 /** Replaces the primary "a", which refuses connections. @returns the instances whose promotion was ordered */
-const replacePrimary = async (listPrimaries: () => Promise<readonly string[]>): Promise<readonly string[]> => {
+const replacePrimary = async (readListing: () => Promise<Listing>): Promise<readonly string[]> => {
     const ordered: string[] = [];
     const system = start();
     const state = { isPrimary: false, term: 1, received: { term: 1, position: 7 }, heldTerm: 0 };
@@ -51,7 +51,7 @@
         service: createDirectory().services.get(SERVICE)!,
         authorities: {
             claim: (_service, holder, fence) => Promise.resolve({ isApplied: true, authority: { holder, fence, era: 1, version: 2 } }),
-            listPrimaries,
+            readListing,
         },
         promoter: {
             promote: (_service, instanceId) => {
@@ -66,6 +66,7 @@
         areFencesChecked: true,
         detectSuspensions: () => 0,
         syncReplicas: () => 0,
+        isListingComplete: () => false,
         vmIndex: () => 0,
         log: () => {},
     });
@@ -78,13 +79,16 @@
     return ordered;
 };
 
-it("orders no promotion when the listing shows only the primary that has failed", async () => {
-    expect(await replacePrimary(() => Promise.resolve(["a"]))).toContain("b");
+const list = (...primaries: readonly (readonly [id: string, service: string])[]): () => Promise<Listing> => () =>
+    Promise.resolve({ era: 1, instances: primaries.map(([id, service]) => ({ id, service, isPrimary: true })) });
+
+it("orders no promotion when the listing shows only the primary that has failed, and that of another service", async () => {
+    expect(await replacePrimary(list(["a", SERVICE], ["z", "other"]))).toContain("b");
 });
 
-it.each<[what: string, listPrimaries: () => Promise<readonly string[]>]>([
-    ["lists a primary that this VM has not heard of", () => Promise.resolve(["a", "b"])],
+it.each<[what: string, readListing: () => Promise<Listing>]>([
+    ["lists a primary that this VM has not heard of", list(["a", SERVICE], ["b", SERVICE])],
     ["cannot be read", () => Promise.reject(new Error("the store did not answer"))],
-])("orders a promotion after a claim although the listing %s", async (_what, listPrimaries) => {
-    expect(await replacePrimary(listPrimaries)).toEqual([]);
+])("orders a promotion after a claim although the listing %s", async (_what, readListing) => {
+    expect(await replacePrimary(readListing)).toEqual([]);
 });
--- a/packages/process/replacement-runner/src/ReplacementActor.ts
+++ b/packages/process/replacement-runner/src/ReplacementActor.ts
@@ -29,6 +29,8 @@
     readonly detectSuspensions: () => number;
     /** Number of replicas of the service that have to receive a commit before it is acknowledged. */
     readonly syncReplicas: () => number;
+    /** Whether no instance that is alive can be missing from the listing that this VM knows. */
+    readonly isListingComplete: () => boolean;
     /** Index of this VM in the order in which VMs act on the service. */
     readonly vmIndex: () => number;
     /** Writes a log line. */
@@ -64,6 +66,11 @@
             || this.state.leaderlessSinceMs !== undefined;
     }
 
+    /** Whether commits of the service are acknowledged once replicas have received them, so that its replicas have to be known. */
+    get needsCompleteListing(): boolean {
+        return this.state.syncReplicas > 0;
+    }
+
     tick(): void {
         this.holders.update(this.options.service, this.options.nowMs());
         dispatch(this.reference, { kind: "tick", view: this.view() });
@@ -94,13 +101,14 @@
     }
 
     private view(): LeaderView {
-        const { service, vmIndex, syncReplicas } = this.options;
+        const { service, vmIndex, syncReplicas, isListingComplete } = this.options;
         const { leader } = service;
         return {
             leaderId: leader?.entry.id,
             isLeaderDraining: leader?.entry.isDraining === true,
             instanceCount: service.instances.size,
             syncReplicas: syncReplicas(),
+            isListingComplete: isListingComplete(),
             vmIndex: vmIndex(),
         };
     }
@@ -144,8 +152,9 @@
     private async isListingCurrent(): Promise<boolean> {
         const { authorities, service, isMisrouted, log } = this.options;
         try {
-            const primaries = await authorities.listPrimaries(service.name);
-            return primaries.every(id => service.knownLeader.claims.has(id) || isMisrouted(id));
+            const { instances } = await authorities.readListing();
+            const primaries = instances.filter(instance => instance.service === service.name && instance.isPrimary);
+            return primaries.every(({ id }) => service.knownLeader.claims.has(id) || isMisrouted(id));
         }
         catch (error) {
             log("the listing of the instances cannot be read after a claim", {
--- a/packages/shared/types/src/Protocols.ts
+++ b/packages/shared/types/src/Protocols.ts
@@ -85,6 +85,13 @@
     readonly authority: Authority;
 }
 
+/** The instances that the store lists at one time. */
+export interface Listing {
+    /** Era of the store. */
+    readonly era: number;
+    readonly instances: readonly { readonly id: string; readonly service: string; readonly isPrimary: boolean; }[];
+}
+
 /** Access to the authority rows in the platform's store. */
 export interface AuthorityStore {
     /**
@@ -95,9 +102,9 @@
     claim(service: string, holder: string, fence: number, known: Authority): Promise<AuthorityChange>;
 
     /**
-     * Lists the ids of the instances of a service that are listed as the primary now.
+     * Reads the listing of all instances at the store itself.
      *
      * @throws PomeloturnError with code `StoreUnavailable` when the store does not answer
      */
-    listPrimaries(service: string): Promise<readonly string[]>;
+    readListing(): Promise<Listing>;
 }
--- a/packages/version/replace-primary/src/ReplacementState.ts
+++ b/packages/version/replace-primary/src/ReplacementState.ts
@@ -74,6 +74,10 @@
     isSteppedDown: boolean;
     /** Number of replicas that have to receive a commit before it is acknowledged. */
     syncReplicas: number;
+    /** Whether no instance that is alive can be missing from the listing. */
+    isListingComplete: boolean;
+    /** Whether the primary would be replaced now if the listing were complete. */
+    isWaitingForListing: boolean;
     /** The last known primary, which may hold commits that were acknowledged. */
     lastLeaderId: string | undefined;
     /** Term for which this VM has told the replicas to stop receiving; undefined if it has not. */
@@ -110,6 +114,8 @@
     order: undefined,
     isSteppedDown: false,
     syncReplicas: 0,
+    isListingComplete: false,
+    isWaitingForListing: false,
     lastLeaderId: undefined,
     pauseTerm: undefined,
     resumeCheckAtMs: undefined,
--- a/packages/version/replace-primary/src/decideSuccessor.ts
+++ b/packages/version/replace-primary/src/decideSuccessor.ts
@@ -61,9 +61,13 @@
 /**
  * Orders the promotion where commits are acknowledged once replicas have received them. The primary may only be out of this
  * VM's reach. So the replicas stop receiving first, and the promotion is ordered when so many have that no commit which one of
- * the others holds alone can have been acknowledged.
+ * the others holds alone can have been acknowledged. An instance that is not listed yet could hold one.
  */
 const orderWithEachCommit = (state: ReplacementState, instances: readonly SurveyedInstance[], nowMs: number): ReplacementAction[] => {
+    if (!state.isListingComplete) {
+        // Paused replicas would keep the primary from acknowledging commits although no promotion may be ordered yet.
+        return [];
+    }
     const newestTerm = Math.max(...instances.map(({ state: each }) => each === undefined ? 0 : Math.max(each.term, each.heldTerm)));
     if (state.pauseTerm === undefined) {
         state.pauseTerm = newestTerm + 1;
--- a/packages/version/replace-primary/src/replacementMessages.ts
+++ b/packages/version/replace-primary/src/replacementMessages.ts
@@ -30,6 +30,8 @@
     readonly instanceCount: number;
     /** Number of replicas that have to receive a commit before it is acknowledged. */
     readonly syncReplicas: number;
+    /** Whether no instance that is alive can be missing from the listing. Matters where replicas have to receive commits. */
+    readonly isListingComplete: boolean;
     /** Index of this VM in the order in which VMs act; the VM with index 0 acts first. */
     readonly vmIndex: number;
 }
--- a/packages/version/replace-primary/src/stepReplacement.test.ts
+++ b/packages/version/replace-primary/src/stepReplacement.test.ts
@@ -11,7 +11,14 @@
 import { createReplacement, ReplacementPhase, type ReplacementState } from "./ReplacementState.ts";
 import { stepReplacement } from "./stepReplacement.ts";
 
-const VIEW: LeaderView = { leaderId: "a", isLeaderDraining: false, instanceCount: 3, syncReplicas: 0, vmIndex: 0 };
+const VIEW: LeaderView = {
+    leaderId: "a",
+    isLeaderDraining: false,
+    instanceCount: 3,
+    syncReplicas: 0,
+    isListingComplete: false,
+    vmIndex: 0,
+};
 const UNAVAILABLE = { kind: "claimed", change: undefined, isListingCurrent: false } as const;
 
 /** Creates the state of a VM whose primary refused two probes. */
--- a/packages/version/replace-primary/src/stepReplacement.ts
+++ b/packages/version/replace-primary/src/stepReplacement.ts
@@ -144,6 +144,7 @@
 ]);
 
 const tick: Handlers["tick"] = (state, { view }, nowMs) => {
+    state.isListingComplete = view.isListingComplete;
     if (state.phase === ReplacementPhase.Watching) {
         return watchLeader(state, view, nowMs);
     }
--- a/packages/version/replace-primary/src/watchLeader.ts
+++ b/packages/version/replace-primary/src/watchLeader.ts
@@ -13,6 +13,12 @@
     VM_STAGGER_MS,
 } from "./replacementTiming.ts";
 
+/** Reasons for which a promotion is ordered without the help of the primary, so that every other holder of a commit has to be known. */
+const REASONS_WITHOUT_PRIMARY: ReadonlySet<ReplacementReason> = new Set<ReplacementReason>([
+    ReplacementReason.Down,
+    ReplacementReason.Leaderless,
+]);
+
 /** Returns the reason to replace the primary, or undefined when there is none. */
 const findReason = (
     state: ReplacementState,
@@ -74,6 +80,11 @@
     nowMs: number,
 ): ReplacementAction[] => {
     const reason = findReason(state, view, nowMs);
+    const isWaiting = reason !== undefined && REASONS_WITHOUT_PRIMARY.has(reason) && view.syncReplicas > 0 && !view.isListingComplete;
+    if (isWaiting) {
+        return waitForListing(state, view, reason);
+    }
+    state.isWaitingForListing = false;
     if (reason !== state.reason) {
         state.reason = reason;
         state.phaseSinceMs = nowMs;
@@ -103,6 +114,18 @@
     return isFirstClaimDue(state, view, nowMs) ? claimUnheldAuthority(state, nowMs) : [];
 };
 
+/** Puts the replacement off while the instance that alone holds a commit may not be listed yet. */
+const waitForListing = (
+    state: ReplacementState,
+    { leaderId, instanceCount }: LeaderView,
+    reason: ReplacementReason,
+): ReplacementAction[] => {
+    const isLogged = state.isWaitingForListing;
+    state.isWaitingForListing = true;
+    const text = "the primary is not replaced yet: more instances that received its commits may be listed";
+    return isLogged ? [] : [{ kind: "log", text, details: { reason, leader: leaderId, instances: instanceCount } }];
+};
+
 /** Whether this VM, as the first in order, claims an authority that no VM holds, so that it can act during an outage of the store. */
 const isFirstClaimDue = (
     { authority, pausedUntilMs, firstClaimAtMs }: ReplacementState,
--- a/programs/entry/src/Entry.ts
+++ b/programs/entry/src/Entry.ts
@@ -97,6 +97,7 @@
             detectSuspensions: this.ports.detectSuspensions,
             openConnection: ({ entry }) => this.connect(entry, () => {}),
             isMisrouted: id => this.directory.isMisrouted(id),
+            isKnown: id => this.directory.findEntry(id) !== undefined,
             syncReplicas: service => this.directory.routes?.services.get(service)?.syncReplicas ?? 0,
             log: (text, details) => logger.info(text, details),
             onUnexpectedError: this.ports.onUnexpectedError,
--- a/programs/entry/src/ReplacementActors.test.ts
+++ b/programs/entry/src/ReplacementActors.test.ts
@@ -11,7 +11,7 @@
     const actors = ReplacementActors.create({
         system: start(),
         vm: "vm-1",
-        authorities: { claim: () => Promise.reject(new Error()), listPrimaries: () => Promise.resolve([]) },
+        authorities: { claim: () => Promise.reject(new Error()), readListing: () => Promise.resolve({ era: 1, instances: [] }) },
         promoter: { promote: () => Promise.resolve(PromotionOutcome.Refused) },
         protocol: {} as SharedReplacementOptions["protocol"],
         nowMs: () => 0,
@@ -19,6 +19,7 @@
             throw new Error("the services have no instance");
         },
         isMisrouted: () => false,
+        isKnown: () => true,
         areFencesChecked: true,
         detectSuspensions: () => 0,
         syncReplicas: service => {
--- a/programs/entry/src/ReplacementActors.ts
+++ b/programs/entry/src/ReplacementActors.ts
@@ -1,13 +1,16 @@
 import { computeOrder } from "@pomeloturn/membership/computeOrder";
 import { createUnheldAuthority } from "@pomeloturn/replace-primary/createUnheldAuthority";
+import { ListingCheck } from "@pomeloturn/replacement-runner/ListingCheck";
 import { ReplacementActor, type ReplacementOptions } from "@pomeloturn/replacement-runner/ReplacementActor";
 import type { ServiceRuntime } from "@pomeloturn/service-directory/ServiceRuntime";
 import type { Authority } from "@pomeloturn/types/Protocols";
 
 /** Options that are the same for the replacement actors of all services. */
-export type SharedReplacementOptions = Omit<ReplacementOptions, "service" | "vmIndex" | "syncReplicas"> & {
+export type SharedReplacementOptions = Omit<ReplacementOptions, "service" | "vmIndex" | "syncReplicas" | "isListingComplete"> & {
     /** Number of replicas of a service that have to receive a commit before it is acknowledged. */
     readonly syncReplicas: (service: string) => number;
+    /** Whether this VM knows an instance, be it in use or not. */
+    readonly isKnown: (instanceId: string) => boolean;
     /** Called with an error that the actor of one service has thrown. */
     readonly onUnexpectedError: (error: Error) => void;
 };
@@ -18,6 +21,7 @@
     private readonly authorities = new Map<string, Authority>();
     private members: readonly string[] = [];
     private era = 0;
+    private readonly listingCheck = ListingCheck.create();
 
     private constructor(private readonly options: SharedReplacementOptions) {}
 
@@ -52,20 +56,44 @@
     /** @returns whether a primary is suspected, missing or being replaced, so that the next tick should follow soon */
     tick(services: Iterable<ServiceRuntime>): boolean {
         let isActive = false;
+        let needsCompleteListing = false;
         for (const service of services) {
             try {
                 const actor = this.findOrCreate(service);
                 actor.tick();
                 isActive ||= actor.isActive;
+                needsCompleteListing ||= actor.needsCompleteListing;
             }
             catch (error) {
                 // The other services are still watched.
                 this.options.onUnexpectedError(error as Error);
             }
         }
+        if (needsCompleteListing && this.listingCheck.takeDueRead(this.options.nowMs())) {
+            void this.checkListing();
+        }
         return isActive;
     }
 
+    /** Reads the listing at the store itself: a relay may not know yet what the store shows. */
+    private async checkListing(): Promise<void> {
+        const { authorities, isKnown, nowMs, detectSuspensions, log } = this.options;
+        const sentAtMs = nowMs();
+        try {
+            const { era, instances } = await authorities.readListing();
+            const suspensions = detectSuspensions();
+            const isEachKnown = instances.every(({ id }) => isKnown(id));
+            if (this.listingCheck.recordRead({ sentAtMs, answeredAtMs: nowMs(), era, suspensions, isKnown: isEachKnown })) {
+                log("the listing of the instances is complete", { instances: instances.length });
+            }
+        }
+        catch (error) {
+            if (this.listingCheck.recordFailure(nowMs())) {
+                log("the listing of the instances cannot be read; it counts as complete later", { reason: (error as Error).message });
+            }
+        }
+    }
+
     private findOrCreate(service: ServiceRuntime): ReplacementActor {
         const known = this.actors.get(service.name);
         if (known !== undefined) {
@@ -77,6 +105,7 @@
             service,
             vmIndex: () => computeOrder(this.members, vm, service.name),
             syncReplicas: () => syncReplicas(service.name),
+            isListingComplete: () => this.listingCheck.isComplete,
         });
         this.actors.set(service.name, actor);
         actor.changeAuthority(this.authorities.get(service.name) ?? createUnheldAuthority(this.era));
--- a/tests/claimsAfterRestore.test.ts
+++ b/tests/claimsAfterRestore.test.ts
@@ -43,14 +43,20 @@
     expect(claimed.authority.fence).toBeGreaterThan(lost.authority.fence);
 });
 
-it("lists a primary of another service, one that has stepped down, or an entry that is not valid", async () => {
+it("lists an instance that has stepped down as the primary, or an entry that is not valid", async () => {
     const instance = createInstanceRow({ service: SERVICE, address: "127.0.0.1:9" });
     store.write("servers", "a", { ...instance, db_role: "primary" });
     store.write("servers", "a", { ...instance, db_role: "replica" });
     store.write("servers", "b", { ...instance, db_role: "primary" });
     store.write("servers", "c", { ...instance, service: "other", db_role: "primary" });
     store.write("servers", "d", { db_role: "primary" });
-    expect(await authorities.listPrimaries(SERVICE)).toEqual(["b"]);
+    const { era, instances } = await authorities.readListing();
+    expect(era).toBe(1);
+    expect(instances.map(({ id, service, isPrimary }) => ({ id, service, isPrimary }))).toEqual([
+        { id: "a", service: SERVICE, isPrimary: false },
+        { id: "b", service: SERVICE, isPrimary: true },
+        { id: "c", service: "other", isPrimary: true },
+    ]);
 });
 
 it("does not count a claim whose version the restored store has given to another VM's claim", async () => {
--- a/tests/entry/support/EntryDeployment.ts
+++ b/tests/entry/support/EntryDeployment.ts
@@ -67,9 +67,15 @@
 
     /** Starts a VM again whose process has ended, and waits until it is ready. */
     async restartVm(index: number): Promise<EntryProcess> {
+        const vm = await this.respawnVm(index);
+        await vm.waitUntilReady();
+        return vm;
+    }
+
+    /** Starts a VM again whose process has ended. */
+    async respawnVm(index: number): Promise<EntryProcess> {
         const vm = await EntryProcess.spawn(this.options[index]!);
         this.vms[index] = vm;
-        await vm.waitUntilReady();
         return vm;
     }
 
--- a/tests/entry/wiring.test.ts
+++ b/tests/entry/wiring.test.ts
@@ -4,9 +4,9 @@
 import { afterEach, expect, it } from "vitest";
 import { EntryDeployment, type EntryDeploymentOptions, SERVICE } from "./support/EntryDeployment.ts";
 import { REPORT_INTERVAL_MS } from "./support/EntryProcess.ts";
+import { sendWrites } from "./support/sendWrites.ts";
 import { waitForService } from "./support/waitForService.ts";
 
-const WRITE_INTERVAL_MS = 10;
 const STORE_ERA = 1;
 /** Time from a crash of the primary until its replacement is over, or has been given up. */
 const REPLACEMENT_MS = 8_000;
@@ -20,26 +20,13 @@
     return deployment;
 };
 
-/** Sends single writes on one session after the other until the test ends. */
-const sendWrites = async (port: number, name: string): Promise<void> => {
-    let isOver = false;
-    cleanups.push(() => isOver = true);
-    let caller: LineCaller | undefined;
-    for (let count = 0; !isOver; count++) {
-        caller = caller === undefined || caller.isClosed ? await LineCaller.open(port, "writes") : caller;
-        await caller?.run(`${name}-${count}`, "WRITE 1a4 x");
-        await delay(WRITE_INTERVAL_MS);
-    }
-    caller?.close();
-};
-
 it("a replica that lacks acknowledged commits is promoted because the program does not pass on sync_replicas", async () => {
     const deployment = await createDeployment({ syncReplicas: 1 });
     const { group, orders } = deployment;
     const [primary, leaving, behind] = group.instances;
     const vm = await deployment.startVm();
     await delay(1_000);
-    void sendWrites(vm.callerPort, "w");
+    cleanups.push(sendWrites(vm.callerPort, "w"));
     await delay(500);
     leaving!.drain();
     await delay(500);
@@ -64,7 +51,7 @@
         const { group, orders, store } = deployment;
         store.write(COORDINATION_TABLE, authorityKey(SERVICE, STORE_ERA), { holder: "vm-0", fence: 7 });
         const vm = await deployment.startVm();
-        void sendWrites(vm.callerPort, "w");
+        cleanups.push(sendWrites(vm.callerPort, "w"));
         await delay(1_000);
         deployment.storeLinks[0]!.isCut = true;
         await delay(500);
--- a/tests/replacement/support/ReplacementSimulation.ts
+++ b/tests/replacement/support/ReplacementSimulation.ts
@@ -1,15 +1,17 @@
 import { createUnheldAuthority } from "@pomeloturn/replace-primary/createUnheldAuthority";
 import type { ReplacementAction, ReplacementEvent, SurveyedInstance } from "@pomeloturn/replace-primary/replacementMessages";
 import { ProbeOutcome } from "@pomeloturn/replace-primary/replacementMessages";
-import { createReplacement, type ReplacementState } from "@pomeloturn/replace-primary/ReplacementState";
 import { stepReplacement } from "@pomeloturn/replace-primary/stepReplacement";
 import type { Authority } from "@pomeloturn/types/Protocols";
 import { PromotionOutcome } from "@pomeloturn/types/Protocols";
 import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 
+import { EventQueue } from "./EventQueue.ts";
 import { findSharedFences, findStaleOrders, findUnsafeFences, type SimulatedOrder } from "./orderChecks.ts";
 import { type SimulatedInstance, SimulatedLog } from "./SimulatedLog.ts";
+import { createSimulatedVm, type SimulatedVm } from "./SimulatedVm.ts";
+import { surveySimulated } from "./surveySimulated.ts";
 
 const TICK_MS = 40;
 const ROUND_TRIP_MS = 10;
@@ -18,16 +20,6 @@
 const STORE_TIMEOUT_MS = 600;
 const ORDER_TIMEOUT_MS = 1_000;
 
-interface SimulatedVm {
-    readonly name: string;
-    readonly state: ReplacementState;
-    leaderId: string | undefined;
-    isSuspended: boolean;
-    /** Whether it gets no answers and no news from the store. */
-    isCutOff: boolean;
-    readonly pendingEvents: (() => void)[];
-}
-
 /** Simulates VMs that replace the primary of one group, with a store and a platform that executes promotion orders, in virtual time. */
 export class ReplacementSimulation {
     readonly instances: SimulatedInstance[];
@@ -44,9 +36,7 @@
     private readonly log: SimulatedLog;
     private row = createUnheldAuthority(1);
     private highestFence = 0;
-    private nowMs = 0;
-    private readonly events: { readonly atMs: number; readonly sequence: number; readonly run: () => void; }[] = [];
-    private eventCount = 0;
+    private readonly events = new EventQueue();
     private readonly random: () => number;
 
     /** @param syncReplicas number of replicas that have to receive a commit before it is acknowledged */
@@ -65,20 +55,22 @@
             isDraining: false,
             receivedCommitCount: 100,
             isCutFromPrimary: false,
+            isListed: true,
             heldTerm: 0,
             stepDownTerm: 0,
             unreachableVms: new Set<string>(),
         }));
         this.log = new SimulatedLog(this.instances, syncReplicas, this.random);
-        this.vms = Array.from({ length: vmCount }, (_, index) => ({
-            name: `vm-${index}`,
-            state: createReplacement(`vm-${index}`, 0, areFencesChecked),
-            leaderId: "a",
-            isSuspended: false,
-            isCutOff: false,
-            pendingEvents: [],
-        }));
-        this.vms.forEach((vm, index) => this.scheduleTicks(vm, index));
+        this.vms = Array.from({ length: vmCount }, (_, index) => createSimulatedVm(index, this.areFencesChecked, this.nowMs));
+        this.vms.forEach(vm => {
+            this.followListing(vm);
+            vm.listing.count(this.survey(vm, undefined), this.nowMs);
+            this.scheduleTicks(vm);
+        });
+    }
+
+    private get nowMs(): number {
+        return this.events.nowMs;
     }
 
     findInstance(id: string): SimulatedInstance {
@@ -86,24 +78,27 @@
     }
 
     at(atMs: number, run: () => void): void {
-        this.events.push({ atMs, sequence: this.eventCount++, run });
+        this.events.add(atMs, run);
     }
 
     run(untilMs: number): void {
-        for (;;) {
-            this.events.sort((x, y) => x.atMs - y.atMs || x.sequence - y.sequence);
-            if (this.events.length === 0 || this.events[0]!.atMs > untilMs) {
-                return;
-            }
-            const { atMs, run } = this.events.shift()!;
-            this.nowMs = atMs;
-            run();
-        }
+        this.events.run(untilMs);
     }
 
     /** Lets every VM suspect the primary, as after failed requests. */
     reportSuspicions(): void {
-        this.vms.forEach(vm => this.dispatch(vm, { kind: "suspected", instanceId: vm.leaderId ?? "a" }));
+        this.vms.forEach(vm => this.dispatch(vm, { kind: "suspected", instanceId: vm.listing.leaderId ?? "a" }));
+    }
+
+    /** Ends the process of a VM. */
+    killVm(index: number): void {
+        this.vms[index]!.hasEnded = true;
+    }
+
+    /** Starts the process of a VM that has ended. It knows nothing of before. */
+    startVm(index: number): void {
+        this.vms[index] = createSimulatedVm(index, this.areFencesChecked, this.nowMs);
+        this.scheduleTicks(this.vms[index]);
     }
 
     resumeVm(name: string): void {
@@ -118,20 +113,39 @@
         return leader?.condition === "up" && leader.stepDownTerm <= this.term ? leader : undefined;
     }
 
-    private scheduleTicks(vm: SimulatedVm, place: number): void {
-        const leader = vm.leaderId === undefined ? undefined : this.findInstance(vm.leaderId);
+    private scheduleTicks(vm: SimulatedVm): void {
+        if (vm.hasEnded) {
+            return;
+        }
+        this.followListing(vm);
+        const { leaderId, ids, isComplete } = vm.listing;
+        const leader = leaderId === undefined ? undefined : this.findInstance(leaderId);
         const view = {
-            leaderId: vm.leaderId,
+            leaderId,
             isLeaderDraining: leader?.isDraining === true,
-            instanceCount: this.instances.length,
+            instanceCount: ids.length,
             syncReplicas: this.syncReplicas,
-            vmIndex: place,
+            isListingComplete: isComplete,
+            vmIndex: vm.index,
         };
         this.dispatch(vm, { kind: "tick", view });
-        this.at(this.nowMs + TICK_MS, () => this.scheduleTicks(vm, place));
+        this.at(this.nowMs + TICK_MS, () => this.scheduleTicks(vm));
+    }
+
+    private followListing(vm: SimulatedVm): void {
+        const isReadable = !this.isStoreDown && !vm.isCutOff && !vm.isSuspended;
+        const listed = this.instances.filter(({ isListed }) => isListed).map(({ id }) => id);
+        vm.listing.follow(isReadable ? listed : undefined, this.servingLeader?.id, this.nowMs);
+        if (isReadable && !vm.hasReadAuthority) {
+            vm.hasReadAuthority = true;
+            this.dispatch(vm, { kind: "authorityChanged", authority: this.row });
+        }
     }
 
     private dispatch(vm: SimulatedVm, event: ReplacementEvent): void {
+        if (vm.hasEnded) {
+            return;
+        }
         if (vm.isSuspended) {
             if (event.kind !== "tick") {
                 vm.pendingEvents.push(() => this.dispatch(vm, event));
@@ -163,7 +177,7 @@
             },
             order: ({ instanceId, fence }) => this.order(vm, instanceId, fence),
             confirm: ({ instanceId }) => {
-                vm.leaderId = instanceId;
+                vm.listing.leaderId = instanceId;
             },
             log: () => {},
         };
@@ -238,19 +252,9 @@
     }
 
     private survey(vm: SimulatedVm, pauseTerm: number | undefined): SurveyedInstance[] {
-        return this.instances.map(instance => {
-            const { id, condition, isDraining, receivedCommitCount, unreachableVms, stepDownTerm } = instance;
-            if (condition !== "up" || unreachableVms.has(vm.name)) {
-                return { id, isDraining, state: undefined, isPaused: false };
-            }
-            const isPrimary = id === this.leaderId && stepDownTerm <= this.term;
-            const isPaused = pauseTerm !== undefined && !isPrimary && pauseTerm > this.term;
-            if (isPaused) {
-                instance.heldTerm = Math.max(instance.heldTerm, pauseTerm);
-            }
-            const received = { term: this.term, position: receivedCommitCount };
-            return { id, isDraining, state: { isPrimary, term: this.term, received, heldTerm: instance.heldTerm }, isPaused };
-        });
+        const group = { leaderId: this.leaderId, term: this.term };
+        const surveyed = vm.listing.ids.map(id => surveySimulated(this.findInstance(id), group, vm.name, pauseTerm));
+        return vm.listing.count(surveyed, this.nowMs);
     }
 
     private stepDown(instanceId: string, term: number): void {
@@ -260,8 +264,8 @@
         this.at(
             this.nowMs + TICK_MS,
             () =>
-                this.vms.filter(({ leaderId }) => leaderId === instanceId && instance.stepDownTerm > this.term).forEach(vm =>
-                    vm.leaderId = undefined
+                this.vms.filter(({ listing }) => listing.leaderId === instanceId && instance.stepDownTerm > this.term).forEach(vm =>
+                    vm.listing.leaderId = undefined
                 ),
         );
         // The replicas receive the commits that are still in flight.
--- a/tests/replacement/support/SimulatedLog.ts
+++ b/tests/replacement/support/SimulatedLog.ts
@@ -10,6 +10,8 @@
     heldTerm: number;
     /** Highest term for which it was ordered to step down. */
     stepDownTerm: number;
+    /** Whether its entry stands in the store. */
+    isListed: boolean;
     /** Names of the VMs that cannot reach it. */
     readonly unreachableVms: Set<string>;
 }
