Order no promotion while the store lists a replica that this VM does not know

What callers would have seen: an acknowledged commit lost with sync_replicas 1, when the replica that alone received it has joined a moment ago and the VM that promotes hears of the listing through a relay that lags behind.

The listing is read at the store after each claim, but only primaries were compared with what the VM knows.

The read is the one that was made before. Without sync_replicas nothing changes.

Measured: the new row of ReplacementActor.test.ts (one replica has to receive) fails with the former ReplacementActor.ts and passes now; the row without such replicas passes with both.

--- a/packages/process/replacement-runner/src/ReplacementActor.test.ts
+++ b/packages/process/replacement-runner/src/ReplacementActor.test.ts
@@ -98,8 +98,8 @@
     return ordered;
 };
 
-const list = (...primaries: readonly (readonly [id: string, service: string])[]): () => Promise<Listing> => () =>
-    Promise.resolve({ era: 1, instances: primaries.map(([id, service]) => ({ id, service, isPrimary: true })) });
+const list = (...instances: readonly (readonly [id: string, service: string, isPrimary?: boolean])[]): () => Promise<Listing> => () =>
+    Promise.resolve({ era: 1, instances: instances.map(([id, service, isPrimary = true]) => ({ id, service, isPrimary })) });
 
 it("orders no promotion when the listing shows only the primary that has failed, and that of another service", async () => {
     expect(await replacePrimary(createActor(list(["a", SERVICE], ["z", "other"])))).toContain("b");
@@ -112,6 +112,15 @@
     expect(await replacePrimary(createActor(readListing))).toEqual([]);
 });
 
+it.each<[syncReplicas: number, mayOrder: boolean]>([[0, true], [1, false]])(
+    "with %i replicas that have to receive commits, orders a promotion although a replica is listed that this VM has not heard of: %s",
+    async (syncReplicas, mayOrder) => {
+        const readListing = list(["a", SERVICE], ["b", SERVICE, false], ["c", SERVICE, false], ["new", SERVICE, false]);
+        const ordered = await replacePrimary(createActor(readListing, syncReplicas, { verifiedFromMs: () => 0 }));
+        expect(ordered.length > 0).toBe(mayOrder);
+    },
+);
+
 it.each<[when: string, verifiedFromMs: number | undefined, mayOrder: boolean]>([
     ["since before it was removed", 500, false],
     ["since after it was removed", 5_000, true],
--- a/packages/process/replacement-runner/src/ReplacementActor.ts
+++ b/packages/process/replacement-runner/src/ReplacementActor.ts
@@ -153,12 +153,16 @@
         }
     }
 
+    /** Whether this VM knows each primary that is listed and, where replicas have to receive commits, each replica. */
     private async isListingCurrent(): Promise<boolean> {
         const { authorities, service, isMisrouted, log } = this.options;
         try {
             const { instances } = await authorities.readListing();
-            const primaries = instances.filter(instance => instance.service === service.name && instance.isPrimary);
-            return primaries.every(({ id }) => service.knownLeader.claims.has(id) || isMisrouted(id));
+            const listed = instances.filter(instance => instance.service === service.name && !isMisrouted(instance.id));
+            const isSynchronous = this.state.syncReplicas > 0;
+            return listed.every(({ id, isPrimary }) =>
+                isPrimary ? service.knownLeader.claims.has(id) : !isSynchronous || service.instances.has(id)
+            );
         }
         catch (error) {
             log("the listing of the instances cannot be read after a claim", {
--- a/packages/version/replace-primary/src/stepReplacement.ts
+++ b/packages/version/replace-primary/src/stepReplacement.ts
@@ -58,7 +58,7 @@
         return abandon(
             state,
             nowMs,
-            "replacement of the primary abandoned: the store lists a primary that this VM has not heard of, or its listing cannot be read",
+            "replacement of the primary abandoned: the store lists an instance that this VM has not heard of, or its listing cannot be read",
         );
     }
     // Without an answer from the store, this VM may act under the authority that it holds: the platform rejects its order if another VM holds a newer one.
