--- a/tests/entry/soak.test.ts
+++ b/tests/entry/soak.test.ts
@@ -1,6 +1,6 @@
 import { createConfigurationRow } from "@pomeloturn/platform/support/configurationRow";
 import { LineCaller } from "@pomeloturn/platform/support/LineCaller";
-import { CONFIGURATION_KEY, OPERATOR_TABLE } from "@pomeloturn/platform/tables";
+import { CONFIGURATION_KEY, INSTANCE_TABLE, OPERATOR_TABLE } from "@pomeloturn/platform/tables";
 import { setTimeout as delay } from "node:timers/promises";
 import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
@@ -21,6 +21,10 @@
 const EXIT_MARGIN_MS = 300;
 /** Time after the last fault within which every VM serves writes again. */
 const RECOVERY_MS = 12_000;
+/** Time after the store's return in which the entries of instances that are alive are back. */
+const RETURN_MS = 1_900;
+/** Time in which callers write, so that a replica that was behind receives all commits. */
+const CATCH_UP_MS = 1_000;
 /** Answers that promise that nothing of the request is kept. */
 const NOT_KEPT = /^(?:BUSY|ABORTED|LAGGING|READONLY|MISROUTED|MAXCONN)\b/;
 
@@ -35,6 +39,9 @@
     readonly log: string[] = [];
     readonly badExits: string[] = [];
     private readonly stopping = new Set<number>();
+    private crashedCount = 0;
+    /** Whether a replica lacks commits, so that the primary must not be lost with the other one. */
+    private isReplicaBehind = false;
     private configurationVersion = 1;
     private isOver = false;
 
@@ -57,16 +64,21 @@
     readonly faults: Readonly<Record<string, () => Promise<void>>> = {
         crashPrimary: async () => {
             const { primary } = this.deployment.group;
-            if (primary !== undefined) {
+            if (primary !== undefined && !this.isReplicaBehind) {
+                this.crashedCount++;
                 primary.crash();
                 await delay(1_500 + 2_000 * this.random());
                 await primary.restart();
+                this.crashedCount--;
             }
         },
         drainPrimary: async () => {
             const { primary } = this.deployment.group;
             primary?.drain();
             await delay(3_000);
+            while (this.isReplicaBehind) {
+                await delay(100);
+            }
             if (primary !== undefined && !primary.isDown) {
                 primary.crash();
                 await primary.restart();
@@ -87,6 +99,7 @@
             await delay(500 + 2_000 * this.random());
             store.isDown = false;
         },
+        lapseListing: () => this.lapseListing(),
         restartVm: () => this.restartVm(Math.floor(this.random() * VM_COUNT)),
         changeConfiguration: async () => {
             const options = { version: ++this.configurationVersion, databases: { added: SERVICE }, syncReplicas: 1 };
@@ -100,6 +113,39 @@
         await delay(0);
     }
 
+    /** The entries of all instances expire in an outage of the store, at whose end VMs may start. They return one after the other. */
+    private async lapseListing(): Promise<void> {
+        const { store, group } = this.deployment;
+        const replica = group.instances.find(({ isPrimary, isDraining }) => !isPrimary && !isDraining);
+        const isBehind = this.crashedCount === 0 && !this.isReplicaBehind && replica !== undefined;
+        if (isBehind) {
+            this.isReplicaBehind = true;
+            replica.isDeaf = true;
+        }
+        store.isDown = true;
+        store.resetConnections();
+        await delay(500 + 1_000 * this.random());
+        const killed = this.deployment.vms.map((_vm, index) => index).filter(index => !this.stopping.has(index) && this.random() < 0.7);
+        killed.forEach(index => {
+            this.stopping.add(index);
+            this.deployment.vms[index]!.kill();
+        });
+        await delay(500);
+        group.instances.forEach(({ id }) => store.delete(INSTANCE_TABLE, id));
+        store.isDown = false;
+        const restarts = killed.map(index => this.deployment.restartVm(index).then(() => this.stopping.delete(index)));
+        await Promise.all(group.instances.map(async instance => {
+            await delay(RETURN_MS * this.random());
+            instance.register();
+        }));
+        await Promise.all(restarts);
+        if (isBehind) {
+            replica.isDeaf = false;
+            await delay(CATCH_UP_MS);
+            this.isReplicaBehind = false;
+        }
+    }
+
     private async restartVm(index: number): Promise<void> {
         const vm = this.deployment.vms[index]!;
         if (this.stopping.has(index)) {
