--- a/tests/entry/startAfterOutage.test.ts
+++ b/tests/entry/startAfterOutage.test.ts
@@ -1,8 +1,11 @@
+import { feedCallOf } from "@pomeloturn/platform/support/feedCallOf";
 import { INSTANCE_TABLE } from "@pomeloturn/platform/tables";
 import { setTimeout as delay } from "node:timers/promises";
 import { afterEach, expect, it } from "vitest";
+import { LostDirection } from "../support/SilentLink.ts";
 import { EntryDeployment } from "./support/EntryDeployment.ts";
 import { sendWrites } from "./support/sendWrites.ts";
+import { silenceAfterCall } from "./support/silenceAfterCall.ts";
 
 /** Time from the store's return until everything is served again. */
 const RECOVERY_MS = 12_000;
@@ -67,3 +70,19 @@
     }
     expect(group.primary?.id).toBe("c");
 });
+
+it("the listing counts as complete while it shows a replica that this VM has not heard of", async () => {
+    const deployment = await EntryDeployment.create({ syncReplicas: 1, instanceIds: ["a", "b"] });
+    cleanups.push(() => deployment.close());
+    const vm = await deployment.startVm({ isLogKept: true });
+    const feed = feedCallOf(INSTANCE_TABLE);
+    await silenceAfterCall(deployment.storeLinks[0]!, feed, LostDirection.Both, feed);
+    await deployment.group.add("c");
+    const endsAtMs = performance.now() + RECOVERY_MS;
+    while (!vm.log.includes("the listing of the instances is complete") && performance.now() < endsAtMs) {
+        await delay(POLL_MS);
+    }
+    const [before, after] = vm.log.split("the listing of the instances is complete");
+    expect(after).toBeDefined();
+    expect(before).toMatch(/an instance was added or updated.*"id":"c"/);
+});
