--- a/packages/process/replacement-runner/src/ListingCheck.ts
+++ b/packages/process/replacement-runner/src/ListingCheck.ts
@@ -1,6 +1,6 @@
 import { RETURN_WINDOW_MS } from "./returnWindow.ts";
 
-/** Reads have to follow each other closely, so that the store cannot be down between them for long. */
+/** An outage of the store between two reads goes unnoticed, so they follow each other closely. */
 const READ_INTERVAL_MS = 1_000;
 const MAXIMUM_GAP_MS = 2 * READ_INTERVAL_MS;
 const RETRY_DELAY_MS = 500;
@@ -18,9 +18,9 @@
 }
 
 /**
- * Decides when this VM knows all instances that are alive. Entries expire during an outage of the store and return within
- * `RETURN_WINDOW_MS` of its end. A process that has just started cannot tell how long ago that was, so it counts from its
- * own first read, and begins anew after a failed read, a restore of the store or a suspension of this VM. Times are monotonic milliseconds.
+ * Decides when the listing shows all instances that are alive. Entries expire during an outage of the store and return
+ * within `RETURN_WINDOW_MS` of its end. A process cannot tell how long ago that was, so a check counts from its own first
+ * read, and starts again after a failed read, a restore of the store or a suspension of this VM. Times are monotonic milliseconds.
  */
 export class ListingCheck {
     private readableSinceMs: number | undefined;
@@ -29,6 +29,7 @@
     private suspensions = 0;
     private nextReadAtMs = -Infinity;
     private verifiedMs: number | undefined;
+    private hasFailed = false;
 
     private constructor() {}
 
@@ -36,7 +37,7 @@
         return new ListingCheck();
     }
 
-    /** Time at which the last check that was completed began. An entry that is missing since before belongs to no instance that is alive. */
+    /** Start of the last complete check. An instance that was removed from the listing before and has not returned is gone. */
     get verifiedFromMs(): number | undefined {
         return this.verifiedMs;
     }
@@ -62,6 +63,7 @@
             this.era = era;
             this.suspensions = suspensions;
         }
+        this.hasFailed = false;
         this.lastAnsweredAtMs = answeredAtMs;
         this.nextReadAtMs = answeredAtMs + READ_INTERVAL_MS;
         const isComplete = isKnown && sentAtMs - this.readableSinceMs >= RETURN_WINDOW_MS;
@@ -72,11 +74,12 @@
         return isComplete;
     }
 
-    /** Records a read without an answer: the store may have been down. @returns whether earlier reads count no longer */
+    /** Records a read without an answer: the store may have been down. @returns whether it is the first one since the last answer */
     recordFailure(nowMs: number): boolean {
-        const isBegun = this.readableSinceMs !== undefined;
+        const isFirst = !this.hasFailed;
+        this.hasFailed = true;
         this.readableSinceMs = undefined;
         this.nextReadAtMs = nowMs + RETRY_DELAY_MS;
-        return isBegun;
+        return isFirst;
     }
 }
--- a/programs/entry/src/ReplacementActors.ts
+++ b/programs/entry/src/ReplacementActors.ts
@@ -89,7 +89,7 @@
         }
         catch (error) {
             if (this.listingCheck.recordFailure(nowMs())) {
-                log("the listing of the instances cannot be read; it counts as complete later", { reason: (error as Error).message });
+                log("the listing of the instances cannot be read; its check starts again", { reason: (error as Error).message });
             }
         }
     }
