--- a/packages/process/replacement-runner/src/CommitHolders.ts
+++ b/packages/process/replacement-runner/src/CommitHolders.ts
@@ -23,7 +23,7 @@
     /**
      * Records which instances are listed. Must be called regularly.
      *
-     * @param verifiedFromMs time from which on each instance that is alive is listed again; see `ListingCheck`
+     * @param verifiedFromMs start of the last complete check of the listing; see `ListingCheck`
      * @param nowMs monotonic time in milliseconds
      */
     update({ instances, knownLeader: { answeredIds } }: ServiceRuntime, verifiedFromMs: number, nowMs: number): void {
--- a/packages/process/replacement-runner/src/ReplacementActor.ts
+++ b/packages/process/replacement-runner/src/ReplacementActor.ts
@@ -29,7 +29,7 @@
     readonly detectSuspensions: () => number;
     /** Number of replicas of the service that have to receive a commit before it is acknowledged. */
     readonly syncReplicas: () => number;
-    /** Time from which on each instance that is alive is listed again, in monotonic milliseconds; undefined until that is known. */
+    /** Start of the last complete check of the listing, in monotonic milliseconds; undefined before the first one. See `ListingCheck`. */
     readonly verifiedFromMs: () => number | undefined;
     /** Index of this VM in the order in which VMs act on the service. */
     readonly vmIndex: () => number;
@@ -66,7 +66,7 @@
             || this.state.leaderlessSinceMs !== undefined;
     }
 
-    /** Whether commits are acknowledged once replicas have received them, and a replica that is alive may not be listed. */
+    /** Whether a replica that had to receive commits may be alive although it is not listed. */
     get needsListingCheck(): boolean {
         const { service, verifiedFromMs } = this.options;
         return this.state.syncReplicas > 0 && (verifiedFromMs() === undefined || this.holders.listAbsent(service).length > 0);
@@ -74,7 +74,7 @@
 
     tick(): void {
         const { service, verifiedFromMs, nowMs } = this.options;
-        // Without commits that replicas have to receive, an entry that is missing holds nothing up.
+        // Where no replica has to receive a commit, an instance that was removed does not count.
         const isSynchronous = this.state.syncReplicas > 0;
         this.holders.update(service, isSynchronous ? verifiedFromMs() ?? -Infinity : Infinity, nowMs());
         dispatch(this.reference, { kind: "tick", view: this.view() });
--- a/packages/version/replace-primary/src/decideSuccessor.ts
+++ b/packages/version/replace-primary/src/decideSuccessor.ts
@@ -61,7 +61,7 @@
 /**
  * Orders the promotion where commits are acknowledged once replicas have received them. The primary may only be out of this
  * VM's reach. So the replicas stop receiving first, and the promotion is ordered when so many have that no commit which one of
- * the others holds alone can have been acknowledged. An instance that is not listed yet could hold one.
+ * the others holds alone can have been acknowledged. Until the listing is complete, an instance that it does not show may hold one.
  */
 const orderWithEachCommit = (state: ReplacementState, instances: readonly SurveyedInstance[], nowMs: number): ReplacementAction[] => {
     if (!state.isListingComplete) {
--- a/packages/version/replace-primary/src/replacementMessages.ts
+++ b/packages/version/replace-primary/src/replacementMessages.ts
@@ -48,7 +48,7 @@
     | {
         readonly kind: "claimed";
         readonly change: AuthorityChange | undefined;
-        /** Whether the listing was read after the claim and shows no instance that matters and that this VM has not heard of. */
+        /** Whether the listing was read after the claim and shows no instance that has to be known and that this VM has not heard of. */
         readonly isListingCurrent: boolean;
     }
     | { readonly kind: "surveyed"; readonly instances: readonly SurveyedInstance[]; }
--- a/packages/version/replace-primary/src/stepReplacement.test.ts
+++ b/packages/version/replace-primary/src/stepReplacement.test.ts
@@ -170,3 +170,37 @@
         expect(actionsUntil(3_000, 3_200).some(isReplacing)).toBe(true);
     });
 });
+
+describe.each([{ isListingComplete: false }, { isListingComplete: true }])(
+    "where a replica has to receive each commit, and the listing is complete: $isListingComplete",
+    ({ isListingComplete }) => {
+        const view: LeaderView = { ...VIEW, syncReplicas: 1, isListingComplete };
+
+        it("claims the authority to replace a primary that is down although replicas may be missing", () => {
+            const tick = (atMs: number): string[] => kinds(stepReplacement(state, { kind: "tick", view }, atMs));
+            const state = createSuspecting();
+            const actions = [...tick(1_400), ...tick(1_440)];
+            expect(actions.filter(kind => kind === "claim" || kind === "log")).toEqual(isListingComplete ? ["log", "claim"] : ["log"]);
+        });
+
+        it("tells replicas to stop receiving after a failed transfer although replicas may be missing", () => {
+            const state = createReplacement("vm-0", 0, true);
+            const replica: SurveyedInstance = {
+                id: "b",
+                isDraining: false,
+                state: { isPrimary: false, term: 1, received: { term: 1, position: 7 }, heldTerm: 0 },
+                isPaused: false,
+            };
+            const leaving: SurveyedInstance = { ...replica, id: "a", isDraining: true, state: { ...replica.state!, isPrimary: true } };
+            const survey = (primary: SurveyedInstance, atMs: number): ReplacementAction[] =>
+                stepReplacement(state, { kind: "surveyed", instances: [primary, replica] }, atMs);
+            stepReplacement(state, { kind: "tick", view: { ...view, isLeaderDraining: true } }, 1_000);
+            stepReplacement(state, { kind: "claimed", change: { isApplied: true, authority: CLAIMED }, isListingCurrent: true }, 1_010);
+            expect(kinds(survey(leaving, 1_020))).toEqual(["stepDown"]);
+            stepReplacement(state, { kind: "steppedDown" }, 1_030);
+            const silent = { ...leaving, state: undefined };
+            survey(silent, 1_500);
+            expect(survey(silent, 1_510)).toEqual(isListingComplete ? [{ kind: "survey", pauseTerm: 2 }] : []);
+        });
+    },
+);
--- a/packages/version/replace-primary/src/watchLeader.ts
+++ b/packages/version/replace-primary/src/watchLeader.ts
@@ -13,7 +13,7 @@
     VM_STAGGER_MS,
 } from "./replacementTiming.ts";
 
-/** Reasons for which a promotion is ordered without the help of the primary, so that every other holder of a commit has to be known. */
+/** Reasons for which the primary takes no part in its replacement, so that all replicas that may hold its commits have to be known. */
 const REASONS_WITHOUT_PRIMARY: ReadonlySet<ReplacementReason> = new Set<ReplacementReason>([
     ReplacementReason.Down,
     ReplacementReason.Leaderless,
@@ -114,7 +114,7 @@
     return isFirstClaimDue(state, view, nowMs) ? claimUnheldAuthority(state, nowMs) : [];
 };
 
-/** Puts the replacement off while the instance that alone holds a commit may not be listed yet. */
+/** Postpones the replacement until the listing is complete. */
 const waitForListing = (
     state: ReplacementState,
     { leaderId, instanceCount }: LeaderView,
@@ -122,7 +122,7 @@
 ): ReplacementAction[] => {
     const isLogged = state.isWaitingForListing;
     state.isWaitingForListing = true;
-    const text = "the primary is not replaced yet: more instances that received its commits may be listed";
+    const text = "replacement of the primary postponed: instances that hold its commits may not be listed yet";
     return isLogged ? [] : [{ kind: "log", text, details: { reason, leader: leaderId, instances: instanceCount } }];
 };
 
