--- a/tests/entry/soak.test.ts
+++ b/tests/entry/soak.test.ts
@@ -40,7 +40,7 @@
     readonly badExits: string[] = [];
     private readonly stopping = new Set<number>();
     private crashedCount = 0;
-    /** Whether a replica lacks commits, so that the primary must not be lost with the other one. */
+    /** Whether a replica lacks commits, so that the other two instances must not both be down. */
     private isReplicaBehind = false;
     private configurationVersion = 1;
     private isOver = false;
@@ -52,6 +52,10 @@
         private readonly random: () => number,
     ) {}
 
+    private get mayCrash(): boolean {
+        return !this.isReplicaBehind || this.crashedCount === 0;
+    }
+
     private choose<Value>(values: readonly Value[]): Value {
         return values[Math.floor(this.random() * values.length)]!;
     }
@@ -64,7 +68,7 @@
     readonly faults: Readonly<Record<string, () => Promise<void>>> = {
         crashPrimary: async () => {
             const { primary } = this.deployment.group;
-            if (primary !== undefined && !this.isReplicaBehind) {
+            if (primary !== undefined && this.mayCrash) {
                 this.crashedCount++;
                 primary.crash();
                 await delay(1_500 + 2_000 * this.random());
@@ -76,7 +80,7 @@
             const { primary } = this.deployment.group;
             primary?.drain();
             await delay(3_000);
-            while (this.isReplicaBehind) {
+            while (!this.mayCrash) {
                 await delay(100);
             }
             if (primary !== undefined && !primary.isDown) {
@@ -99,7 +103,7 @@
             await delay(500 + 2_000 * this.random());
             store.isDown = false;
         },
-        lapseListing: () => this.lapseListing(),
+        expireListing: () => this.expireListing(),
         restartVm: () => this.restartVm(Math.floor(this.random() * VM_COUNT)),
         changeConfiguration: async () => {
             const options = { version: ++this.configurationVersion, databases: { added: SERVICE }, syncReplicas: 1 };
@@ -114,7 +118,7 @@
     }
 
     /** The entries of all instances expire in an outage of the store, at whose end VMs may start. They return one after the other. */
-    private async lapseListing(): Promise<void> {
+    private async expireListing(): Promise<void> {
         const { store, group } = this.deployment;
         const replica = group.instances.find(({ isPrimary, isDraining }) => !isPrimary && !isDraining);
         const isBehind = this.crashedCount === 0 && !this.isReplicaBehind && replica !== undefined;
