--- a/tests/replacement/support/EventQueue.ts
+++ b/tests/replacement/support/EventQueue.ts
@@ -8,6 +8,12 @@
     nowMs = 0;
     private readonly events: QueuedEvent[] = [];
 
+    private constructor() {}
+
+    static create(): EventQueue {
+        return new EventQueue();
+    }
+
     add(atMs: number, run: () => void): void {
         let [from, to] = [0, this.events.length];
         while (from < to) {
--- a/tests/replacement/support/ListingView.ts
+++ b/tests/replacement/support/ListingView.ts
@@ -13,8 +13,12 @@
     private readonly check = ListingCheck.create();
     private readonly holders = CommitHolders.create();
 
+    private constructor(private readonly isSynchronous: boolean) {}
+
     /** @param isSynchronous whether commits are acknowledged once replicas have received them */
-    constructor(private readonly isSynchronous: boolean) {}
+    static create(isSynchronous: boolean): ListingView {
+        return new ListingView(isSynchronous);
+    }
 
     /** Reads the listing, as the feed of the VM does. @param listed ids of the listed instances; undefined while the store cannot be read */
     follow(listed: readonly string[] | undefined, primaryId: string | undefined, nowMs: number): void {
--- a/tests/replacement/support/ReplacementSimulation.ts
+++ b/tests/replacement/support/ReplacementSimulation.ts
@@ -36,7 +36,7 @@
     private readonly log: SimulatedLog;
     private row = createUnheldAuthority(1);
     private highestFence = 0;
-    private readonly events = new EventQueue();
+    private readonly events = EventQueue.create();
     private readonly random: () => number;
 
     /** @param syncReplicas number of replicas that have to receive a commit before it is acknowledged */
--- a/tests/replacement/support/SimulatedVm.ts
+++ b/tests/replacement/support/SimulatedVm.ts
@@ -24,7 +24,7 @@
         name,
         index,
         state: createReplacement(name, nowMs, areFencesChecked),
-        listing: new ListingView(syncReplicas > 0),
+        listing: ListingView.create(syncReplicas > 0),
         hasReadAuthority: false,
         hasEnded: false,
         isSuspended: false,
--- a/tests/replacement/unlistedInstances.test.ts
+++ b/tests/replacement/unlistedInstances.test.ts
@@ -28,10 +28,10 @@
     /** Replica that receives nothing from `DOWN_AT_MS` on. */
     readonly cutReplica: "b" | "c";
     /** How long the store is down again after its return, and when that begins; a duration of 0 means that it is not. */
-    readonly again: { readonly atMs: number; readonly durationMs: number; };
+    readonly secondOutage: { readonly atMs: number; readonly durationMs: number; };
 }
 
-const runOutage = (seed: number, { listedAfterMs, startsAfterMs, failsAtMs, cutReplica, again }: Outage): ReplacementSimulation => {
+const runOutage = (seed: number, { listedAfterMs, startsAfterMs, failsAtMs, cutReplica, secondOutage }: Outage): ReplacementSimulation => {
     const simulation = new ReplacementSimulation(seed, VM_COUNT, 1, INSTANCE_IDS);
     simulation.at(DOWN_AT_MS, () => {
         simulation.isStoreDown = true;
@@ -39,8 +39,8 @@
     });
     simulation.at(RETURN_AT_MS - 1, () => simulation.instances.forEach(instance => instance.isListed = false));
     simulation.at(RETURN_AT_MS, () => simulation.isStoreDown = false);
-    simulation.at(RETURN_AT_MS + again.atMs, () => simulation.isStoreDown = again.durationMs > 0);
-    const returnAtMs = RETURN_AT_MS + (again.durationMs === 0 ? 0 : again.atMs + again.durationMs);
+    simulation.at(RETURN_AT_MS + secondOutage.atMs, () => simulation.isStoreDown = secondOutage.durationMs > 0);
+    const returnAtMs = RETURN_AT_MS + (secondOutage.durationMs === 0 ? 0 : secondOutage.atMs + secondOutage.durationMs);
     simulation.at(returnAtMs, () => simulation.isStoreDown = false);
     startsAfterMs.forEach((afterMs, index) => {
         if (afterMs !== undefined) {
@@ -54,7 +54,7 @@
     INSTANCE_IDS.forEach((id, index) => {
         const afterMs = listedAfterMs[index]!;
         // An entry that is due during the second outage is written after it.
-        const listedAtMs = RETURN_AT_MS + afterMs < RETURN_AT_MS + again.atMs ? RETURN_AT_MS + afterMs : returnAtMs + afterMs;
+        const listedAtMs = RETURN_AT_MS + afterMs < RETURN_AT_MS + secondOutage.atMs ? RETURN_AT_MS + afterMs : returnAtMs + afterMs;
         simulation.at(listedAtMs, () => {
             const instance = simulation.findInstance(id);
             instance.isListed = instance.condition === "up";
@@ -64,12 +64,12 @@
     return simulation;
 };
 
-const CALM: Outage = {
+const PLAIN_OUTAGE: Outage = {
     listedAfterMs: [1_900, 1_800, 100],
     startsAfterMs: [0, 0, 0],
     failsAtMs: undefined,
     cutReplica: "c",
-    again: { atMs: 0, durationMs: 0 },
+    secondOutage: { atMs: 0, durationMs: 0 },
 };
 
 it.each<[what: string, outage: Partial<Outage>, leaders: readonly string[]]>([
@@ -77,17 +77,17 @@
     ["while the one that has every commit is not listed yet and the primary has failed", { failsAtMs: 9_000 }, ["b"]],
     [
         "whose listing was read before another outage, in which the time for the others' return went by",
-        { listedAfterMs: [1_900, 1_800, 10], again: { atMs: 700, durationMs: 5_000 } },
+        { listedAfterMs: [1_900, 1_800, 10], secondOutage: { atMs: 700, durationMs: 5_000 } },
         [],
     ],
 ])("VMs that have started after an outage of the store promote a replica %s", (_what, outage, leaders) => {
-    const simulation = runOutage(1, { ...CALM, ...outage });
+    const simulation = runOutage(1, { ...PLAIN_OUTAGE, ...outage });
     expect(simulation.promotions.map(({ id }) => id)).toEqual(leaders);
     expect(simulation.lostAcknowledgedCount).toBe(0);
 });
 
 it("the only replica that is left after an outage of the store is not promoted in time", () => {
-    const simulation = runOutage(1, { ...CALM, failsAtMs: 9_000, listedAfterMs: [1_900, END_MS, 100], cutReplica: "b" });
+    const simulation = runOutage(1, { ...PLAIN_OUTAGE, failsAtMs: 9_000, listedAfterMs: [1_900, END_MS, 100], cutReplica: "b" });
     expect(simulation.promotions.map(({ id }) => id)).toEqual(["c"]);
     expect(simulation.promotions[0]!.atMs).toBeLessThan(RETURN_AT_MS + RECOVERY_MS);
 });
@@ -103,7 +103,7 @@
         startsAfterMs,
         failsAtMs: fc.option(fc.integer({ min: DOWN_AT_MS, max: RETURN_AT_MS + 5_000 }), { nil: undefined }),
         cutReplica: fc.constantFrom("b", "c"),
-        again: fc.record({ atMs: fc.integer({ min: 1, max: 4_000 }), durationMs: fc.constantFrom(0, 0, 1_500, 6_000) }),
+        secondOutage: fc.record({ atMs: fc.integer({ min: 1, max: 4_000 }), durationMs: fc.constantFrom(0, 0, 1_500, 6_000) }),
     });
     fc.assert(
         fc.property(fc.integer({ min: 1, max: 2 ** 31 - 1 }), outages, (seed, outage) => {
