--- a/review/11/case.mjs
+++ b/review/11/case.mjs
@@ -23,6 +23,7 @@
             throw new Error(`the proxy did not start: ${proxy.output}`);
         }
     }
+    group.onArrived = (instance, id, command) => record.add(`arrived: ${id} ${instance.id} ${command[0]}`);
     const acknowledged = new Map();
     const lost = new Set();
     group.onLead = next => {
@@ -41,8 +42,10 @@
             const caller = await Caller.open(proxy.front, "db");
             for (let isUsable = caller.isOpen; isUsable && !isOver; await delay(PAUSE_MS)) {
                 const id = nextId();
+                record.add(`sent: ${id} ${proxy.node} WRITE`);
                 const { kind, text } = await caller.run(id, `WRITE 1a4 d${id}`);
                 counts[kind]++;
+                record.add(`answered: ${id} ${proxy.node} ${kind} ${text}`);
                 if (kind === "complete") {
                     acknowledged.set(id, `acknowledged through ${proxy.node} with ${text}`);
                 }
