review: case 11 ends its processes when the script is ended

The stand-ins end each process that they have started also when the script gets a signal. A part that only dropped cases used is gone.

--- a/review/standins-3/harness.mjs
+++ b/review/standins-3/harness.mjs
@@ -467,6 +467,11 @@
     ...(type === "primary" ? {} : { max_staleness_ms: 1_500 }), ...more,
 });
 
+/** Processes that run, ended in any case when the script ends. */
+const children = new Set();
+process.on("exit", () => children.forEach(child => child.kill("SIGKILL")));
+["SIGTERM", "SIGINT", "SIGHUP"].forEach(signal => process.on(signal, () => process.exit(2)));
+
 /** A process of the system, started with the command of the deploy file. */
 export class Proxy {
     output = "";
@@ -499,6 +504,9 @@
             env: { PATH: process.env.PATH, HOME: process.env.HOME, LANG: process.env.LANG, POMELOTURN_BOOT: this.file },
             stdio: ["ignore", "pipe", "pipe"],
         });
+        const { child } = this;
+        children.add(child);
+        child.on("exit", () => children.delete(child));
         this.exit = undefined;
         this.record.add(`${this.node} started`);
         const collect = chunk => {
@@ -513,25 +521,6 @@
         }));
         return this;
     }
-    /** Starts the process again after each end, as the platform does, until the case ends. Counts the ends. */
-    async supervise() {
-        this.endCount = 0;
-        while (!this.isStopping) {
-            await this.exited;
-            if (this.isStopping) {
-                return;
-            }
-            this.endCount++;
-            const reason = this.output.split("\n").findLast(line => line.startsWith("FATAL ERROR")) ?? this.output.slice(-300);
-            this.record.add(`${this.node} ended by itself, time ${this.endCount}: ${reason}`);
-            await delay(500);
-            writeFileSync(this.file, readFileSync(this.file, "utf8").replace('"isFirstStart": true', '"isFirstStart": false'));
-            if (!this.isStopping) {
-                this.output = "";
-                await this.run();
-            }
-        }
-    }
     async untilReady(limitMs = 15_000) {
         const endsAt = performance.now() + limitMs;
         while (performance.now() < endsAt && this.exit === undefined) {
@@ -556,7 +545,6 @@
         this.child.kill(signal);
     }
     async stop() {
-        this.isStopping = true;
         if (this.child !== undefined && this.exit === undefined) {
             this.child.kill("SIGKILL");
             await this.exited;
